--- /dev/null
+++ b/buckthornlink-agent/src/agent.rs
@@ -0,0 +1,289 @@
+//! A running agent and its life cycle.
+//!
+//! [`Agent<Serving>`](Agent) becomes `Agent<Draining>` by [`Agent::drain`], which ends by
+//! [`Agent::finish`]. Dropping it in any state stops it at once.
+
+use std::marker::PhantomData;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use buckthornlink_core::agent::{Event, Setup};
+use buckthornlink_core::{ServicePort, Version, ZoneTag};
+use buckthornlink_node::clock::{Clock, boot_id};
+use buckthornlink_node::metrics::{HttpServer, router};
+use buckthornlink_node::settings::key_ring;
+use buckthornlink_node::trace::{Recorder, TraceRole};
+use buckthornlink_wire::{KeyRing, Place};
+
+use crate::answer::Answers;
+use crate::backend::Backend;
+use crate::dependency::Dependencies;
+use crate::executor::{Executor, Job, Shared};
+use crate::ids::Issuer;
+use crate::link::{LinkLane, bind};
+use crate::metrics::Metrics;
+use crate::request::Server;
+use crate::settings::AgentSettings;
+use crate::socket::{EnvelopeSocket, Incoming, Returns};
+use crate::{flow, health, quic};
+
+/// Jobs that wait for the reducer before datagrams are dropped.
+const JOB_QUEUE: usize = 16_384;
+/// Datagrams that wait for quinn before more are dropped.
+const DATAGRAM_QUEUE: usize = 8_192;
+
+/// The agent serves.
+#[derive(Debug)]
+pub struct Serving;
+
+/// The agent finishes what it holds and opens nothing new.
+#[derive(Debug)]
+pub struct Draining;
+
+/// A running agent.
+pub struct Agent<S = Serving> {
+    link: SocketAddrV4,
+    http: HttpServer,
+    dependencies: HttpServer,
+    jobs: flume::Sender<Job>,
+    shared: Shared,
+    patience: Duration,
+    drained: watch::Receiver<bool>,
+    _tasks: JoinSet<()>,
+    state: PhantomData<S>,
+}
+
+/// Counters of an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stats {
+    /// Datagrams of flows and openers received.
+    pub datagrams: u64,
+    /// Bytes of control messages sent.
+    pub control_bytes: u64,
+}
+
+impl Agent<Serving> {
+    /// Binds the sockets, starts, and announces the backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot stand or an address cannot be bound.
+    pub async fn spawn(settings: AgentSettings) -> anyhow::Result<Self> {
+        let keys = Arc::new(key_ring(&settings.keys)?);
+        let socket = bind(settings.link).with_context(|| format!("link {}", settings.link))?;
+        let link = v4(socket.local_addr()?)?;
+        let setup = setup(&settings, link);
+        let recorder = open_recorder(&settings, &setup)?;
+        let (drain, drained) = watch::channel(false);
+        let shared = shared(Arc::new(socket), keys, drain)?;
+        let (jobs, queue) = flume::bounded(JOB_QUEUE);
+        let (to_quic, incoming) = flume::bounded(DATAGRAM_QUEUE);
+        let endpoint = endpoint(&settings, &setup, &shared, incoming)?;
+        let backend = Backend::open(settings.backend.addr);
+        let http = HttpServer::bind(settings.http, router(shared.metrics.registry.clone()))
+            .await
+            .with_context(|| format!("http {}", settings.http))?;
+        let dependencies = serve_dependencies(&settings, &shared).await?;
+        let server = Arc::new(Server {
+            service: settings.service.clone(),
+            jobs: jobs.clone(),
+            backend: backend.clone(),
+            metrics: Arc::clone(&shared.metrics),
+            shared: shared.clone(),
+            tickets: AtomicU64::new(1),
+        });
+        let lane = LinkLane {
+            socket: Arc::clone(&shared.link),
+            keys: Arc::clone(&shared.keys),
+            service: setup.service,
+            returns: Arc::clone(&shared.returns),
+            to_quic: to_quic.clone(),
+            jobs: jobs.clone(),
+            metrics: Arc::clone(&shared.metrics),
+        };
+        let metrics = Arc::clone(&shared.metrics);
+        let executor = Executor::new(setup, shared.clone(), to_quic, jobs.clone(), recorder);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(executor.run(queue));
+        tasks.spawn(lane.run());
+        tasks.spawn(flow::accept(endpoint, server));
+        tasks.spawn(health::poll(
+            backend,
+            settings.backend.clone(),
+            jobs.clone(),
+            metrics,
+        ));
+        log::info!(link:% = link, service = settings.service, zone = settings.zone;
+            "agent started");
+        Ok(Self {
+            link,
+            http,
+            dependencies,
+            jobs,
+            shared,
+            patience: settings.drain_ms,
+            drained,
+            _tasks: tasks,
+            state: PhantomData,
+        })
+    }
+
+    /// Stops taking new work and asks the flows to move.
+    pub async fn drain(self) -> Agent<Draining> {
+        let _ = self.jobs.send_async(Job::Event(Event::Drain)).await;
+        log::info!(link:% = self.link; "agent drains");
+        Agent {
+            link: self.link,
+            http: self.http,
+            dependencies: self.dependencies,
+            jobs: self.jobs,
+            shared: self.shared,
+            patience: self.patience,
+            drained: self.drained,
+            _tasks: self._tasks,
+            state: PhantomData,
+        }
+    }
+}
+
+impl Agent<Draining> {
+    /// Waits until everything held has ended, or the drain time is up; returns whether it has.
+    pub async fn finish(mut self) -> bool {
+        let is_done = self.drained.wait_for(|is_drained| *is_drained);
+        let is_drained = matches!(timeout(self.patience, is_done).await, Ok(Ok(_)));
+        log::info!(link:% = self.link, drained = is_drained; "agent stopped");
+        is_drained
+    }
+}
+
+impl<S> Agent<S> {
+    /// Address of the link socket.
+    #[must_use]
+    pub const fn link(&self) -> SocketAddrV4 {
+        self.link
+    }
+
+    /// Address of the metrics server.
+    #[must_use]
+    pub const fn http(&self) -> SocketAddrV4 {
+        self.http.addr()
+    }
+
+    /// Address at which the backend server calls its dependencies.
+    #[must_use]
+    pub const fn dependencies(&self) -> SocketAddrV4 {
+        self.dependencies.addr()
+    }
+
+    /// Version of the configuration in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.shared.config.borrow().version
+    }
+
+    /// Counters.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        Stats {
+            datagrams: self.shared.returns.received(),
+            control_bytes: self.shared.metrics.control_bytes.get(),
+        }
+    }
+}
+
+fn setup(settings: &AgentSettings, link: SocketAddrV4) -> Setup {
+    Setup {
+        addr: link,
+        service: ServicePort(settings.service_port),
+        name: settings.service.clone(),
+        zone: ZoneTag::of(&settings.zone),
+        boot: boot_id(),
+        entry: settings.entry,
+    }
+}
+
+fn shared(
+    link: Arc<UdpSocket>,
+    keys: Arc<KeyRing>,
+    drained: watch::Sender<bool>,
+) -> anyhow::Result<Shared> {
+    Ok(Shared {
+        link,
+        keys,
+        returns: Arc::default(),
+        answers: Arc::<Answers>::default(),
+        metrics: Arc::new(Metrics::new()?),
+        config: watch::Sender::default(),
+        drained,
+        clock: Clock::start(),
+    })
+}
+
+fn endpoint(
+    settings: &AgentSettings,
+    setup: &Setup,
+    shared: &Shared,
+    incoming: flume::Receiver<Incoming>,
+) -> anyhow::Result<quinn::Endpoint> {
+    let place = Place {
+        agent: setup.addr,
+        service: setup.service,
+        zone: setup.zone,
+        boot: setup.boot.short(),
+    };
+    let socket = EnvelopeSocket::new(
+        Arc::clone(&shared.link),
+        Arc::clone(&shared.keys),
+        setup.service,
+        Arc::<Returns>::clone(&shared.returns),
+        incoming,
+    );
+    let issuer = Issuer::new(place, Arc::clone(&shared.keys));
+    quic::serve(
+        Arc::new(socket),
+        issuer,
+        shared.keys.current(),
+        &settings.tls,
+    )
+}
+
+async fn serve_dependencies(
+    settings: &AgentSettings,
+    shared: &Shared,
+) -> anyhow::Result<HttpServer> {
+    let endpoint = quic::call(*settings.link.ip(), &settings.tls)?;
+    let dependencies = Dependencies::new(
+        settings.service.clone(),
+        shared.clone(),
+        endpoint,
+        settings.dependency_flows,
+    );
+    HttpServer::bind(settings.dependencies, dependencies.router())
+        .await
+        .with_context(|| format!("dependencies {}", settings.dependencies))
+}
+
+fn open_recorder(settings: &AgentSettings, setup: &Setup) -> anyhow::Result<Option<Recorder>> {
+    let Some(path) = &settings.record else {
+        return Ok(None);
+    };
+    let recorder = Recorder::open(path, TraceRole::Agent(setup.clone()));
+    recorder
+        .map(Some)
+        .with_context(|| format!("record {}", path.display()))
+}
+
+fn v4(addr: SocketAddr) -> anyhow::Result<SocketAddrV4> {
+    match addr {
+        SocketAddr::V4(addr) => Ok(addr),
+        SocketAddr::V6(addr) => anyhow::bail!("{addr} is not an IPv4 address"),
+    }
+}
--- /dev/null
+++ b/buckthornlink-agent/src/backend.rs
@@ -0,0 +1,132 @@
+//! Calls to the backend server over loopback HTTP/1.1.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use buckthornlink_core::agent::Outcome;
+use buckthornlink_core::verdict::{BACKEND_BOOT_HEADER, SHED_FOR_DEPENDENCY, SHED_HEADER};
+
+use crate::answer::Answer;
+
+/// Largest answer, in bytes. Answers are passed on whole, so that none is cut short.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Headers that concern one connection only.
+const HOP_HEADERS: [header::HeaderName; 6] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::PROXY_AUTHENTICATE,
+];
+
+/// A client of the backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Backend {
+    addr: SocketAddrV4,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Backend {
+    pub(crate) fn open(addr: SocketAddrV4) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { addr, client }
+    }
+
+    /// Runs a request; returns how it ended and the answer, if there is a whole one.
+    pub(crate) async fn run(
+        &self,
+        parts: &http::request::Parts,
+        body: Bytes,
+        time: Duration,
+    ) -> (Outcome, Option<Answer>) {
+        let Ok(request) = self.request(parts, body) else {
+            return (Outcome::Unreachable, None);
+        };
+        match tokio::time::timeout(time, self.exchange(request)).await {
+            Ok(ended) => ended,
+            Err(_) => (Outcome::Late, None),
+        }
+    }
+
+    /// The body of `path`, for health and load endpoints.
+    pub(crate) async fn probe(&self, path: &str, time: Duration) -> Option<Answer> {
+        let request = Request::get(self.uri(path).ok()?)
+            .body(Full::default())
+            .ok()?;
+        let ended = tokio::time::timeout(time, self.exchange(request)).await;
+        ended.ok()?.1
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> (Outcome, Option<Answer>) {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(err) if err.is_connect() => return (Outcome::Unreachable, None),
+            Err(_) => return (Outcome::Broken, None),
+        };
+        let (parts, body) = response.into_parts();
+        let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+            return (Outcome::Broken, None);
+        };
+        let outcome = outcome_of(&parts.headers);
+        let mut headers = parts.headers;
+        strip(&mut headers);
+        let answer = Answer {
+            status: parts.status,
+            headers,
+            body: body.to_bytes(),
+        };
+        (outcome, Some(answer))
+    }
+
+    fn request(
+        &self,
+        parts: &http::request::Parts,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = parts.method.clone();
+        *request.uri_mut() = self.uri(path)?;
+        *request.headers_mut() = parts.headers.clone();
+        strip(request.headers_mut());
+        Ok(request)
+    }
+
+    fn uri(&self, path: &str) -> Result<Uri, http::Error> {
+        Ok(format!("http://{}{path}", self.addr).parse::<Uri>()?)
+    }
+}
+
+fn outcome_of(headers: &HeaderMap) -> Outcome {
+    if let Some(reason) = headers.get(SHED_HEADER) {
+        return if reason == SHED_FOR_DEPENDENCY {
+            Outcome::Declined
+        } else {
+            Outcome::Shed
+        };
+    }
+    let boot = headers
+        .get(BACKEND_BOOT_HEADER)
+        .and_then(|v| v.to_str().ok());
+    Outcome::Answered {
+        boot: boot.and_then(|v| v.parse().ok()),
+    }
+}
+
+fn strip(headers: &mut HeaderMap) {
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/buckthornlink-agent/src/dependency.rs
@@ -0,0 +1,321 @@
+//! Calls of the backend server to the services that it depends on.
+//!
+//! The backend server calls `http://ADDRESS/SERVICE/PATH` on loopback. The agent checks that the
+//! dependency is declared, carries deadline and class onward over QUIC, and retries within a
+//! budget what did not run.
+
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use axum::body::{Body, to_bytes};
+use axum::extract::{Path, State};
+use axum::routing::any;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
+use quinn::Endpoint;
+use std::collections::HashMap;
+use tokio::time::{sleep, timeout};
+
+use buckthornlink_core::Verdict;
+use buckthornlink_core::config::Service;
+use buckthornlink_core::retry::RetryBudget;
+use buckthornlink_core::verdict::{
+    DEADLINE_HEADER, DEPENDANT_HEADER, REASON_HEADER, REQUEST_ID_HEADER, Refusal, VERDICT_HEADER,
+};
+use buckthornlink_wire::dependant;
+
+use crate::client::{CallError, Flow};
+use crate::executor::Shared;
+
+const MAX_BODY_BYTES: usize = 1 << 20;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before a retry, growing with each.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+const MAX_RETRIES: u32 = 3;
+
+/// Carries calls to dependencies.
+pub(crate) struct Dependencies {
+    service: String,
+    shared: Shared,
+    endpoint: Endpoint,
+    flows: usize,
+    pools: Mutex<HashMap<SocketAddrV4, Arc<Pool>>>,
+}
+
+/// Flows to one dependency and the budget for retries on them.
+struct Pool {
+    slots: Vec<tokio::sync::Mutex<Option<Arc<Flow>>>>,
+    turn: AtomicUsize,
+    budget: Mutex<RetryBudget>,
+}
+
+/// A call that has been checked.
+struct Call {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    deadline: Instant,
+}
+
+/// A call that has no answer.
+#[derive(Clone, Copy)]
+struct Refused {
+    verdict: Verdict,
+    refusal: Refusal,
+}
+
+impl Refused {
+    const fn not_run(refusal: Refusal) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            refusal,
+        }
+    }
+}
+
+type Answered = (Response<()>, Bytes);
+
+impl Dependencies {
+    pub(crate) fn new(service: String, shared: Shared, endpoint: Endpoint, flows: usize) -> Self {
+        Self {
+            service,
+            shared,
+            endpoint,
+            flows: flows.max(1),
+            pools: Mutex::default(),
+        }
+    }
+
+    /// The router that the backend server calls.
+    pub(crate) fn router(self) -> Router {
+        Router::new()
+            .route("/{service}/{*path}", any(handle))
+            .with_state(Arc::new(self))
+    }
+
+    async fn call(&self, name: &str, request: Request<Body>) -> Result<Answered, Refused> {
+        let target = self
+            .target(name)
+            .ok_or(Refused::not_run(Refusal::Undeclared))?;
+        let call = self.prepare(&target, request).await?;
+        let pool = self.pool(target.address);
+        pool.earn();
+        let mut retries = 0;
+        loop {
+            let ended = self.attempt(&pool, &target, &call).await;
+            let Some(refused) = retryable(&ended, &call.method) else {
+                return ended;
+            };
+            let pause = RETRY_PAUSE * (1 << retries);
+            let has_time = Instant::now() + pause < call.deadline;
+            if retries >= MAX_RETRIES || !has_time || !pool.spend() {
+                return Err(refused);
+            }
+            retries += 1;
+            sleep(pause).await;
+        }
+    }
+
+    /// The configured service called `name`, if this agent's service declares it.
+    fn target(&self, name: &str) -> Option<Service> {
+        let config = self.shared.config.borrow().clone();
+        let own = config.config.service_named(&self.service)?;
+        let is_declared = own.dependencies.iter().any(|d| d == name);
+        config
+            .config
+            .service_named(name)
+            .filter(|_| is_declared)
+            .cloned()
+    }
+
+    async fn prepare(&self, target: &Service, request: Request<Body>) -> Result<Call, Refused> {
+        let malformed = Refused::not_run(Refusal::Malformed);
+        let (parts, body) = request.into_parts();
+        let body = to_bytes(body, MAX_BODY_BYTES)
+            .await
+            .map_err(|_| malformed)?;
+        let mut headers = parts.headers;
+        headers.remove(http::header::HOST);
+        headers.remove(http::header::CONNECTION);
+        headers.remove(http::header::TRANSFER_ENCODING);
+        let deadline = headers.get(DEADLINE_HEADER).and_then(|v| v.to_str().ok());
+        let deadline = deadline.and_then(|v| v.parse().ok());
+        let millis = deadline.unwrap_or(u64::from(target.deadline_ms));
+        let id = headers.get(REQUEST_ID_HEADER).and_then(|v| v.to_str().ok());
+        let mark = dependant::seal(&self.service, id.unwrap_or(""), &self.shared.keys);
+        let mark = HeaderValue::try_from(mark).map_err(|_| malformed)?;
+        headers.insert(DEPENDANT_HEADER, mark);
+        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+        let path = path
+            .strip_prefix(&format!("/{}", target.name))
+            .unwrap_or(path);
+        let uri = format!("https://{}{path}", target.name).parse();
+        Ok(Call {
+            method: parts.method,
+            uri: uri.map_err(|_| malformed)?,
+            headers,
+            body,
+            deadline: Instant::now() + Duration::from_millis(millis),
+        })
+    }
+
+    async fn attempt(
+        &self,
+        pool: &Pool,
+        target: &Service,
+        call: &Call,
+    ) -> Result<Answered, Refused> {
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(Refused::not_run(Refusal::Deadline));
+        }
+        let opened = timeout(left.min(CONNECT_TIMEOUT), pool.flow(&self.endpoint, target)).await;
+        let flow = opened
+            .ok()
+            .flatten()
+            .ok_or(Refused::not_run(Refusal::DependencyDown))?;
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let request = call.request(left);
+        match timeout(left, flow.call(request, call.body.clone())).await {
+            Ok(Ok(answered)) => refused_by(&answered).map_or(Ok(answered), Err),
+            Ok(Err(err)) => Err(lost(&err)),
+            Err(_) => Err(Refused {
+                verdict: Verdict::MayHaveRun,
+                refusal: Refusal::Deadline,
+            }),
+        }
+    }
+
+    fn pool(&self, addr: SocketAddrV4) -> Arc<Pool> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(
+            pools
+                .entry(addr)
+                .or_insert_with(|| Arc::new(Pool::new(self.flows))),
+        )
+    }
+}
+
+impl Pool {
+    fn new(flows: usize) -> Self {
+        Self {
+            slots: (0..flows).map(|_| tokio::sync::Mutex::default()).collect(),
+            turn: AtomicUsize::new(0),
+            budget: Mutex::default(),
+        }
+    }
+
+    /// The next flow in turn, opened anew if it takes no more requests.
+    async fn flow(&self, endpoint: &Endpoint, target: &Service) -> Option<Arc<Flow>> {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let mut slot = self.slots[turn % self.slots.len()].lock().await;
+        if let Some(flow) = slot.as_ref().filter(|f| !f.is_closing()) {
+            return Some(Arc::clone(flow));
+        }
+        match Flow::open(endpoint, target.address, &target.name).await {
+            Ok(flow) => {
+                let flow = Arc::new(flow);
+                *slot = Some(Arc::clone(&flow));
+                Some(flow)
+            }
+            Err(err) => {
+                log::debug!(service = target.name, err:% = err; "dependency cannot be reached");
+                None
+            }
+        }
+    }
+
+    fn earn(&self) {
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .earn();
+    }
+
+    fn spend(&self) -> bool {
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .spend()
+    }
+}
+
+impl Call {
+    fn request(&self, left: Duration) -> Request<()> {
+        let mut request = Request::new(());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        request
+            .headers_mut()
+            .insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        request
+    }
+}
+
+async fn handle(
+    State(dependencies): State<Arc<Dependencies>>,
+    Path((service, _)): Path<(String, String)>,
+    request: Request<Body>,
+) -> Response<Body> {
+    match dependencies.call(&service, request).await {
+        Ok((mut head, body)) => {
+            *head.version_mut() = Version::HTTP_11;
+            head.map(|()| Body::from(body))
+        }
+        Err(refused) => refusal(refused),
+    }
+}
+
+fn refusal(refused: Refused) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = match refused.verdict {
+        Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        Verdict::MayHaveRun | Verdict::Ran => StatusCode::BAD_GATEWAY,
+    };
+    let headers = response.headers_mut();
+    headers.insert(
+        VERDICT_HEADER,
+        HeaderValue::from_static(refused.verdict.as_str()),
+    );
+    headers.insert(
+        REASON_HEADER,
+        HeaderValue::from_static(refused.refusal.as_str()),
+    );
+    response
+}
+
+/// The refusal in an answer that another agent gave without running the request, if it may be
+/// tried again elsewhere.
+fn refused_by((head, _): &Answered) -> Option<Refused> {
+    let text = |name| head.headers().get(name).and_then(|v| v.to_str().ok());
+    let verdict: Verdict = text(VERDICT_HEADER)?.parse().ok()?;
+    let is_final = text(REASON_HEADER) == Some(Refusal::Malformed.as_str())
+        || text(REASON_HEADER) == Some(Refusal::IdReused.as_str())
+        || text(REASON_HEADER) == Some(Refusal::Deadline.as_str());
+    let is_retryable = verdict == Verdict::NotRun && !is_final;
+    is_retryable.then_some(Refused::not_run(Refusal::Overload))
+}
+
+const fn lost(err: &CallError) -> Refused {
+    Refused {
+        verdict: err.verdict(),
+        refusal: Refusal::BackendFailed,
+    }
+}
+
+/// The refusal of a call that may be tried again.
+fn retryable(ended: &Result<Answered, Refused>, method: &Method) -> Option<Refused> {
+    let refused = *ended.as_ref().err()?;
+    let is_final = matches!(
+        refused.refusal,
+        Refusal::Undeclared | Refusal::Malformed | Refusal::Deadline
+    );
+    let is_safe = refused.verdict == Verdict::NotRun || *method == Method::GET;
+    (is_safe && !is_final).then_some(refused)
+}
--- /dev/null
+++ b/buckthornlink-agent/src/executor.rs
@@ -0,0 +1,351 @@
+//! Runs the reducer and performs its effects.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use tokio::net::UdpSocket;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use buckthornlink_core::agent::{Agent, Effect, Event, FlowId, Request, Setup, TICK, Ticket};
+use buckthornlink_core::message::Message;
+use buckthornlink_core::verdict::Refusal;
+use buckthornlink_core::{Verdict, Version};
+use buckthornlink_node::clock::Clock;
+use buckthornlink_node::link::{self, ConfigReply};
+use buckthornlink_node::trace::Recorder;
+use buckthornlink_wire::{Header, KeyRing, control};
+
+use crate::answer::{Answer, Answers};
+use crate::metrics::{Dropped, Metrics};
+use crate::socket::{Incoming, Returns};
+
+/// A fetch that has not ended after this time may be started again.
+const FETCH_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Work for the reducer's task.
+pub(crate) enum Job {
+    /// An event that nobody waits for.
+    Event(Event),
+    /// An opener with its datagram.
+    Opener(Event, Opener),
+    /// A caller asks to open a flow.
+    AskFlow(FlowId, oneshot::Sender<watch::Receiver<FlowOrder>>),
+    /// A request; decisions about it go to the sender.
+    Request(Request, flume::Sender<Decision>),
+}
+
+/// A datagram that opens a flow.
+pub(crate) struct Opener {
+    pub(crate) caller: SocketAddrV4,
+    pub(crate) via: SocketAddrV4,
+    pub(crate) hops: u8,
+    pub(crate) datagram: Vec<u8>,
+}
+
+/// What a flow is to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FlowOrder {
+    /// Serve requests.
+    #[default]
+    Serve,
+    /// Finish, and let the caller move.
+    Move,
+    /// End at once.
+    GiveUp,
+}
+
+/// What is to be done with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Decision {
+    /// Send it to the backend server.
+    Run,
+    /// Stop it.
+    Abort,
+    /// Answer it without running it.
+    Refuse(Verdict, Refusal),
+    /// Repeat an answer.
+    Replay(Arc<Answer>),
+}
+
+/// What the executor shares with other tasks.
+#[derive(Clone)]
+pub(crate) struct Shared {
+    pub(crate) link: Arc<UdpSocket>,
+    pub(crate) keys: Arc<KeyRing>,
+    pub(crate) returns: Arc<Returns>,
+    pub(crate) answers: Arc<Answers>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) config: watch::Sender<Arc<ConfigReply>>,
+    pub(crate) drained: watch::Sender<bool>,
+    pub(crate) clock: Clock,
+}
+
+/// The reducer with what it needs to perform effects.
+pub(crate) struct Executor {
+    state: Agent,
+    setup: Setup,
+    shared: Shared,
+    to_quic: flume::Sender<Incoming>,
+    jobs: flume::Sender<Job>,
+    recorder: Option<Recorder>,
+    flows: HashMap<FlowId, watch::Sender<FlowOrder>>,
+    asking: Option<oneshot::Sender<watch::Receiver<FlowOrder>>>,
+    requests: HashMap<Ticket, flume::Sender<Decision>>,
+    http: reqwest::Client,
+    fetching: Option<(Version, Instant)>,
+    tasks: JoinSet<()>,
+    out: BytesMut,
+}
+
+impl Executor {
+    pub(crate) fn new(
+        setup: Setup,
+        shared: Shared,
+        to_quic: flume::Sender<Incoming>,
+        jobs: flume::Sender<Job>,
+        recorder: Option<Recorder>,
+    ) -> Self {
+        Self {
+            state: Agent::new(setup.clone()),
+            setup,
+            shared,
+            to_quic,
+            jobs,
+            recorder,
+            flows: HashMap::new(),
+            asking: None,
+            requests: HashMap::new(),
+            http: link::client(),
+            fetching: None,
+            tasks: JoinSet::new(),
+            out: BytesMut::new(),
+        }
+    }
+
+    /// Runs until the last sender of jobs is gone.
+    pub(crate) async fn run(mut self, queue: flume::Receiver<Job>) {
+        let mut ticks = interval(Duration::from_millis(TICK.0));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        loop {
+            let job = tokio::select! {
+                _ = ticks.tick() => Job::Event(Event::Tick),
+                job = queue.recv_async() => match job {
+                    Ok(job) => job,
+                    Err(flume::RecvError::Disconnected) => return,
+                },
+            };
+            self.perform_job(job);
+        }
+    }
+
+    fn perform_job(&mut self, job: Job) {
+        match job {
+            Job::Event(event) => self.reduce(event, None),
+            Job::Opener(event, opener) => self.reduce(event, Some(opener)),
+            Job::AskFlow(flow, reply) => {
+                self.asking = Some(reply);
+                self.reduce(Event::FlowAsked(flow), None);
+            }
+            Job::Request(request, decisions) => {
+                self.requests.insert(request.ticket, decisions);
+                self.reduce(Event::Request(request), None);
+            }
+        }
+    }
+
+    fn reduce(&mut self, event: Event, opener: Option<Opener>) {
+        let now = self.shared.clock.now();
+        self.forget_ended(&event);
+        let recorded = self.recorder.as_ref().map(|_| event.clone());
+        let version = self.state.version();
+        let effects = self.state.reduce(event, now);
+        if let (Some(recorder), Some(event)) = (&self.recorder, recorded) {
+            recorder.record(now, &event, &effects);
+        }
+        if version != self.state.version() {
+            self.publish_config();
+        }
+        self.shared
+            .returns
+            .set_report(self.state.fact().phase, self.state.load());
+        let mut opener = opener;
+        for effect in effects {
+            self.perform(effect, &mut opener);
+        }
+        self.update_gauges();
+    }
+
+    /// Drops the handles of what the event says has ended.
+    fn forget_ended(&mut self, event: &Event) {
+        match event {
+            Event::FlowClosed(flow) => drop(self.flows.remove(flow)),
+            Event::Cancelled(ticket) => drop(self.requests.remove(ticket)),
+            _ => {}
+        }
+    }
+
+    fn perform(&mut self, effect: Effect, opener: &mut Option<Opener>) {
+        match effect {
+            Effect::Accept => self.accept(opener.take()),
+            Effect::HandOn { to, rest } => self.hand_on(to, rest, opener.take()),
+            Effect::OpenFlow(flow) => self.open_flow(flow),
+            Effect::RefuseFlow(_) => self.asking = None,
+            Effect::MoveFlows(flows) => self.order(&flows, FlowOrder::Move),
+            Effect::GiveUpFlows => {
+                let flows: Vec<_> = self.flows.keys().copied().collect();
+                self.order(&flows, FlowOrder::GiveUp);
+            }
+            Effect::Run(ticket) => self.decide(ticket, Decision::Run),
+            Effect::Abort(ticket) => self.decide(ticket, Decision::Abort),
+            Effect::Refuse {
+                ticket,
+                verdict,
+                refusal,
+            } => {
+                self.decide(ticket, Decision::Refuse(verdict, refusal));
+                self.requests.remove(&ticket);
+            }
+            Effect::Replay { ticket, original } => self.replay(ticket, original),
+            Effect::Forget(ticket) => self.shared.answers.forget(ticket),
+            Effect::Send { to, message } => self.send(to, &message),
+            Effect::Fetch { from, version } => self.fetch(from, version),
+            Effect::Drained => drop(self.shared.drained.send_replace(true)),
+        }
+    }
+
+    fn accept(&self, opener: Option<Opener>) {
+        let Some(opener) = opener else {
+            return;
+        };
+        self.shared.returns.note(opener.caller, opener.via);
+        let incoming = Incoming {
+            caller: opener.caller,
+            datagram: opener.datagram,
+        };
+        if self.to_quic.try_send(incoming).is_err() {
+            self.shared.metrics.dropped(Dropped::Overload);
+        }
+    }
+
+    fn hand_on(
+        &mut self,
+        to: SocketAddrV4,
+        rest: Vec<buckthornlink_core::balancer::Candidate>,
+        opener: Option<Opener>,
+    ) {
+        let Some(opener) = opener else {
+            return;
+        };
+        let header = Header::Opener {
+            service: self.setup.service,
+            caller: opener.caller,
+            via: opener.via,
+            hops: opener.hops + 1,
+            rest,
+        };
+        self.transmit(to, &header, &opener.datagram);
+    }
+
+    fn open_flow(&mut self, flow: FlowId) {
+        let (order, orders) = watch::channel(FlowOrder::default());
+        self.flows.insert(flow, order);
+        if let Some(reply) = self.asking.take() {
+            let _ = reply.send(orders);
+        }
+    }
+
+    fn order(&self, flows: &[FlowId], order: FlowOrder) {
+        for flow in flows {
+            if let Some(sender) = self.flows.get(flow) {
+                sender.send_replace(order);
+            }
+        }
+    }
+
+    fn decide(&self, ticket: Ticket, decision: Decision) {
+        if let Some(sender) = self.requests.get(&ticket) {
+            let _ = sender.try_send(decision);
+        }
+    }
+
+    fn replay(&mut self, ticket: Ticket, original: Ticket) {
+        let decision = match self.shared.answers.get(original) {
+            Some(answer) => Decision::Replay(answer),
+            None => Decision::Refuse(Verdict::MayHaveRun, Refusal::OutcomeUnknown),
+        };
+        self.decide(ticket, decision);
+        self.requests.remove(&ticket);
+    }
+
+    fn send(&mut self, to: SocketAddrV4, message: &Message) {
+        match control::encode(message) {
+            Ok(bytes) => {
+                self.shared
+                    .metrics
+                    .control_bytes
+                    .inc_by(message.size() as u64);
+                self.transmit(to, &Header::Control, &bytes);
+            }
+            Err(err) => log::error!(err:% = err; "control message cannot be encoded"),
+        }
+    }
+
+    fn transmit(&mut self, to: SocketAddrV4, header: &Header, payload: &[u8]) {
+        header.encode(self.shared.keys.current(), payload, &mut self.out);
+        if self
+            .shared
+            .link
+            .try_send_to(&self.out, SocketAddr::V4(to))
+            .is_err()
+        {
+            self.shared.metrics.dropped(Dropped::Overload);
+        }
+    }
+
+    /// Fetches the configuration from a balancer, one at a time.
+    fn fetch(&mut self, from: SocketAddrV4, version: Version) {
+        let is_fetching = self
+            .fetching
+            .is_some_and(|(wanted, since)| wanted >= version && since.elapsed() < FETCH_PATIENCE);
+        if is_fetching {
+            return;
+        }
+        self.fetching = Some((version, Instant::now()));
+        let http = self.http.clone();
+        let keys = Arc::clone(&self.shared.keys);
+        let jobs = self.jobs.clone();
+        let name = self.setup.name.clone();
+        self.tasks.spawn(async move {
+            match link::fetch(&http, from, Some(&name), &keys).await {
+                Ok(ConfigReply { version, config }) => {
+                    let event = Event::Config { version, config };
+                    let _ = jobs.send_async(Job::Event(event)).await;
+                }
+                Err(err) => log::debug!(from:% = from, err:% = err; "configuration not fetched"),
+            }
+        });
+    }
+
+    fn publish_config(&self) {
+        let reply = ConfigReply {
+            version: self.state.version(),
+            config: self.state.config().clone(),
+        };
+        log::info!(version:% = reply.version; "configuration in force");
+        self.shared.config.send_replace(Arc::new(reply));
+    }
+
+    fn update_gauges(&mut self) {
+        while self.tasks.try_join_next().is_some() {}
+        let metrics = &self.shared.metrics;
+        metrics.flows.set(i64::from(self.state.load().flows));
+        metrics.limit.set(i64::from(self.state.limit()));
+        let version = i64::try_from(self.state.version().0).unwrap_or(i64::MAX);
+        metrics.version.set(version);
+    }
+}
--- /dev/null
+++ b/buckthornlink-agent/src/flow.rs
@@ -0,0 +1,130 @@
+//! One flow: a QUIC connection of a caller and the HTTP/3 requests on it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use quinn::{Connection, ConnectionError, Endpoint, VarInt};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use buckthornlink_core::agent::{Event, FlowId};
+
+use crate::client::NO_ERROR_CODE;
+use crate::executor::{FlowOrder, Job};
+use crate::request::{Server, serve};
+
+/// Application error code with which flows of a zone that was taken out are closed.
+pub const ZONE_OUT_CODE: u32 = 0x5a4f;
+
+/// Requests that are still answered on a flow that was asked to move. The caller sees GOAWAY and
+/// opens none, so this only covers those under way.
+const REQUESTS_WHILE_MOVING: usize = 1 << 16;
+/// A caller that was asked to move is given this time.
+const MOVE_PATIENCE: Duration = Duration::from_secs(60);
+
+/// Accepts flows until the endpoint closes.
+pub(crate) async fn accept(endpoint: Endpoint, server: Arc<Server>) {
+    let next = AtomicU64::new(1);
+    let mut flows = JoinSet::new();
+    while let Some(incoming) = endpoint.accept().await {
+        if !incoming.remote_address_validated() && incoming.may_retry() {
+            // The token makes the caller come back with an id that names this agent.
+            if incoming.retry().is_err() {
+                log::debug!("opener cannot be answered");
+            }
+            continue;
+        }
+        let flow = FlowId(next.fetch_add(1, Ordering::Relaxed));
+        flows.spawn(open(incoming, flow, Arc::clone(&server)));
+        while flows.try_join_next().is_some() {}
+    }
+}
+
+/// Asks the reducer, then serves the flow until it ends.
+async fn open(incoming: quinn::Incoming, flow: FlowId, server: Arc<Server>) {
+    let (reply, orders) = oneshot::channel();
+    if server
+        .jobs
+        .send_async(Job::AskFlow(flow, reply))
+        .await
+        .is_err()
+    {
+        return;
+    }
+    let Ok(orders) = orders.await else {
+        incoming.refuse();
+        return;
+    };
+    if let Ok(accepted) = incoming.accept() {
+        if let Ok(connection) = accepted.await {
+            run(&connection, orders, &server).await;
+            note_end(&connection, &server);
+        }
+    }
+    let _ = server
+        .jobs
+        .send_async(Job::Event(Event::FlowClosed(flow)))
+        .await;
+}
+
+async fn run(
+    connection: &Connection,
+    mut orders: watch::Receiver<FlowOrder>,
+    server: &Arc<Server>,
+) {
+    let transport = h3_quinn::Connection::new(connection.clone());
+    let built = h3::server::builder().build::<_, Bytes>(transport).await;
+    let Ok(mut http) = built else {
+        return;
+    };
+    let mut requests = JoinSet::new();
+    let mut is_moving = false;
+    loop {
+        tokio::select! {
+            accepted = http.accept() => match accepted {
+                Ok(Some(resolver)) => {
+                    requests.spawn(serve(resolver, Arc::clone(server)));
+                }
+                Ok(None) | Err(_) => break,
+            },
+            changed = orders.changed() => {
+                let order = if changed.is_ok() { *orders.borrow_and_update() } else { FlowOrder::GiveUp };
+                match order {
+                    FlowOrder::Serve => {}
+                    FlowOrder::Move if is_moving => {}
+                    FlowOrder::Move => {
+                        is_moving = true;
+                        if http.shutdown(REQUESTS_WHILE_MOVING).await.is_err() {
+                            break;
+                        }
+                    }
+                    FlowOrder::GiveUp => {
+                        connection.close(VarInt::from_u32(ZONE_OUT_CODE), b"zone out of service");
+                        return;
+                    }
+                }
+            },
+            _ = requests.join_next(), if !requests.is_empty() => {}
+        }
+    }
+    if connection.close_reason().is_none() {
+        while requests.join_next().await.is_some() {}
+        let _ = timeout(MOVE_PATIENCE, connection.closed()).await;
+    }
+}
+
+fn note_end(connection: &Connection, server: &Server) {
+    let is_clean = match connection.close_reason() {
+        Some(ConnectionError::ApplicationClosed(close)) => {
+            close.error_code == VarInt::from_u32(NO_ERROR_CODE)
+        }
+        Some(ConnectionError::LocallyClosed) | None => true,
+        Some(_) => false,
+    };
+    if !is_clean {
+        server.metrics.broken_flows.inc();
+    }
+}
--- /dev/null
+++ b/buckthornlink-agent/src/link.rs
@@ -0,0 +1,123 @@
+//! Receives envelopes and sends them on.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use tokio::net::UdpSocket;
+
+use buckthornlink_core::ServicePort;
+use buckthornlink_core::agent::Event;
+use buckthornlink_wire::{Header, KeyRing, control};
+
+use crate::executor::{Job, Opener};
+use crate::metrics::{Dropped, Metrics};
+use crate::socket::{Incoming, Returns};
+
+const BUFFER_BYTES: usize = 65_536;
+const SOCKET_BUFFER_BYTES: usize = 4 << 20;
+
+/// Binds the link socket.
+pub(crate) fn bind(addr: SocketAddrV4) -> std::io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(addr)?;
+    socket.set_nonblocking(true)?;
+    let options = socket2::SockRef::from(&socket);
+    options.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    options.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    UdpSocket::from_std(socket)
+}
+
+/// What the receive loop needs.
+pub(crate) struct LinkLane {
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) keys: Arc<KeyRing>,
+    pub(crate) service: ServicePort,
+    pub(crate) returns: Arc<Returns>,
+    pub(crate) to_quic: flume::Sender<Incoming>,
+    pub(crate) jobs: flume::Sender<Job>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl LinkLane {
+    /// Receives until the process ends.
+    pub(crate) async fn run(self) {
+        let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
+        loop {
+            buffer.clear();
+            buffer.reserve(BUFFER_BYTES);
+            match self.socket.recv_buf_from(&mut buffer).await {
+                Ok((_, SocketAddr::V4(from))) => self.receive(from, &buffer),
+                Ok((_, SocketAddr::V6(_))) => {}
+                Err(err) => log::debug!(err:% = err; "receive from the link failed"),
+            }
+        }
+    }
+
+    fn receive(&self, from: SocketAddrV4, bytes: &[u8]) {
+        let (header, start) = match Header::decode(bytes, &self.keys) {
+            Ok(decoded) => decoded,
+            Err(_) => return self.metrics.dropped(Dropped::Envelope),
+        };
+        let payload = &bytes[start..];
+        match header {
+            Header::Flow {
+                service,
+                caller,
+                via,
+            }
+            | Header::Orphan {
+                service,
+                caller,
+                via,
+            } => self.deliver(service, caller, via, payload),
+            Header::Opener {
+                service,
+                caller,
+                via,
+                hops,
+                rest,
+            } => {
+                if service != self.service {
+                    return self.metrics.dropped(Dropped::Misrouted);
+                }
+                let opener = Opener {
+                    caller,
+                    via,
+                    hops,
+                    datagram: payload.to_vec(),
+                };
+                self.queue(Job::Opener(Event::Opener { hops, rest }, opener));
+            }
+            Header::Control => self.control(from, payload),
+            Header::Return(_) => self.metrics.dropped(Dropped::Envelope),
+        }
+    }
+
+    /// Gives quinn a datagram of a flow.
+    fn deliver(&self, service: ServicePort, caller: SocketAddrV4, via: SocketAddrV4, data: &[u8]) {
+        if service != self.service {
+            return self.metrics.dropped(Dropped::Misrouted);
+        }
+        self.returns.note(caller, via);
+        let incoming = Incoming {
+            caller,
+            datagram: data.to_vec(),
+        };
+        if self.to_quic.try_send(incoming).is_err() {
+            self.metrics.dropped(Dropped::Overload);
+        }
+    }
+
+    fn control(&self, from: SocketAddrV4, payload: &[u8]) {
+        match control::decode(payload) {
+            Ok(message) => self.queue(Job::Event(Event::Control { from, message })),
+            Err(_) => self.metrics.dropped(Dropped::Envelope),
+        }
+    }
+
+    fn queue(&self, job: Job) {
+        if self.jobs.try_send(job).is_err() {
+            self.metrics.dropped(Dropped::Overload);
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink-agent/src/quic.rs
@@ -0,0 +1,108 @@
+//! QUIC endpoints: one for callers, one for calls to dependencies.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{
+    AsyncUdpSocket, ClientConfig, Endpoint, EndpointConfig, IdleTimeout, ServerConfig,
+    TokioRuntime, TransportConfig,
+};
+use ring::{hkdf, hmac};
+use rustls::RootCertStore;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+
+use buckthornlink_wire::{Key, MAX_DATAGRAM_BYTES};
+
+use crate::ids::Issuer;
+use crate::settings::TlsSettings;
+
+const ALPN: &[u8] = b"h3";
+/// A flow ends if nothing is heard of the caller for this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// A flow to a dependency ends if nothing is heard for this time.
+const DEPENDENCY_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Shortest interval between two stateless resets.
+const RESET_INTERVAL: Duration = Duration::from_millis(1);
+const INITIAL_MTU: u16 = 1_200;
+
+/// The endpoint that callers reach.
+pub(crate) fn serve(
+    socket: Arc<dyn AsyncUdpSocket>,
+    issuer: Issuer,
+    key: &Key,
+    tls: &TlsSettings,
+) -> anyhow::Result<Endpoint> {
+    let reset = hmac::Key::new(hmac::HMAC_SHA256, key.reset());
+    let mut config = EndpointConfig::new(Arc::new(reset));
+    config.cid_generator(move || Box::new(issuer.clone()));
+    config.max_udp_payload_size(MAX_DATAGRAM_BYTES)?;
+    config.min_reset_interval(RESET_INTERVAL);
+    let server = server_config(key, tls)?;
+    let runtime = Arc::new(TokioRuntime);
+    Ok(Endpoint::new_with_abstract_socket(
+        config,
+        Some(server),
+        socket,
+        runtime,
+    )?)
+}
+
+/// The endpoint for calls to dependencies.
+pub(crate) fn call(ip: Ipv4Addr, tls: &TlsSettings) -> anyhow::Result<Endpoint> {
+    let mut roots = RootCertStore::empty();
+    for cert in CertificateDer::pem_slice_iter(tls.roots.as_bytes()) {
+        roots.add(cert.context("tls.roots")?).context("tls.roots")?;
+    }
+    let builder = rustls::ClientConfig::builder_with_provider(provider());
+    let mut crypto = builder
+        .with_safe_default_protocol_versions()?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    crypto.alpn_protocols = vec![ALPN.to_vec()];
+    let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(crypto)?));
+    config.transport_config(Arc::new(transport(
+        DEPENDENCY_IDLE_TIMEOUT,
+        Some(KEEP_ALIVE),
+    )?));
+    let mut endpoint = Endpoint::client(SocketAddr::from((ip, 0)))?;
+    endpoint.set_default_client_config(config);
+    Ok(endpoint)
+}
+
+fn server_config(key: &Key, tls: &TlsSettings) -> anyhow::Result<ServerConfig> {
+    let chain = CertificateDer::pem_slice_iter(tls.certificate.as_bytes());
+    let chain = chain
+        .collect::<Result<Vec<_>, _>>()
+        .context("tls.certificate")?;
+    let private = PrivateKeyDer::from_pem_slice(tls.key.as_bytes()).context("tls.key")?;
+    let builder = rustls::ServerConfig::builder_with_provider(provider());
+    let mut crypto = builder
+        .with_safe_default_protocol_versions()?
+        .with_no_client_auth()
+        .with_single_cert(chain, private)
+        .context("tls.certificate")?;
+    crypto.alpn_protocols = vec![ALPN.to_vec()];
+    let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(crypto)?));
+    let salt = hkdf::Salt::new(hkdf::HKDF_SHA256, &[]);
+    config.token_key(Arc::new(salt.extract(key.token())));
+    config.transport_config(Arc::new(transport(IDLE_TIMEOUT, None)?));
+    Ok(config)
+}
+
+fn transport(idle: Duration, keep_alive: Option<Duration>) -> anyhow::Result<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::try_from(idle)?));
+    transport.keep_alive_interval(keep_alive);
+    transport.initial_mtu(INITIAL_MTU);
+    transport.mtu_discovery_config(None);
+    Ok(transport)
+}
+
+fn provider() -> Arc<rustls::crypto::CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
--- /dev/null
+++ b/buckthornlink-agent/src/settings.rs
@@ -0,0 +1,106 @@
+//! Settings of an agent.
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use buckthornlink_node::settings::{KeySettings, LogSettings};
+
+/// Settings of an agent.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Name of the service.
+    pub service: String,
+    /// Port of the service's address.
+    pub service_port: u16,
+    /// Name of the availability zone.
+    pub zone: String,
+    /// Address of the link to balancers and other agents. Port 0 takes a free one.
+    #[schemars(with = "String")]
+    pub link: SocketAddrV4,
+    /// Address of the metrics server.
+    #[schemars(with = "String")]
+    pub http: SocketAddrV4,
+    /// Loopback address at which the backend server calls its dependencies, as
+    /// `http://ADDRESS/SERVICE/PATH`.
+    #[schemars(with = "String")]
+    pub dependencies: SocketAddrV4,
+    /// Address at which the fabric reaches the link of any balancer.
+    #[schemars(with = "String")]
+    pub entry: SocketAddrV4,
+    /// The backend server.
+    pub backend: BackendSettings,
+    /// Certificates.
+    pub tls: TlsSettings,
+    /// Keys shared by all processes, the signing one first.
+    pub keys: Vec<KeySettings>,
+    /// Flows that are kept open to each dependency.
+    #[serde(default = "default_dependency_flows")]
+    pub dependency_flows: usize,
+    /// Time for which a drain waits until flows have moved, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_drain")]
+    #[schemars(with = "u64")]
+    pub drain_ms: Duration,
+    /// File that the reducer's events are recorded to.
+    #[serde(default)]
+    pub record: Option<PathBuf>,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// The backend server beside an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSettings {
+    /// Address of its HTTP/1.1 server.
+    #[schemars(with = "String")]
+    pub addr: SocketAddrV4,
+    /// Path of its health endpoint.
+    #[serde(default = "default_health")]
+    pub health: String,
+    /// Path of its load endpoint.
+    #[serde(default = "default_load")]
+    pub load: String,
+}
+
+/// Certificates, as PEM texts.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificate chain that callers are shown.
+    pub certificate: String,
+    /// Private key of the certificate.
+    pub key: String,
+    /// Authorities that the certificates of dependencies are checked against.
+    pub roots: String,
+}
+
+impl std::fmt::Debug for TlsSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("TlsSettings").finish_non_exhaustive()
+    }
+}
+
+const fn default_dependency_flows() -> usize {
+    4
+}
+
+const fn default_drain() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn default_health() -> String {
+    "/health".to_owned()
+}
+
+fn default_load() -> String {
+    "/load".to_owned()
+}
--- /dev/null
+++ b/buckthornlink-core/src/agent.rs
@@ -0,0 +1,410 @@
+//! The agent's reducer.
+//!
+//! The agent is the only way to its backend server, so admission, cold start, drain and
+//! at-most-once are decided here, exactly and without control traffic.
+//!
+//! * [`Limiter`] adapts how many requests run at the same time, and finds cold starts.
+//! * [`Queue`] holds requests that wait for a slot, by priority, class and deadline.
+//! * [`Records`] remembers non-idempotent requests, so that a repeat never runs twice.
+//! * `flows` accepts, hands on and moves flows.
+//! * `report` sends heartbeats and takes the answers.
+
+mod flows;
+mod limiter;
+mod queue;
+mod record;
+mod report;
+mod request;
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+pub use limiter::{Limiter, Outcome};
+pub use queue::{Priority, Queue, Waiting};
+pub use record::{Decision, Records};
+pub use request::{Request, RequestId, Ticket};
+
+use crate::balancer::Candidate;
+use crate::config::{Config, Limits};
+use crate::id::{BootId, ServicePort, Version, ZoneTag};
+use crate::member::{Fact, Load, Phase, Role, ZoneBook, ZoneRecord};
+use crate::message::Message;
+use crate::time::Millis;
+use crate::verdict::{Refusal, Verdict};
+use flows::Flows;
+use report::Contacts;
+
+/// Interval of [`Event::Tick`].
+pub const TICK: Millis = Millis(100);
+
+/// What an agent is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Setup {
+    /// Address of the link socket.
+    pub addr: SocketAddrV4,
+    /// Port of the service.
+    pub service: ServicePort,
+    /// Name of the service.
+    pub name: String,
+    /// Availability zone.
+    pub zone: ZoneTag,
+    /// Start of the process.
+    pub boot: BootId,
+    /// Address at which the fabric reaches any balancer.
+    pub entry: SocketAddrV4,
+}
+
+/// A flow of this agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FlowId(pub u64);
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// A datagram that opens a flow came from a balancer or from another agent.
+    Opener {
+        /// Number of agents that passed it on.
+        hops: u8,
+        /// Agents that may take it instead.
+        rest: Vec<Candidate>,
+    },
+    /// A caller has proved its address and asks to open a flow.
+    FlowAsked(FlowId),
+    /// A flow ended.
+    FlowClosed(FlowId),
+    /// A request came on a flow, or from the backend server's own dependants.
+    Request(Request),
+    /// A running request ended.
+    Finished {
+        /// The request.
+        ticket: Ticket,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it ran.
+        took: Millis,
+    },
+    /// The caller gave a request up.
+    Cancelled(Ticket),
+    /// The backend server's health endpoint answered, or failed to.
+    Health {
+        /// Whether it claims to be well.
+        is_up: bool,
+    },
+    /// A configuration was fetched.
+    Config {
+        /// Its version.
+        version: Version,
+        /// The part that concerns this agent.
+        config: Config,
+    },
+    /// A control message came from `from`.
+    Control {
+        /// Source address of the datagram.
+        from: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// The process was asked to leave.
+    Drain,
+    /// [`TICK`] has passed.
+    Tick,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Effect {
+    /// Take the opener: answer it with an address validation.
+    Accept,
+    /// Pass the opener on.
+    HandOn {
+        /// The agent to pass it to.
+        to: SocketAddrV4,
+        /// The agents that remain after it.
+        rest: Vec<Candidate>,
+    },
+    /// Complete the handshake of a flow.
+    OpenFlow(FlowId),
+    /// Refuse the handshake of a flow.
+    RefuseFlow(FlowId),
+    /// Ask flows to move: finish what runs on them and open nothing new.
+    MoveFlows(Vec<FlowId>),
+    /// End all flows: their zone is out of service.
+    GiveUpFlows,
+    /// Send a request to the backend server.
+    Run(Ticket),
+    /// Stop a running request.
+    Abort(Ticket),
+    /// Answer a request without running it.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Whether it may have run.
+        verdict: Verdict,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// Answer a request with the recorded answer of an earlier one.
+    Replay {
+        /// The request.
+        ticket: Ticket,
+        /// The request that ran.
+        original: Ticket,
+    },
+    /// Drop a recorded answer.
+    Forget(Ticket),
+    /// Send a control message.
+    Send {
+        /// Destination.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Fetch the configuration from a balancer.
+    Fetch {
+        /// Link address of the balancer.
+        from: SocketAddrV4,
+        /// Version to expect at least.
+        version: Version,
+    },
+    /// Nothing is held any more; the process may end.
+    Drained,
+}
+
+/// A request that runs on the backend server.
+#[derive(Clone, Debug)]
+struct Running {
+    id: Option<RequestId>,
+}
+
+/// State of one agent.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    setup: Setup,
+    own: Fact,
+    version: Version,
+    limits: Limits,
+    config: Config,
+    zones: ZoneBook,
+    limiter: Limiter,
+    queue: Queue,
+    records: Records,
+    running: HashMap<Ticket, Running>,
+    flows: Flows,
+    contacts: Contacts,
+    is_reachable: bool,
+    failures: u32,
+    left_at: Option<Millis>,
+    is_drained: bool,
+}
+
+impl Agent {
+    /// The state of an agent that has just started; its backend server counts as cold.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        let limits = Limits::default();
+        let own = Fact {
+            addr: setup.addr,
+            role: Role::Agent(setup.service),
+            zone: setup.zone,
+            boot: setup.boot,
+            seq: 1,
+            phase: Phase::Cold,
+        };
+        Self {
+            setup,
+            own,
+            version: Version::default(),
+            limits,
+            config: Config::default(),
+            zones: ZoneBook::default(),
+            limiter: Limiter::new(limits.slots),
+            queue: Queue::default(),
+            records: Records::default(),
+            running: HashMap::new(),
+            flows: Flows::default(),
+            contacts: Contacts::default(),
+            is_reachable: false,
+            failures: 0,
+            left_at: None,
+            is_drained: false,
+        }
+    }
+
+    /// Applies one event and returns what is to be done, in order.
+    pub fn reduce(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        match event {
+            Event::Opener { hops, rest } => vec![self.opener(hops, rest)],
+            Event::FlowAsked(flow) => vec![self.ask_flow(flow)],
+            Event::FlowClosed(flow) => self.close_flow(flow),
+            Event::Request(request) => self.request(request, now),
+            Event::Finished {
+                ticket,
+                outcome,
+                took,
+            } => self.finish(ticket, outcome, took, now),
+            Event::Cancelled(ticket) => self.cancel(ticket, now),
+            Event::Health { is_up } => self.health(is_up),
+            Event::Config { version, config } => self.configure(version, config),
+            Event::Control { message, .. } => self.control(message, now),
+            Event::Drain => self.drain(now),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    /// The agent's own fact.
+    #[must_use]
+    pub const fn fact(&self) -> &Fact {
+        &self.own
+    }
+
+    /// The load to report on each datagram.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let weight = if self.is_reachable {
+            self.limiter.weight()
+        } else {
+            1
+        };
+        Load {
+            flows: self.flows.count(),
+            weight,
+            pressure: self.limiter.pressure(),
+        }
+    }
+
+    /// Version of the configuration in force.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The part of the configuration in force that concerns this agent.
+    #[must_use]
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Requests that wait for a slot.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// How many requests may run at the same time.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limiter.limit()
+    }
+
+    /// Whether operators have taken this agent's zone out.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.zones.is_out(self.setup.zone)
+    }
+
+    fn configure(&mut self, version: Version, config: Config) -> Vec<Effect> {
+        if version <= self.version {
+            return Vec::new();
+        }
+        self.version = version;
+        if let Some(service) = config.service(self.setup.service) {
+            self.limits = service.limits;
+            self.limiter.set_slots(service.limits.slots);
+        }
+        self.config = config;
+        Vec::new()
+    }
+
+    fn zone(&mut self, record: ZoneRecord, now: Millis) -> Vec<Effect> {
+        let was_out = self.is_out();
+        if !self.zones.merge(record) || was_out == self.is_out() {
+            return Vec::new();
+        }
+        self.limiter.chill();
+        if !self.is_out() {
+            return Vec::new();
+        }
+        let mut effects = self.refuse_waiting(Refusal::ZoneOut, now);
+        effects.extend(self.abort_running());
+        effects.push(Effect::GiveUpFlows);
+        effects
+    }
+
+    /// Starts to leave: flows are asked to move, what is held is answered.
+    fn drain(&mut self, now: Millis) -> Vec<Effect> {
+        if self.left_at.is_some() {
+            return Vec::new();
+        }
+        self.left_at = Some(now);
+        self.set_phase(Phase::Draining);
+        let mut effects = vec![Effect::MoveFlows(self.flows.all())];
+        self.beat(now, &mut effects);
+        effects
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.limiter.sample();
+        self.expire(now, &mut effects);
+        self.rebalance(now, &mut effects);
+        self.sync_phase();
+        self.beat_if_due(now, &mut effects);
+        self.records.expire(now, &mut effects);
+        self.finish_drain(now, &mut effects);
+        effects
+    }
+
+    /// Follows the limiter between cold and warm; a leaving agent stays as it is.
+    fn sync_phase(&mut self) {
+        if self.left_at.is_none() {
+            let phase = if self.limiter.is_cold() {
+                Phase::Cold
+            } else {
+                Phase::Warm
+            };
+            self.set_phase(phase);
+        }
+    }
+
+    fn set_phase(&mut self, phase: Phase) {
+        if self.own.phase != phase {
+            self.own.phase = phase;
+            self.own.seq += 1;
+        }
+    }
+
+    /// Says farewell once every flow and request has ended.
+    fn finish_drain(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let is_idle = self.flows.count() == 0 && self.running.is_empty() && self.queue.is_empty();
+        if self.left_at.is_none() || !is_idle || self.is_drained {
+            return;
+        }
+        self.is_drained = true;
+        self.set_phase(Phase::Left);
+        self.beat(now, effects);
+        effects.push(Effect::Drained);
+    }
+
+    /// Takes the health endpoint as a hint that counts only where calls say nothing.
+    fn health(&mut self, is_up: bool) -> Vec<Effect> {
+        if is_up && !self.is_reachable {
+            self.is_reachable = true;
+            self.failures = 0;
+            self.limiter.chill();
+        }
+        Vec::new()
+    }
+
+    fn abort_running(&self) -> Vec<Effect> {
+        let tickets: BTreeSet<Ticket> = self.running.keys().copied().collect();
+        tickets.into_iter().map(Effect::Abort).collect()
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/agent/flows.rs
@@ -0,0 +1,146 @@
+//! Acceptance, hand-on and rebalancing of flows.
+
+use std::collections::BTreeSet;
+
+use super::{Agent, Effect, FlowId};
+use crate::balancer::Candidate;
+use crate::id::stable_hash;
+use crate::time::Millis;
+
+/// Most agents that pass one opener on.
+const MAX_HOPS: u8 = 2;
+/// An opener is handed on if this agent holds more flows than the next one by this many...
+const HAND_ON_MARGIN: u32 = 2;
+/// ...or by this share of its own flows, in percent, whichever is more.
+const HAND_ON_PERCENT: u32 = 5;
+/// Flows that a cold backend server may hold in any case.
+const COLD_FLOWS: u32 = 4;
+/// Interval between two rounds of rebalancing.
+const REBALANCE_INTERVAL: Millis = Millis(500);
+/// Flows are moved once this agent holds more than the mean by this share, in percent...
+const REBALANCE_PERCENT: u32 = 8;
+/// ...and by at least this many flows.
+const REBALANCE_MARGIN: u32 = 2;
+/// Divisor of the own flows that bounds how many are moved in one round.
+const REBALANCE_STEP: u32 = 8;
+
+/// Open flows and what other agents hold.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Flows {
+    open: BTreeSet<FlowId>,
+    moving: BTreeSet<FlowId>,
+    mean: u32,
+    rebalanced: Millis,
+}
+
+impl Flows {
+    pub(super) fn count(&self) -> u32 {
+        u32::try_from(self.open.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Flows that have not been asked to move.
+    pub(super) fn all(&mut self) -> Vec<FlowId> {
+        let flows: Vec<_> = self.open.difference(&self.moving).copied().collect();
+        self.moving.extend(&flows);
+        flows
+    }
+
+    pub(super) const fn set_mean(&mut self, mean: u32) {
+        self.mean = mean;
+    }
+
+    /// Open flows that will stay.
+    fn staying(&self) -> u32 {
+        self.count() - u32::try_from(self.moving.len()).unwrap_or(0)
+    }
+
+    fn close(&mut self, flow: FlowId) {
+        self.open.remove(&flow);
+        self.moving.remove(&flow);
+    }
+
+    /// Picks flows to move by hash, so that no caller is preferred.
+    fn pick(&mut self, count: usize) -> Vec<FlowId> {
+        let staying = self.open.difference(&self.moving).copied();
+        let mut flows: Vec<_> = staying.collect();
+        flows.sort_by_key(|flow| stable_hash(&flow.0.to_be_bytes()));
+        flows.truncate(count);
+        self.moving.extend(&flows);
+        flows
+    }
+}
+
+impl Agent {
+    /// Takes an opener, or passes it to a candidate that is better placed.
+    pub(super) fn opener(&self, hops: u8, rest: Vec<Candidate>) -> Effect {
+        if hops >= MAX_HOPS || rest.is_empty() {
+            return Effect::Accept;
+        }
+        let next = rest[0];
+        if self.bears_flow() && !self.prefers(next) {
+            return Effect::Accept;
+        }
+        let rest = rest.into_iter().skip(1).collect();
+        Effect::HandOn {
+            to: next.addr,
+            rest,
+        }
+    }
+
+    /// Decides finally whether a flow opens here.
+    pub(super) fn ask_flow(&mut self, flow: FlowId) -> Effect {
+        let is_full = self.flows.count() >= self.limits.connections;
+        let takes_work = self.left_at.is_none() && !self.is_out() && self.is_reachable;
+        if is_full || !takes_work {
+            return Effect::RefuseFlow(flow);
+        }
+        self.flows.open.insert(flow);
+        Effect::OpenFlow(flow)
+    }
+
+    /// Forgets a flow.
+    pub(super) fn close_flow(&mut self, flow: FlowId) -> Vec<Effect> {
+        self.flows.close(flow);
+        Vec::new()
+    }
+
+    /// Asks some flows to move if this agent holds clearly more than the others.
+    pub(super) fn rebalance(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let is_due = now.since(self.flows.rebalanced) >= REBALANCE_INTERVAL;
+        if !is_due || self.flows.mean == 0 || self.left_at.is_some() {
+            return;
+        }
+        self.flows.rebalanced = now;
+        let staying = self.flows.staying();
+        let excess = staying.saturating_sub(self.flows.mean);
+        let threshold = (self.flows.mean * REBALANCE_PERCENT / 100).max(REBALANCE_MARGIN);
+        if excess <= threshold {
+            return;
+        }
+        let step = (staying / REBALANCE_STEP).max(1);
+        let count = usize::try_from((excess / 2).clamp(1, step)).unwrap_or(1);
+        effects.push(Effect::MoveFlows(self.flows.pick(count)));
+    }
+
+    /// Whether one more flow can be taken without going past what the backend server bears.
+    fn bears_flow(&self) -> bool {
+        let takes_work = self.left_at.is_none() && !self.is_out() && self.is_reachable;
+        takes_work && self.flows.count() < self.flow_limit()
+    }
+
+    /// Flows that the backend server bears: all of its connections when warm, and while cold its
+    /// share of what the others hold.
+    fn flow_limit(&self) -> u32 {
+        if !self.limiter.is_cold() || self.flows.mean == 0 {
+            return self.limits.connections;
+        }
+        let share = self.flows.mean * u32::from(self.limiter.weight()) / u32::from(u8::MAX);
+        share.max(COLD_FLOWS).min(self.limits.connections)
+    }
+
+    fn prefers(&self, next: Candidate) -> bool {
+        let own = self.flows.staying();
+        let margin = (own * HAND_ON_PERCENT / 100).max(HAND_ON_MARGIN);
+        own > next.flows + margin && next.addr != self.own.addr
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/agent/limiter.rs
@@ -0,0 +1,262 @@
+//! Adaptive concurrency limit with cold start.
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::Millis;
+
+/// Limit of a backend server of which nothing is known.
+const COLD_LIMIT: f64 = 1.0;
+/// Growth of the limit in cold start for each success, divided by the limit.
+const COLD_GROWTH: f64 = 0.5;
+/// Growth of the limit when warm for each success at full use, divided by the limit.
+const WARM_GROWTH: f64 = 1.0;
+/// Factor on the limit after a shed or a late answer.
+const BACKOFF: f64 = 0.7;
+/// Sheds among recent answers that show a cold start.
+const SHEDS_WHEN_COLD: u32 = 2;
+/// Answers over which sheds are counted.
+const SHED_WINDOW: u32 = 10;
+/// Slow answers in a row that show a cold start.
+const SLOW_WHEN_COLD: u32 = 3;
+/// An answer is slow if it took this many times the usual time.
+const SLOW_FACTOR: f64 = 4.0;
+/// Usual times below this are not compared, in milliseconds.
+const SLOW_FLOOR_MS: f64 = 10.0;
+/// Weight of the newest sample in the smoothed service time.
+const TIME_WEIGHT: f64 = 0.1;
+/// Weight of the newest sample in the smoothed pressure.
+const PRESSURE_WEIGHT: f64 = 0.2;
+
+/// How a request that was sent to the backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// A whole answer came.
+    Answered {
+        /// Boot id of the backend server, if it names one.
+        boot: Option<u64>,
+    },
+    /// The backend server refused it and declared that it did not run.
+    Shed,
+    /// The backend server declared that it did not run, for a reason that is not its own load.
+    Declined,
+    /// No connection could be made, so nothing was sent.
+    Unreachable,
+    /// The connection failed after the request was sent.
+    Broken,
+    /// No answer came before the deadline.
+    Late,
+    /// The agent stopped it.
+    Aborted,
+}
+
+/// Decides how many requests may run at the same time.
+///
+/// A cold backend server starts at one request and gains on observed success only. It counts as
+/// cold again when its boot id changes, a connection breaks, it sheds repeatedly, or its answers
+/// suddenly slow down.
+#[derive(Clone, Copy, Debug)]
+pub struct Limiter {
+    slots: f64,
+    limit: f64,
+    running: u32,
+    is_cold: bool,
+    boot: Option<u64>,
+    usual_ms: f64,
+    pressure: f64,
+    answers: u32,
+    sheds: u32,
+    slow: u32,
+}
+
+impl Limiter {
+    /// The limiter of a cold backend server with `slots` slots.
+    ///
+    /// ```
+    /// # use buckthornlink_core::agent::Limiter;
+    /// let limiter = Limiter::new(8);
+    /// assert!(limiter.is_cold());
+    /// assert_eq!(limiter.limit(), 1);
+    /// ```
+    #[must_use]
+    pub fn new(slots: u16) -> Self {
+        Self {
+            slots: f64::from(slots),
+            limit: COLD_LIMIT,
+            running: 0,
+            is_cold: true,
+            boot: None,
+            usual_ms: 0.0,
+            pressure: 0.0,
+            answers: 0,
+            sheds: 0,
+            slow: 0,
+        }
+    }
+
+    /// Changes the number of slots.
+    pub fn set_slots(&mut self, slots: u16) {
+        let is_raised = f64::from(slots) > self.slots;
+        self.slots = f64::from(slots);
+        self.limit = self.limit.min(self.slots);
+        self.is_cold |= is_raised && self.limit < self.slots;
+    }
+
+    /// Treats the backend server as new.
+    pub const fn chill(&mut self) {
+        self.is_cold = true;
+        self.limit = COLD_LIMIT;
+        self.answers = 0;
+        self.sheds = 0;
+        self.slow = 0;
+    }
+
+    /// Counts a request as running.
+    pub const fn start(&mut self) {
+        self.running += 1;
+    }
+
+    /// Takes the end of a running request.
+    pub fn finish(&mut self, outcome: Outcome, took: Millis) {
+        let was_full = self.running >= self.limit();
+        self.running = self.running.saturating_sub(1);
+        match outcome {
+            Outcome::Answered { boot } => self.answered(boot, took, was_full),
+            Outcome::Shed => self.shed(),
+            Outcome::Late => self.back_off(),
+            Outcome::Broken | Outcome::Unreachable => self.chill(),
+            Outcome::Declined | Outcome::Aborted => {}
+        }
+    }
+
+    /// Smooths the pressure; called once per tick.
+    pub fn sample(&mut self) {
+        let used = f64::from(self.running) / f64::from(self.limit());
+        self.pressure += PRESSURE_WEIGHT * (used.min(1.0) - self.pressure);
+    }
+
+    /// Whether one more request may run.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.running < self.limit()
+    }
+
+    /// How many requests may run at the same time.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the limit lies between 1 and 65,535"
+    )]
+    pub fn limit(&self) -> u32 {
+        self.limit.floor().max(1.0) as u32
+    }
+
+    /// Whether the backend server is in cold start.
+    #[must_use]
+    pub const fn is_cold(&self) -> bool {
+        self.is_cold
+    }
+
+    /// Expected time until a request behind `queued` others would have been answered.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "queues hold at most 65,535 requests"
+    )]
+    pub fn expected_wait(&self, queued: usize) -> Millis {
+        let rounds = (queued as f64 + 1.0) / f64::from(self.limit()) + 1.0;
+        Millis((rounds * self.usual_ms) as u64)
+    }
+
+    /// Share of the full limits that the backend server bears, in 1/255.
+    #[must_use]
+    pub fn weight(&self) -> u8 {
+        to_byte(self.limit / self.slots).max(1)
+    }
+
+    /// Smoothed share of the limit in use, in 1/255.
+    #[must_use]
+    pub fn pressure(&self) -> u8 {
+        to_byte(self.pressure)
+    }
+
+    fn answered(&mut self, boot: Option<u64>, took: Millis, was_full: bool) {
+        let is_replaced = self.boot.is_some() && boot.is_some() && self.boot != boot;
+        self.boot = boot.or(self.boot);
+        if is_replaced {
+            self.chill();
+            return;
+        }
+        self.count_answer();
+        if self.is_slow(took) {
+            return;
+        }
+        self.grow(was_full);
+    }
+
+    fn grow(&mut self, was_full: bool) {
+        if self.is_cold {
+            self.limit += COLD_GROWTH / self.limit;
+        } else if was_full {
+            self.limit += WARM_GROWTH / self.limit;
+        }
+        if self.limit >= self.slots {
+            self.limit = self.slots;
+            self.is_cold = false;
+        }
+    }
+
+    /// Compares the answer's time with the usual one; a streak of slow answers shows a cold start.
+    #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
+    fn is_slow(&mut self, took: Millis) -> bool {
+        let took = took.0 as f64;
+        let usual = self.usual_ms.max(SLOW_FLOOR_MS);
+        let is_slow = self.usual_ms > 0.0 && took > usual * SLOW_FACTOR;
+        if is_slow {
+            self.slow += 1;
+        } else {
+            self.slow = 0;
+            let is_first = self.usual_ms <= 0.0;
+            let weight = if is_first { 1.0 } else { TIME_WEIGHT };
+            self.usual_ms += weight * (took - self.usual_ms);
+        }
+        if self.slow >= SLOW_WHEN_COLD {
+            self.chill();
+            self.usual_ms = 0.0;
+        }
+        is_slow
+    }
+
+    fn shed(&mut self) {
+        self.sheds += 1;
+        self.count_answer();
+        if self.sheds >= SHEDS_WHEN_COLD && !self.is_cold {
+            self.chill();
+        } else {
+            self.back_off();
+        }
+    }
+
+    fn count_answer(&mut self) {
+        self.answers += 1;
+        if self.answers >= SHED_WINDOW {
+            self.answers = 0;
+            self.sheds = 0;
+        }
+    }
+
+    fn back_off(&mut self) {
+        self.limit = (self.limit * BACKOFF).max(COLD_LIMIT);
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the share is clamped to 0..=1"
+)]
+fn to_byte(share: f64) -> u8 {
+    (share.clamp(0.0, 1.0) * f64::from(u8::MAX)).round() as u8
+}
--- /dev/null
+++ b/buckthornlink-core/src/agent/report.rs
@@ -0,0 +1,193 @@
+//! Heartbeats to a few balancers and what their answers say.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use super::{Agent, Effect};
+use crate::id::{BootId, ZoneTag, stable_hash};
+use crate::member::Fact;
+use crate::message::{Ack, Heartbeat, Message};
+use crate::time::Millis;
+
+/// Balancers that this agent reports to.
+const REPORTS: usize = 3;
+/// Of these, balancers in other zones.
+const REMOTE_REPORTS: usize = 1;
+/// Balancers remembered at the most.
+const MAX_CONTACTS: usize = 32;
+/// Interval of reports until a balancer says otherwise.
+const DEFAULT_INTERVAL: Millis = Millis(1_000);
+/// Interval of hellos while no balancer is known.
+const HELLO_INTERVAL: Millis = Millis(300);
+/// Reports without an answer after which a balancer is dropped.
+const MAX_UNANSWERED: u32 = 3;
+
+/// A balancer that this agent knows.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    zone: ZoneTag,
+    boot: BootId,
+    unanswered: u32,
+}
+
+/// The known balancers and when the next report is due.
+#[derive(Clone, Debug)]
+pub(super) struct Contacts {
+    known: BTreeMap<SocketAddrV4, Contact>,
+    interval: Millis,
+    beaten: Option<Millis>,
+    reported: Option<Fact>,
+}
+
+impl Default for Contacts {
+    fn default() -> Self {
+        Self {
+            known: BTreeMap::new(),
+            interval: DEFAULT_INTERVAL,
+            beaten: None,
+            reported: None,
+        }
+    }
+}
+
+impl Contacts {
+    fn learn(&mut self, fact: &Fact) {
+        if fact.phase.is_gone() {
+            self.known.remove(&fact.addr);
+            return;
+        }
+        let is_known = self
+            .known
+            .get(&fact.addr)
+            .is_some_and(|c| c.boot == fact.boot);
+        if is_known || self.known.len() >= MAX_CONTACTS {
+            return;
+        }
+        let contact = Contact {
+            zone: fact.zone,
+            boot: fact.boot,
+            unanswered: 0,
+        };
+        self.known.insert(fact.addr, contact);
+    }
+
+    fn answered(&mut self, addr: SocketAddrV4) {
+        if let Some(contact) = self.known.get_mut(&addr) {
+            contact.unanswered = 0;
+        }
+    }
+
+    /// The balancers to report to: by rendezvous, the own zone first, with one elsewhere.
+    fn choose(&self, own: &Fact) -> Vec<SocketAddrV4> {
+        let mut near = self.ranked(own, |zone| zone == own.zone);
+        let mut far = self.ranked(own, |zone| zone != own.zone);
+        let kept = REPORTS - REMOTE_REPORTS.min(far.len());
+        let spare = near.split_off(kept.min(near.len()));
+        far.truncate(REPORTS - near.len());
+        near.extend(far);
+        near.extend(spare);
+        near.truncate(REPORTS);
+        near
+    }
+
+    fn ranked(&self, own: &Fact, is_wanted: impl Fn(ZoneTag) -> bool) -> Vec<SocketAddrV4> {
+        let wanted = self.known.iter().filter(|(_, c)| is_wanted(c.zone));
+        let mut addrs: Vec<_> = wanted.map(|(&addr, _)| addr).collect();
+        addrs.sort_by_key(|&addr| pair_hash(own.addr, addr));
+        addrs
+    }
+
+    /// Counts a report to each of `addrs` and drops balancers that do not answer.
+    fn note_reports(&mut self, addrs: &[SocketAddrV4]) {
+        for addr in addrs {
+            if let Some(contact) = self.known.get_mut(addr) {
+                contact.unanswered += 1;
+            }
+        }
+        self.known.retain(|_, c| c.unanswered <= MAX_UNANSWERED);
+    }
+}
+
+impl Agent {
+    /// Takes a balancer's answer.
+    pub(super) fn control(&mut self, message: Message, now: Millis) -> Vec<Effect> {
+        let Message::Ack(ack) = message else {
+            return Vec::new();
+        };
+        self.contacts.learn(&ack.from);
+        self.contacts.answered(ack.from.addr);
+        for peer in &ack.peers {
+            self.contacts.learn(peer);
+        }
+        self.contacts.interval = ack.interval;
+        self.flows.set_mean(ack.flows);
+        self.refute(&ack, now)
+    }
+
+    /// Reports if the interval has passed or something has changed.
+    pub(super) fn beat_if_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let interval = if self.contacts.known.is_empty() {
+            HELLO_INTERVAL
+        } else {
+            self.contacts.interval
+        };
+        let is_due = self
+            .contacts
+            .beaten
+            .is_none_or(|at| now.since(at) >= interval);
+        let is_changed = self.contacts.reported != Some(self.own);
+        if is_due || is_changed {
+            self.beat(now, effects);
+        }
+    }
+
+    /// Reports now.
+    pub(super) fn beat(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.contacts.beaten = Some(now);
+        self.contacts.reported = Some(self.own);
+        let targets = self.contacts.choose(&self.own);
+        if targets.is_empty() {
+            let message = Message::Hello(self.own);
+            let to = self.setup.entry;
+            effects.push(Effect::Send { to, message });
+            return;
+        }
+        self.contacts.note_reports(&targets);
+        let beat = Heartbeat {
+            fact: self.own,
+            load: self.load(),
+            version: self.version,
+        };
+        let send = |to| Effect::Send {
+            to,
+            message: Message::Heartbeat(beat),
+        };
+        effects.extend(targets.into_iter().map(send));
+    }
+
+    fn refute(&mut self, ack: &Ack, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(known) = ack.silenced.filter(|k| k.supersedes(&self.own)) {
+            self.own.seq = known.seq + 1;
+        }
+        for &record in &ack.zones {
+            effects.extend(self.zone(record, now));
+        }
+        if ack.version > self.version {
+            effects.push(Effect::Fetch {
+                from: ack.from.addr,
+                version: ack.version,
+            });
+        }
+        effects
+    }
+}
+
+fn pair_hash(a: SocketAddrV4, b: SocketAddrV4) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&a.ip().octets());
+    bytes[4..6].copy_from_slice(&a.port().to_be_bytes());
+    bytes[6..10].copy_from_slice(&b.ip().octets());
+    bytes[10..].copy_from_slice(&b.port().to_be_bytes());
+    stable_hash(&bytes)
+}
--- /dev/null
+++ b/buckthornlink-core/src/agent/request.rs
@@ -0,0 +1,254 @@
+//! The life of a request: admitted, queued, run, answered.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Agent, Decision, Effect, Outcome, Priority, Running, Waiting};
+use crate::time::Millis;
+use crate::verdict::{Refusal, Verdict};
+
+/// Longest request id, in bytes.
+const MAX_ID_BYTES: usize = 64;
+/// Connection failures in a row after which the backend server counts as unreachable.
+const UNREACHABLE_AFTER: u32 = 3;
+/// A leaving agent refuses requests from this time after the drain began.
+const DRAIN_GRACE: Millis = Millis(1_500);
+
+/// A request within one agent process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ticket(pub u64);
+
+/// The caller's id of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestId(Arc<str>);
+
+impl RequestId {
+    /// An id from a header value, or `None` if it is empty or longer than 64 bytes.
+    ///
+    /// ```
+    /// # use buckthornlink_core::agent::RequestId;
+    /// assert!(RequestId::new("till-7-000123").is_some());
+    /// assert!(RequestId::new("").is_none());
+    /// ```
+    #[must_use]
+    pub fn new(id: &str) -> Option<Self> {
+        let fits = !id.is_empty() && id.len() <= MAX_ID_BYTES;
+        fits.then(|| Self(id.into()))
+    }
+}
+
+/// What the reducer needs to know of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Names the request within this process.
+    pub ticket: Ticket,
+    /// The caller's id.
+    pub id: Option<RequestId>,
+    /// Attempts with unknown outcome, this one included, from 1.
+    pub attempt: u32,
+    /// Hash of method, path and body.
+    pub fingerprint: u64,
+    /// Class of the request.
+    pub class: Arc<str>,
+    /// When the caller gives up.
+    pub deadline: Millis,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// Whether it belongs to work that another service has admitted.
+    pub priority: Priority,
+}
+
+impl Agent {
+    /// Runs, queues, answers or refuses a request.
+    pub(super) fn request(&mut self, request: Request, now: Millis) -> Vec<Effect> {
+        if let Some(refusal) = self.reason_to_refuse(&request, now) {
+            return vec![refuse(request.ticket, verdict_of(&request), refusal)];
+        }
+        if let Some(effect) = self.look_up(&request) {
+            return vec![effect];
+        }
+        let waiting = Waiting::new(request);
+        if self.limiter.has_room() && self.queue.is_empty() {
+            return vec![self.run(waiting)];
+        }
+        let is_full = self.queue.len() >= usize::from(self.limits.queue);
+        if is_full {
+            let refusal = if self.limiter.is_cold() {
+                Refusal::Cold
+            } else {
+                Refusal::Overload
+            };
+            return vec![self.reject(&waiting, refusal)];
+        }
+        let wait = self.limiter.expected_wait(self.queue.len());
+        if now + wait > waiting.deadline {
+            return vec![self.reject(&waiting, Refusal::Deadline)];
+        }
+        self.queue.push(waiting);
+        Vec::new()
+    }
+
+    /// Takes the end of a running request and starts the next one.
+    pub(super) fn finish(
+        &mut self,
+        ticket: Ticket,
+        outcome: Outcome,
+        took: Millis,
+        now: Millis,
+    ) -> Vec<Effect> {
+        let Some(running) = self.running.remove(&ticket) else {
+            return Vec::new();
+        };
+        self.limiter.finish(outcome, took);
+        self.note_reach(outcome);
+        if let Some(id) = &running.id {
+            self.records.settle(id, outcome, now);
+        }
+        let mut effects = outcome_effect(ticket, outcome);
+        if !self.is_reachable {
+            effects.extend(self.refuse_waiting(Refusal::Unreachable, now));
+            effects.push(Effect::MoveFlows(self.flows.all()));
+        }
+        self.start_next(now, &mut effects);
+        effects
+    }
+
+    /// Forgets a request that waits, or stops one that runs.
+    pub(super) fn cancel(&mut self, ticket: Ticket, now: Millis) -> Vec<Effect> {
+        if let Some(waiting) = self.queue.remove(ticket) {
+            self.drop_record(&waiting);
+            return Vec::new();
+        }
+        let Some(running) = self.running.remove(&ticket) else {
+            return Vec::new();
+        };
+        self.limiter.finish(Outcome::Aborted, Millis(0));
+        if let Some(id) = &running.id {
+            self.records.settle(id, Outcome::Aborted, now);
+        }
+        let mut effects = vec![Effect::Abort(ticket)];
+        self.start_next(now, &mut effects);
+        effects
+    }
+
+    /// Refuses every waiting request.
+    pub(super) fn refuse_waiting(&mut self, refusal: Refusal, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some(waiting) = self.queue.pop(now, &mut Vec::new()) {
+            effects.push(self.reject(&waiting, refusal));
+        }
+        effects
+    }
+
+    /// Refuses waiting requests whose deadline has passed.
+    pub(super) fn expire(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        for waiting in self.queue.expired(now) {
+            effects.push(self.reject(&waiting, Refusal::Deadline));
+        }
+    }
+
+    fn reason_to_refuse(&self, request: &Request, now: Millis) -> Option<Refusal> {
+        let has_left = self.left_at.is_some_and(|at| now.since(at) >= DRAIN_GRACE);
+        if self.is_out() {
+            Some(Refusal::ZoneOut)
+        } else if has_left {
+            Some(Refusal::Draining)
+        } else if !request.idempotent && request.id.is_none() {
+            Some(Refusal::Malformed)
+        } else if !self.is_reachable {
+            Some(Refusal::Unreachable)
+        } else if request.deadline <= now {
+            Some(Refusal::Deadline)
+        } else {
+            None
+        }
+    }
+
+    /// Checks a non-idempotent request against the record; `None` lets it run.
+    fn look_up(&mut self, request: &Request) -> Option<Effect> {
+        let id = request.id.as_ref().filter(|_| !request.idempotent)?;
+        let ticket = request.ticket;
+        match self.records.admit(id, request) {
+            Decision::Run => None,
+            Decision::Replay(original) => Some(Effect::Replay { ticket, original }),
+            Decision::Refuse(verdict, refusal) => Some(refuse(ticket, verdict, refusal)),
+        }
+    }
+
+    fn start_next(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let mut expired = Vec::new();
+        while self.limiter.has_room() {
+            let Some(waiting) = self.queue.pop(now, &mut expired) else {
+                break;
+            };
+            effects.push(self.run(waiting));
+        }
+        for waiting in expired {
+            effects.push(self.reject(&waiting, Refusal::Deadline));
+        }
+    }
+
+    fn run(&mut self, waiting: Waiting) -> Effect {
+        self.limiter.start();
+        let ticket = waiting.ticket;
+        let id = waiting.id.filter(|_| !waiting.idempotent);
+        self.running.insert(ticket, Running { id });
+        Effect::Run(ticket)
+    }
+
+    /// Refuses a request that was recorded but never sent.
+    fn reject(&mut self, waiting: &Waiting, refusal: Refusal) -> Effect {
+        self.drop_record(waiting);
+        refuse(waiting.ticket, Verdict::NotRun, refusal)
+    }
+
+    fn drop_record(&mut self, waiting: &Waiting) {
+        if let Some(id) = waiting.id.as_ref().filter(|_| !waiting.idempotent) {
+            self.records.remove(id);
+        }
+    }
+
+    fn note_reach(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Unreachable => {
+                self.failures += 1;
+                if self.failures >= UNREACHABLE_AFTER {
+                    self.is_reachable = false;
+                }
+            }
+            Outcome::Answered { .. } | Outcome::Shed | Outcome::Declined => self.failures = 0,
+            Outcome::Broken | Outcome::Late | Outcome::Aborted => {}
+        }
+    }
+}
+
+/// A first attempt that is refused has not run; of a repeat the first attempt may have.
+fn verdict_of(request: &Request) -> Verdict {
+    if request.idempotent || request.attempt <= 1 {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
+    }
+}
+
+const fn refuse(ticket: Ticket, verdict: Verdict, refusal: Refusal) -> Effect {
+    Effect::Refuse {
+        ticket,
+        verdict,
+        refusal,
+    }
+}
+
+/// The answer to a request that ended without one. Answered requests need no effect.
+fn outcome_effect(ticket: Ticket, outcome: Outcome) -> Vec<Effect> {
+    let (verdict, refusal) = match outcome {
+        Outcome::Answered { .. } => return Vec::new(),
+        Outcome::Shed => (Verdict::NotRun, Refusal::Shed),
+        Outcome::Declined => (Verdict::NotRun, Refusal::DependencyDown),
+        Outcome::Unreachable => (Verdict::NotRun, Refusal::Unreachable),
+        Outcome::Broken | Outcome::Aborted => (Verdict::MayHaveRun, Refusal::BackendFailed),
+        Outcome::Late => (Verdict::MayHaveRun, Refusal::Deadline),
+    };
+    vec![refuse(ticket, verdict, refusal)]
+}
--- /dev/null
+++ b/buckthornlink-core/src/balancer.rs
@@ -0,0 +1,278 @@
+//! The balancer's reducer.
+//!
+//! Datagrams with a readable connection id never come here: they are routed from the published
+//! [`Snapshot`] alone. The reducer decides about openers, merges facts, and spreads them.
+//!
+//! * [`Policy`] orders the candidates for an opening flow.
+//! * `spread` exchanges facts with other balancers under a byte budget.
+//! * `observe` judges whether an agent is silent.
+
+mod budget;
+mod observe;
+mod opener;
+mod spread;
+
+use std::net::SocketAddrV4;
+
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+pub use budget::Budget;
+pub use opener::{Candidate, MAX_CANDIDATES, Policy};
+
+use crate::config::Config;
+use crate::id::{BootId, FlowKey, ServicePort, Version, ZoneTag};
+use crate::member::{Fact, Load, Members, Phase, Role, ZoneBook, ZoneRecord};
+use crate::message::Message;
+use crate::time::Millis;
+use spread::Spread;
+
+/// Interval of [`Event::Tick`].
+pub const TICK: Millis = Millis(250);
+
+/// What a balancer is told at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Setup {
+    /// Address of the link socket.
+    pub addr: SocketAddrV4,
+    /// Availability zone.
+    pub zone: ZoneTag,
+    /// Start of the process.
+    pub boot: BootId,
+    /// How openers are placed.
+    pub policy: Policy,
+    /// Address at which the fabric reaches any balancer.
+    pub entry: SocketAddrV4,
+    /// Control bytes that this process may send, per second.
+    pub control_bytes: u32,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// A datagram without a readable connection id came for a service.
+    Opener {
+        /// The service.
+        service: ServicePort,
+        /// The flow that it opens.
+        flow: FlowKey,
+    },
+    /// A returning datagram carried a new load report.
+    Report {
+        /// The agent that sent it.
+        agent: SocketAddrV4,
+        /// The agent's phase.
+        phase: Phase,
+        /// The report.
+        load: Load,
+    },
+    /// A control message came from `from`.
+    Control {
+        /// Source address of the datagram.
+        from: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// A configuration was read from the store or from a peer.
+    Config {
+        /// Its version.
+        version: Version,
+        /// The checked configuration.
+        config: Config,
+    },
+    /// A zone record was read from the store.
+    Zone(ZoneRecord),
+    /// The process was asked to leave.
+    Drain,
+    /// [`TICK`] has passed.
+    Tick,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Effect {
+    /// Forward the opener to the first candidate, naming the rest in the envelope.
+    Forward(Vec<Candidate>),
+    /// Drop the opener: no open backend server is known.
+    Drop,
+    /// Send a control message.
+    Send {
+        /// Destination.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Fetch the configuration from a peer.
+    Fetch {
+        /// Link address of the peer.
+        from: SocketAddrV4,
+        /// Version to expect at least.
+        version: Version,
+    },
+    /// Route from this snapshot from now on.
+    Publish(Snapshot),
+    /// Start or stop watching the store.
+    Watch(bool),
+}
+
+/// What the forwarding path needs to know.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Services, ordered by port.
+    pub services: Vec<ServicePort>,
+    /// Zones that operators have taken out, ordered.
+    pub zones_out: Vec<ZoneTag>,
+}
+
+impl Snapshot {
+    /// Whether operators have taken `zone` out.
+    #[must_use]
+    pub fn is_out(&self, zone: ZoneTag) -> bool {
+        self.zones_out.binary_search(&zone).is_ok()
+    }
+
+    /// Whether `service` is configured.
+    #[must_use]
+    pub fn has_service(&self, service: ServicePort) -> bool {
+        self.services.binary_search(&service).is_ok()
+    }
+}
+
+/// State of one balancer.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    setup: Setup,
+    own: Fact,
+    config: Config,
+    version: Version,
+    zones: ZoneBook,
+    members: Members,
+    spread: Spread,
+    budget: Budget,
+    rng: Pcg64Mcg,
+    turn: u64,
+    watching: bool,
+    contacted: Option<Millis>,
+}
+
+impl Balancer {
+    /// The state of a balancer that has just started and knows nothing.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        let own = Fact {
+            addr: setup.addr,
+            role: Role::Balancer,
+            zone: setup.zone,
+            boot: setup.boot,
+            seq: 1,
+            phase: Phase::Warm,
+        };
+        let mut members = Members::default();
+        members.merge(own);
+        Self {
+            setup,
+            own,
+            config: Config::default(),
+            version: Version::default(),
+            zones: ZoneBook::default(),
+            members,
+            spread: Spread::default(),
+            budget: Budget::new(setup.control_bytes),
+            rng: Pcg64Mcg::seed_from_u64(setup.seed),
+            turn: 0,
+            watching: false,
+            contacted: None,
+        }
+    }
+
+    /// Applies one event and returns what is to be done, in order.
+    pub fn reduce(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        match event {
+            Event::Opener { service, flow } => vec![self.place(service, flow, now)],
+            Event::Report { agent, phase, load } => self.report(agent, phase, load, now),
+            Event::Control { from, message } => self.control(from, message, now),
+            Event::Config { version, config } => self.configure(version, config, now),
+            Event::Zone(record) => self.zone(record, now),
+            Event::Drain => self.drain(now),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    /// Version of the configuration in force.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The known instances.
+    #[must_use]
+    pub const fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The known zone records.
+    #[must_use]
+    pub const fn zones(&self) -> &ZoneBook {
+        &self.zones
+    }
+
+    /// Takes a newer configuration over; an older one is ignored, wherever it comes from.
+    fn configure(&mut self, version: Version, config: Config, now: Millis) -> Vec<Effect> {
+        if version <= self.version {
+            return Vec::new();
+        }
+        self.version = version;
+        self.config = config;
+        let mut effects = vec![Effect::Publish(self.snapshot())];
+        self.push(now, &mut effects);
+        effects
+    }
+
+    fn zone(&mut self, record: ZoneRecord, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.zones.merge(record) {
+            effects.push(Effect::Publish(self.snapshot()));
+            self.push(now, &mut effects);
+        }
+        effects
+    }
+
+    fn drain(&mut self, now: Millis) -> Vec<Effect> {
+        self.own.seq += 1;
+        self.own.phase = Phase::Left;
+        self.note_change(self.own);
+        let mut effects = Vec::new();
+        self.push(now, &mut effects);
+        effects
+    }
+
+    fn tick(&mut self, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.observe(now);
+        self.gossip(now, &mut effects);
+        self.choose_watchers(&mut effects);
+        effects
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let mut services: Vec<_> = self.config.services.iter().map(|s| s.port()).collect();
+        services.sort_unstable();
+        let out = self.zones.iter().filter(|r| r.out);
+        Snapshot {
+            version: self.version,
+            services,
+            zones_out: out.map(|r| r.zone).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/balancer/budget.rs
@@ -0,0 +1,53 @@
+//! Limit on the control bytes that a process sends.
+
+use crate::time::Millis;
+
+/// Token bucket over bytes. It holds at most two seconds' worth.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    rate: u64,
+    tokens: i64,
+    filled: Millis,
+}
+
+impl Budget {
+    const BURST_SECONDS: u64 = 2;
+
+    /// A full bucket that refills with `rate` bytes per second.
+    #[must_use]
+    pub const fn new(rate: u32) -> Self {
+        let rate = rate as u64;
+        Self {
+            rate,
+            tokens: (rate * Self::BURST_SECONDS).cast_signed(),
+            filled: Millis(0),
+        }
+    }
+
+    /// Bytes that may be sent now.
+    ///
+    /// ```
+    /// # use buckthornlink_core::balancer::Budget;
+    /// # use buckthornlink_core::Millis;
+    /// let mut budget = Budget::new(1_000);
+    /// budget.spend(2_500);
+    /// assert_eq!(budget.available(Millis(0)), 0);
+    /// assert_eq!(budget.available(Millis(1_000)), 500);
+    /// ```
+    pub fn available(&mut self, now: Millis) -> usize {
+        let elapsed = now.since(self.filled).0;
+        let earned = self.rate * elapsed / 1_000;
+        if earned > 0 {
+            let cap = (self.rate * Self::BURST_SECONDS).cast_signed();
+            self.tokens = (self.tokens + earned.cast_signed()).min(cap);
+            self.filled = now;
+        }
+        usize::try_from(self.tokens).unwrap_or(0)
+    }
+
+    /// Takes bytes out. Urgent messages may overdraw; later ones wait until it is paid back.
+    pub fn spend(&mut self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.tokens = self.tokens.saturating_sub(bytes);
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/balancer/opener.rs
@@ -0,0 +1,213 @@
+//! Placement of opening flows.
+//!
+//! The balancer's choice is rough: it names up to [`MAX_CANDIDATES`] agents with the number of
+//! flows that it believes each of them holds. The agent decides finally.
+
+use std::net::SocketAddrV4;
+
+use rand_core::RngCore;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::{Balancer, Effect};
+use crate::id::{FlowKey, ServicePort, stable_hash};
+use crate::member::{Member, MemberKey};
+use crate::time::Millis;
+
+/// Most candidates that an opener carries.
+pub const MAX_CANDIDATES: usize = 3;
+/// Members looked at for one opener; bounds the cost of a decision in large services.
+const SAMPLE: usize = 16;
+/// Load reports older than this count as unknown.
+const REPORT_LIFETIME: Millis = Millis(10_000);
+/// An agent that left this many openers unanswered...
+const UNANSWERED_LIMIT: u32 = 3;
+/// ...for this long is passed over until it is heard again.
+const UNANSWERED_SPAN: Millis = Millis(300);
+/// Pressure, in 1/255, above which a backend server counts as twice as loaded.
+const PRESSURE_LIMIT: u8 = 240;
+/// Unit of [`Rank::cost`] for one flow on a backend server that bears its full limits.
+const COST_UNIT: u64 = 255;
+
+/// How openers are placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Least expected load, counting openers sent since the last report; the agent may hand on.
+    #[default]
+    Adaptive,
+    /// Baseline: each open agent in turn.
+    RoundRobin,
+    /// Baseline: any open agent.
+    Random,
+    /// Baseline: the least load reported, as reported.
+    LeastReported,
+    /// Baseline: highest random weight of the flow key, without hand-on.
+    Rendezvous,
+}
+
+/// An agent that may take an opener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// Link address of the agent.
+    pub addr: SocketAddrV4,
+    /// Flows that the balancer believes it holds.
+    pub flows: u32,
+}
+
+/// Sort key of a candidate; the least is tried first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    cost: u64,
+    is_remote: bool,
+    hash: u64,
+}
+
+impl Balancer {
+    /// Chooses candidates for an opener.
+    pub(super) fn place(&mut self, service: ServicePort, flow: FlowKey, now: Millis) -> Effect {
+        let sample = self.sample(service, now);
+        let ranked = match self.setup.policy {
+            Policy::Adaptive => self.rank(&sample, |m| self.expected_rank(m, flow, now)),
+            Policy::LeastReported => self.rank(&sample, |m| reported_rank(m, flow)),
+            Policy::Rendezvous => self.rank(&sample, |m| hash_rank(m, flow)),
+            Policy::RoundRobin => self.rotate(&sample),
+            Policy::Random => self.pick_random(&sample),
+        };
+        let Some(&first) = ranked.first() else {
+            return Effect::Drop;
+        };
+        self.members.note_opener(first, now);
+        let hands_on = self.setup.policy == Policy::Adaptive;
+        let count = if hands_on { MAX_CANDIDATES } else { 1 };
+        let candidates = ranked.iter().take(count);
+        Effect::Forward(candidates.filter_map(|&key| self.candidate(key)).collect())
+    }
+
+    /// Open members of a service: all of them, or a random sample of a large service.
+    fn sample(&mut self, service: ServicePort, now: Millis) -> Vec<MemberKey> {
+        let count = self.members.agents(service).len();
+        if count <= SAMPLE {
+            let keys = self.members.agents(service).iter().copied();
+            return keys.filter(|&key| self.is_eligible(key, now)).collect();
+        }
+        let mut sample = Vec::with_capacity(SAMPLE);
+        for _ in 0..SAMPLE * 2 {
+            let index = self.rng.next_u64() % count as u64;
+            let index = usize::try_from(index).unwrap_or(0);
+            let key = self.members.agents(service)[index];
+            if self.is_eligible(key, now) && !sample.contains(&key) {
+                sample.push(key);
+            }
+            if sample.len() == SAMPLE {
+                break;
+            }
+        }
+        sample
+    }
+
+    fn is_eligible(&self, key: MemberKey, now: Millis) -> bool {
+        let Some(member) = self.members.get(key) else {
+            return false;
+        };
+        let is_unanswered =
+            member.unanswered >= UNANSWERED_LIMIT && now.since(member.asked) >= UNANSWERED_SPAN;
+        member.is_open() && !is_unanswered && !self.zones.is_out(member.fact.zone)
+    }
+
+    fn rank(&self, sample: &[MemberKey], rank: impl Fn(&Member) -> Rank) -> Vec<MemberKey> {
+        let members = sample
+            .iter()
+            .filter_map(|&k| Some((k, self.members.get(k)?)));
+        let mut ranked: Vec<_> = members.map(|(key, m)| (rank(m), key)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn rotate(&mut self, sample: &[MemberKey]) -> Vec<MemberKey> {
+        if sample.is_empty() {
+            return Vec::new();
+        }
+        let index = self.turn % sample.len() as u64;
+        self.turn += 1;
+        vec![sample[usize::try_from(index).unwrap_or(0)]]
+    }
+
+    fn pick_random(&mut self, sample: &[MemberKey]) -> Vec<MemberKey> {
+        if sample.is_empty() {
+            return Vec::new();
+        }
+        let index = self.rng.next_u64() % sample.len() as u64;
+        vec![sample[usize::try_from(index).unwrap_or(0)]]
+    }
+
+    fn candidate(&self, key: MemberKey) -> Option<Candidate> {
+        let member = self.members.get(key)?;
+        Some(Candidate {
+            addr: member.fact.addr,
+            flows: expected_flows(member),
+        })
+    }
+
+    fn expected_rank(&self, member: &Member, flow: FlowKey, now: Millis) -> Rank {
+        let fresh = member
+            .load
+            .filter(|(_, at)| now.since(*at) <= REPORT_LIFETIME);
+        let weight = fresh.map_or(u8::MAX, |(load, _)| load.weight.max(1));
+        let flows = match fresh {
+            Some(_) => expected_flows(member),
+            None => self.mean_flows(member.fact.service()) + member.sent,
+        };
+        let is_pressed = fresh.is_some_and(|(load, _)| load.pressure >= PRESSURE_LIMIT);
+        let factor = if is_pressed { 2 } else { 1 };
+        Rank {
+            cost: u64::from(flows + 1) * COST_UNIT * factor / u64::from(weight),
+            is_remote: member.fact.zone != self.setup.zone,
+            hash: rendezvous(member, flow),
+        }
+    }
+
+    /// Mean number of flows of the open agents of a service, by their latest reports.
+    pub(super) fn mean_flows(&self, service: Option<ServicePort>) -> u32 {
+        let keys = service.map_or(&[][..], |s| self.members.agents(s));
+        let members = keys.iter().filter_map(|&key| self.members.get(key));
+        let open = members.filter(|m| m.is_open() && !self.zones.is_out(m.fact.zone));
+        let (mut sum, mut count) = (0, 0);
+        for (load, _) in open.filter_map(|m| m.load) {
+            sum += load.flows;
+            count += 1;
+        }
+        if count == 0 { 0 } else { sum / count }
+    }
+}
+
+/// Flows by the last report, plus the openers sent since.
+fn expected_flows(member: &Member) -> u32 {
+    member.load.map_or(0, |(load, _)| load.flows) + member.sent
+}
+
+fn reported_rank(member: &Member, flow: FlowKey) -> Rank {
+    Rank {
+        cost: member.load.map_or(0, |(load, _)| u64::from(load.flows)),
+        is_remote: false,
+        hash: rendezvous(member, flow),
+    }
+}
+
+fn hash_rank(member: &Member, flow: FlowKey) -> Rank {
+    Rank {
+        cost: 0,
+        is_remote: false,
+        hash: rendezvous(member, flow),
+    }
+}
+
+/// Highest random weight, inverted so that the least value wins.
+fn rendezvous(member: &Member, flow: FlowKey) -> u64 {
+    let addr = member.fact.addr;
+    let mut bytes = [0; 14];
+    bytes[..8].copy_from_slice(&flow.0.to_be_bytes());
+    bytes[8..12].copy_from_slice(&addr.ip().octets());
+    bytes[12..].copy_from_slice(&addr.port().to_be_bytes());
+    !stable_hash(&bytes)
+}
--- /dev/null
+++ b/buckthornlink-core/src/balancer/spread.rs
@@ -0,0 +1,289 @@
+//! Epidemic spreading of facts between balancers.
+//!
+//! A change goes at once to a few peers, then with every exchange until it has been sent a
+//! logarithmic number of times. Digests find what was missed.
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+
+use rand_core::RngCore;
+
+use super::{Balancer, Effect};
+use crate::id::stable_hash;
+use crate::member::{Fact, MemberKey, ZoneRecord};
+use crate::message::{Exchange, MAX_FACTS, Message};
+use crate::time::Millis;
+
+/// Interval between two exchanges.
+const EXCHANGE_INTERVAL: Millis = Millis(1_000);
+/// Peers that hear of an urgent change at once.
+const FANOUT: usize = 3;
+/// Bytes left in the budget below which no exchange is started.
+const EXCHANGE_RESERVE: usize = 400;
+/// A peer that has not been heard for this long is marked silent.
+const PEER_SPAN: Millis = Millis(30_000);
+/// Interval of hellos while no peer is known.
+const HELLO_INTERVAL: Millis = Millis(500);
+/// Interval of hellos once peers are known; joins groups that do not know each other.
+const HELLO_INTERVAL_JOINED: Millis = Millis(15_000);
+/// Balancers of each zone that watch the store.
+const WATCHERS: usize = 2;
+
+/// Changes that are still being spread.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Spread {
+    queue: VecDeque<Rumor>,
+    exchanged: Millis,
+}
+
+/// One changed fact and how often it is still to be sent.
+#[derive(Clone, Copy, Debug)]
+struct Rumor {
+    fact: Fact,
+    left: u32,
+}
+
+impl Spread {
+    fn add(&mut self, fact: Fact, times: u32) {
+        self.queue.retain(|r| r.fact.addr != fact.addr);
+        self.queue.push_front(Rumor { fact, left: times });
+    }
+
+    /// The newest changes, at most `max`, each counted as sent once.
+    fn take(&mut self, max: usize) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        for rumor in self.queue.iter_mut().take(max) {
+            facts.push(rumor.fact);
+            rumor.left -= 1;
+        }
+        self.queue.retain(|r| r.left > 0);
+        facts
+    }
+}
+
+impl Balancer {
+    /// Handles a control message.
+    pub(super) fn control(
+        &mut self,
+        from: SocketAddrV4,
+        message: Message,
+        now: Millis,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match message {
+            Message::Hello(fact) => {
+                let is_self = fact.addr == self.own.addr;
+                if !is_self {
+                    self.learn(fact);
+                    self.members.hear(fact.addr, now);
+                    self.ack(from, &fact, now, &mut effects);
+                }
+            }
+            Message::Heartbeat(beat) => self.heartbeat(from, beat, now, &mut effects),
+            Message::Ack(ack) => {
+                self.contact(ack.from, now);
+                self.learn_all(&ack.peers);
+                self.learn_zones(&ack.zones, now, &mut effects);
+                self.compare_version(ack.from.addr, ack.version, &mut effects);
+            }
+            Message::Exchange(exchange) => self.answer(&exchange, now, &mut effects),
+        }
+        effects
+    }
+
+    /// Queues a changed fact for spreading.
+    pub(super) fn note_change(&mut self, fact: Fact) {
+        self.members.merge(fact);
+        let peers = self.members.balancers().len().max(2);
+        let rounds = peers.ilog2() + 1;
+        self.spread.add(fact, rounds * 3);
+    }
+
+    /// Tells a few peers at once.
+    pub(super) fn push(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        for peer in self.pick_balancers(FANOUT) {
+            let facts = self.spread.take(MAX_FACTS);
+            let message = self.exchange(facts, false);
+            self.send(peer.addr, message, effects);
+        }
+        self.spread.exchanged = now;
+    }
+
+    /// Starts an exchange, or says hello if no peer is known.
+    pub(super) fn gossip(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.greet(now, effects);
+        if now.since(self.spread.exchanged) < EXCHANGE_INTERVAL {
+            return;
+        }
+        let available = self.budget.available(now);
+        if available < EXCHANGE_RESERVE {
+            return;
+        }
+        self.spread.exchanged = now;
+        self.silence_peers(now);
+        let Some(peer) = self.pick_balancers(1).pop() else {
+            return;
+        };
+        let facts = self.spread.take(MAX_FACTS);
+        let message = self.exchange(facts, true);
+        self.send(peer.addr, message, effects);
+    }
+
+    /// Random live balancers other than this one.
+    pub(super) fn pick_balancers(&mut self, count: usize) -> Vec<Fact> {
+        let mut facts: Vec<Fact> = self.live_balancers().copied().collect();
+        for i in 0..count.min(facts.len()) {
+            let rest = (facts.len() - i) as u64;
+            let offset = usize::try_from(self.rng.next_u64() % rest).unwrap_or(0);
+            facts.swap(i, i + offset);
+        }
+        facts.truncate(count);
+        facts
+    }
+
+    /// Starts watching the store if this balancer ranks among the first of its zone, and stops
+    /// when it no longer does.
+    pub(super) fn choose_watchers(&mut self, effects: &mut Vec<Effect>) {
+        let own = watcher_rank(&self.own);
+        let zone = self.own.zone;
+        let peers = self.live_balancers().filter(|f| f.zone == zone);
+        let ahead = peers.filter(|f| watcher_rank(f) < own).count();
+        let is_watcher = ahead < WATCHERS;
+        if is_watcher != self.watching {
+            self.watching = is_watcher;
+            effects.push(Effect::Watch(is_watcher));
+        }
+    }
+
+    /// Sends a message and counts its bytes.
+    pub(super) fn send(&mut self, to: SocketAddrV4, message: Message, effects: &mut Vec<Effect>) {
+        self.budget.spend(message.size());
+        effects.push(Effect::Send { to, message });
+    }
+
+    fn live_balancers(&self) -> impl Iterator<Item = &Fact> {
+        let keys = self.members.balancers().iter();
+        let facts = keys.filter_map(|&key| Some(&self.members.get(key)?.fact));
+        facts.filter(|f| f.addr != self.own.addr && !f.phase.is_gone())
+    }
+
+    fn exchange(&self, facts: Vec<Fact>, ask: bool) -> Message {
+        Message::Exchange(Exchange {
+            from: self.own,
+            version: self.version,
+            digest: *self.members.digest(),
+            zones: self.zones.iter().copied().collect(),
+            facts,
+            ask,
+        })
+    }
+
+    /// Merges one half of an exchange and answers with what the sender lacks.
+    fn answer(&mut self, exchange: &Exchange, now: Millis, effects: &mut Vec<Effect>) {
+        let from = exchange.from.addr;
+        self.contact(exchange.from, now);
+        self.learn_all(&exchange.facts);
+        self.learn_zones(&exchange.zones, now, effects);
+        self.compare_version(from, exchange.version, effects);
+        let lacking = self.lacking(exchange, now);
+        let is_behind = exchange.version < self.version;
+        if exchange.ask && (!lacking.is_empty() || is_behind || self.has_newer_zone(exchange)) {
+            let message = self.exchange(lacking, false);
+            self.send(from, message, effects);
+        }
+    }
+
+    /// Facts of the buckets in which the sender's digest differs, within the budget.
+    fn lacking(&mut self, exchange: &Exchange, now: Millis) -> Vec<Fact> {
+        let fits = self.budget.available(now) / 2 / 40;
+        let own = *self.members.digest();
+        let buckets: Vec<usize> = own.differing(&exchange.digest).collect();
+        if buckets.is_empty() {
+            return Vec::new();
+        }
+        let start = usize::try_from(self.rng.next_u64() % buckets.len() as u64).unwrap_or(0);
+        let order = buckets.iter().cycle().skip(start).take(buckets.len());
+        let facts = order.flat_map(|&index| self.members.bucket(index));
+        facts.copied().take(fits.min(MAX_FACTS)).collect()
+    }
+
+    fn has_newer_zone(&self, exchange: &Exchange) -> bool {
+        self.zones.iter().any(|own| {
+            let theirs = exchange.zones.iter().find(|r| r.zone == own.zone);
+            theirs.is_none_or(|r| r.seq < own.seq)
+        })
+    }
+
+    fn contact(&mut self, fact: Fact, now: Millis) {
+        self.learn(fact);
+        self.members.hear(fact.addr, now);
+    }
+
+    fn learn_all(&mut self, facts: &[Fact]) {
+        for &fact in facts {
+            self.learn(fact);
+        }
+    }
+
+    fn learn_zones(&mut self, records: &[ZoneRecord], now: Millis, effects: &mut Vec<Effect>) {
+        for &record in records {
+            effects.extend(self.zone(record, now));
+        }
+    }
+
+    fn compare_version(
+        &self,
+        from: SocketAddrV4,
+        version: crate::Version,
+        effects: &mut Vec<Effect>,
+    ) {
+        if version > self.version {
+            effects.push(Effect::Fetch { from, version });
+        }
+    }
+
+    fn greet(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let is_alone = self.live_balancers().next().is_none();
+        let interval = if is_alone {
+            HELLO_INTERVAL
+        } else {
+            HELLO_INTERVAL_JOINED
+        };
+        if self.contacted.is_some_and(|at| now.since(at) < interval) {
+            return;
+        }
+        self.contacted = Some(now);
+        let hello = Message::Hello(self.own);
+        self.send(self.setup.entry, hello, effects);
+    }
+
+    /// Marks balancers silent that should have been heard through the exchanges.
+    fn silence_peers(&mut self, now: Millis) {
+        let is_missing = |key: &&MemberKey| {
+            let member = self.members.get(**key);
+            member.is_some_and(|m| {
+                m.fact.addr != self.own.addr
+                    && !m.fact.phase.is_gone()
+                    && m.heard.is_some_and(|at| now.since(at) > PEER_SPAN)
+            })
+        };
+        let peers = self.members.balancers();
+        let missing: Vec<_> = peers.iter().filter(is_missing).copied().collect();
+        if missing.len() * 2 > peers.len() {
+            return;
+        }
+        for key in missing {
+            if let Some(member) = self.members.get(key) {
+                self.learn(member.fact.silenced());
+            }
+        }
+    }
+}
+
+fn watcher_rank(fact: &Fact) -> u64 {
+    let mut bytes = [0; 14];
+    bytes[..4].copy_from_slice(&fact.addr.ip().octets());
+    bytes[4..6].copy_from_slice(&fact.addr.port().to_be_bytes());
+    bytes[6..].copy_from_slice(&fact.boot.0.to_be_bytes());
+    stable_hash(&bytes)
+}
--- /dev/null
+++ b/buckthornlink-core/src/config/check.rs
@@ -0,0 +1,145 @@
+//! Checks that the JSON syntax cannot express.
+
+use std::collections::HashMap;
+
+use super::{Config, ConfigError, Service};
+use crate::id::ZoneTag;
+
+const MAX_NAME_BYTES: usize = 64;
+
+/// Checks names, addresses, limits and dependencies of a parsed configuration.
+pub(super) fn check(config: &Config, text: &str) -> Result<(), ConfigError> {
+    let source = Source { text };
+    check_zones(config, source)?;
+    check_services(config, source)?;
+    check_dependencies(config, source)?;
+    check_cycles(config, source)
+}
+
+/// The text, to find where a value stands.
+#[derive(Clone, Copy)]
+struct Source<'a> {
+    text: &'a str,
+}
+
+impl Source<'_> {
+    /// A fault at the `nth` place, from 0, where `value` stands as a JSON string.
+    fn fault(self, field: String, value: &str, nth: usize, message: String) -> ConfigError {
+        let quoted = format!("\"{value}\"");
+        let offset = self.text.match_indices(&quoted).nth(nth).map_or(0, |m| m.0);
+        let before = &self.text[..offset];
+        let line_start = before.rfind('\n').map_or(0, |i| i + 1);
+        ConfigError::Field {
+            line: before.matches('\n').count() + 1,
+            column: offset - line_start + 1,
+            field,
+            message,
+        }
+    }
+}
+
+fn check_zones(config: &Config, source: Source<'_>) -> Result<(), ConfigError> {
+    let mut tags = HashMap::new();
+    for (i, name) in config.zones.iter().enumerate() {
+        let field = format!("zones[{i}]");
+        check_name(name, &field, source)?;
+        let Some(earlier) = tags.insert(ZoneTag::of(name), name) else {
+            continue;
+        };
+        let nth = usize::from(earlier == name);
+        let message = format!("zone {name:?} clashes with zone {earlier:?}; choose another name");
+        return Err(source.fault(field, name, nth, message));
+    }
+    Ok(())
+}
+
+fn check_services(config: &Config, source: Source<'_>) -> Result<(), ConfigError> {
+    let mut names = HashMap::new();
+    let mut ports: HashMap<u16, &Service> = HashMap::new();
+    for (i, service) in config.services.iter().enumerate() {
+        check_name(&service.name, &format!("services[{i}].name"), source)?;
+        check_limits(i, service, source)?;
+        if names.insert(&service.name, i).is_some() {
+            let message = format!("service {:?} is listed twice", service.name);
+            return Err(source.fault(format!("services[{i}].name"), &service.name, 1, message));
+        }
+        if let Some(earlier) = ports.insert(service.address.port(), service) {
+            return Err(port_clash(i, service, earlier, source));
+        }
+    }
+    Ok(())
+}
+
+fn port_clash(i: usize, service: &Service, earlier: &Service, source: Source<'_>) -> ConfigError {
+    let same = earlier.address == service.address;
+    let what = if same { "address" } else { "port" };
+    let value = service.address.to_string();
+    let message = format!(
+        "{what} of {value} is already used by service {:?}",
+        earlier.name
+    );
+    source.fault(
+        format!("services[{i}].address"),
+        &value,
+        usize::from(same),
+        message,
+    )
+}
+
+fn check_name(name: &str, field: &str, source: Source<'_>) -> Result<(), ConfigError> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(is_allowed) {
+        return Ok(());
+    }
+    let message =
+        format!("a name has 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' or '.', not {name:?}");
+    Err(source.fault(field.to_owned(), name, 0, message))
+}
+
+fn check_limits(i: usize, service: &Service, source: Source<'_>) -> Result<(), ConfigError> {
+    let limits = service.limits;
+    let (field, message) = if limits.slots == 0 {
+        ("limits.slots", "at least 1 slot is needed")
+    } else if limits.connections == 0 {
+        ("limits.connections", "at least 1 connection is needed")
+    } else if service.deadline_ms == 0 {
+        ("deadline_ms", "a deadline is at least 1 ms")
+    } else {
+        return Ok(());
+    };
+    let field = format!("services[{i}].{field}");
+    Err(source.fault(field, &service.name, 0, message.to_owned()))
+}
+
+fn check_dependencies(config: &Config, source: Source<'_>) -> Result<(), ConfigError> {
+    for (i, service) in config.services.iter().enumerate() {
+        for (j, name) in service.dependencies.iter().enumerate() {
+            if config.service_named(name).is_some() {
+                continue;
+            }
+            let field = format!("services[{i}].dependencies[{j}]");
+            let message = format!("no service is called {name:?}");
+            return Err(source.fault(field, name, 0, message));
+        }
+    }
+    Ok(())
+}
+
+/// Removes services without open dependencies until none is left; what remains holds a cycle.
+fn check_cycles(config: &Config, source: Source<'_>) -> Result<(), ConfigError> {
+    let mut rest: Vec<&Service> = config.services.iter().collect();
+    loop {
+        let names: Vec<&str> = rest.iter().map(|s| s.name.as_str()).collect();
+        let is_open = |s: &&Service| s.dependencies.iter().any(|d| names.contains(&d.as_str()));
+        let next: Vec<&Service> = rest.iter().copied().filter(is_open).collect();
+        if next.is_empty() {
+            return Ok(());
+        }
+        if next.len() == rest.len() {
+            let message = format!("dependencies form a cycle through {}", names.join(", "));
+            let field = "services.dependencies".to_owned();
+            return Err(source.fault(field, names[0], 0, message));
+        }
+        rest = next;
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/config/delta.rs
@@ -0,0 +1,83 @@
+//! What an edit changes.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Config, Service};
+
+/// Difference between two configurations, by service and zone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigDelta {
+    /// Services that are new or changed.
+    pub changed: Vec<Service>,
+    /// Names of services that are gone.
+    pub removed: Vec<String>,
+    /// The zones, if they changed.
+    pub zones: Option<Vec<String>>,
+}
+
+impl ConfigDelta {
+    /// What turns `old` into `new`.
+    ///
+    /// ```
+    /// # use buckthornlink_core::config::{Config, ConfigDelta};
+    /// let old = Config::default();
+    /// let new = Config { zones: vec!["a".into()], ..Config::default() };
+    /// let delta = ConfigDelta::between(&old, &new);
+    /// assert_eq!(delta.apply(&old), new);
+    /// ```
+    #[must_use]
+    pub fn between(old: &Config, new: &Config) -> Self {
+        let is_changed = |s: &&Service| old.service_named(&s.name) != Some(s);
+        let is_removed = |s: &&Service| new.service_named(&s.name).is_none();
+        let removed = old.services.iter().filter(is_removed);
+        Self {
+            changed: new.services.iter().filter(is_changed).cloned().collect(),
+            removed: removed.map(|s| s.name.clone()).collect(),
+            zones: (old.zones != new.zones).then(|| new.zones.clone()),
+        }
+    }
+
+    /// The configuration after the change. New services go to the end of the list.
+    #[must_use]
+    pub fn apply(&self, old: &Config) -> Config {
+        let mut new = old.clone();
+        new.services.retain(|s| !self.removed.contains(&s.name));
+        for service in &self.changed {
+            match new.services.iter_mut().find(|s| s.name == service.name) {
+                Some(slot) => *slot = service.clone(),
+                None => new.services.push(service.clone()),
+            }
+        }
+        if let Some(zones) = &self.zones {
+            new.zones.clone_from(zones);
+        }
+        new
+    }
+
+    /// Whether nothing changes.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.changed.is_empty() && self.removed.is_empty() && self.zones.is_none()
+    }
+}
+
+impl fmt::Display for ConfigDelta {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return f.write_str("no change");
+        }
+        for service in &self.changed {
+            let json = serde_json::to_string(service).map_err(|_| fmt::Error)?;
+            writeln!(f, "+ {json}")?;
+        }
+        for name in &self.removed {
+            writeln!(f, "- service {name}")?;
+        }
+        match &self.zones {
+            Some(zones) => writeln!(f, "~ zones {}", zones.join(", ")),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/member/table.rs
@@ -0,0 +1,222 @@
+//! The arena of known instances.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::digest::{Digest, bucket_of};
+use super::{Fact, Load, Phase, Role};
+use crate::id::ServicePort;
+use crate::time::Millis;
+
+new_key_type! {
+    /// Key of a [`Member`] in [`Members`].
+    pub struct MemberKey;
+}
+
+/// One known instance and what this process has seen of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Member {
+    /// Its latest fact.
+    pub fact: Fact,
+    /// Its latest load report and when it came.
+    pub load: Option<(Load, Millis)>,
+    /// When this process last received anything from it.
+    pub heard: Option<Millis>,
+    /// Openers sent to it since it was last heard.
+    pub unanswered: u32,
+    /// When the first of the unanswered openers was sent.
+    pub asked: Millis,
+    /// Openers sent to it since its last load report.
+    pub sent: u32,
+}
+
+/// Outcome of [`Members::merge`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// The fact was known, or an older one.
+    Stale,
+    /// The fact is new and replaced what was known, if anything.
+    Updated(MemberKey),
+}
+
+/// All known instances, found by address, by service or by digest bucket.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    arena: SlotMap<MemberKey, Member>,
+    by_addr: HashMap<SocketAddrV4, MemberKey>,
+    by_role: BTreeMap<Role, Vec<MemberKey>>,
+    digest: Digest,
+}
+
+impl Members {
+    /// Takes a fact over if it supersedes what is known.
+    pub fn merge(&mut self, fact: Fact) -> Merge {
+        let Some(&key) = self.by_addr.get(&fact.addr) else {
+            return Merge::Updated(self.insert(fact));
+        };
+        let member = &mut self.arena[key];
+        if !fact.supersedes(&member.fact) {
+            return Merge::Stale;
+        }
+        let old = member.fact;
+        member.fact = fact;
+        if old.boot != fact.boot {
+            member.load = None;
+            member.unanswered = 0;
+            member.sent = 0;
+        }
+        self.digest.toggle(&old);
+        self.digest.toggle(&fact);
+        self.move_role(key, old.role, fact.role);
+        Merge::Updated(key)
+    }
+
+    /// Drops an instance and everything known about it.
+    pub fn remove(&mut self, key: MemberKey) {
+        let Some(member) = self.arena.remove(key) else {
+            return;
+        };
+        self.by_addr.remove(&member.fact.addr);
+        self.digest.toggle(&member.fact);
+        if let Some(keys) = self.by_role.get_mut(&member.fact.role) {
+            keys.retain(|&k| k != key);
+        }
+    }
+
+    /// Notes that something came from the instance at `addr`.
+    pub fn hear(&mut self, addr: SocketAddrV4, now: Millis) {
+        if let Some(member) = self.get_mut(addr) {
+            member.heard = Some(now);
+            member.unanswered = 0;
+        }
+    }
+
+    /// Notes a load report.
+    pub fn report(&mut self, addr: SocketAddrV4, load: Load, now: Millis) {
+        if let Some(member) = self.get_mut(addr) {
+            member.load = Some((load, now));
+            member.sent = 0;
+        }
+    }
+
+    /// Notes that an opener goes to the instance.
+    pub fn note_opener(&mut self, key: MemberKey, now: Millis) {
+        let Some(member) = self.arena.get_mut(key) else {
+            return;
+        };
+        if member.unanswered == 0 {
+            member.asked = now;
+        }
+        member.unanswered += 1;
+        member.sent += 1;
+    }
+
+    /// The instance with this key.
+    #[must_use]
+    pub fn get(&self, key: MemberKey) -> Option<&Member> {
+        self.arena.get(key)
+    }
+
+    /// The instance at `addr`.
+    #[must_use]
+    pub fn at(&self, addr: SocketAddrV4) -> Option<&Member> {
+        self.by_addr.get(&addr).and_then(|&key| self.arena.get(key))
+    }
+
+    /// Keys of all agents of `service`.
+    #[must_use]
+    pub fn agents(&self, service: ServicePort) -> &[MemberKey] {
+        self.with_role(Role::Agent(service))
+    }
+
+    /// Keys of all balancers.
+    #[must_use]
+    pub fn balancers(&self) -> &[MemberKey] {
+        self.with_role(Role::Balancer)
+    }
+
+    /// All instances.
+    pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &Member)> {
+        self.arena.iter()
+    }
+
+    /// Facts of one digest bucket.
+    pub fn bucket(&self, index: usize) -> impl Iterator<Item = &Fact> {
+        let facts = self.arena.values().map(|m| &m.fact);
+        facts.filter(move |f| bucket_of(f) == index)
+    }
+
+    /// Summary of all facts.
+    #[must_use]
+    pub const fn digest(&self) -> &Digest {
+        &self.digest
+    }
+
+    /// Number of known instances.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether no instance is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    fn get_mut(&mut self, addr: SocketAddrV4) -> Option<&mut Member> {
+        let key = *self.by_addr.get(&addr)?;
+        self.arena.get_mut(key)
+    }
+
+    fn with_role(&self, role: Role) -> &[MemberKey] {
+        self.by_role.get(&role).map_or(&[], Vec::as_slice)
+    }
+
+    fn insert(&mut self, fact: Fact) -> MemberKey {
+        let key = self.arena.insert(Member {
+            fact,
+            load: None,
+            heard: None,
+            unanswered: 0,
+            asked: Millis(0),
+            sent: 0,
+        });
+        self.by_addr.insert(fact.addr, key);
+        self.by_role.entry(fact.role).or_default().push(key);
+        self.digest.toggle(&fact);
+        key
+    }
+
+    fn move_role(&mut self, key: MemberKey, old: Role, new: Role) {
+        if old == new {
+            return;
+        }
+        if let Some(keys) = self.by_role.get_mut(&old) {
+            keys.retain(|&k| k != key);
+        }
+        self.by_role.entry(new).or_default().push(key);
+    }
+}
+
+impl Member {
+    /// Whether the instance takes new work, as far as its facts say.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.fact.phase.is_open()
+    }
+
+    /// Whether the instance was heard within `span` before `now`.
+    #[must_use]
+    pub fn is_heard_within(&self, span: Millis, now: Millis) -> bool {
+        self.heard.is_some_and(|at| now.since(at) <= span)
+    }
+
+    /// Whether the instance has gone by its own word.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        self.fact.phase == Phase::Left
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/member/zone.rs
@@ -0,0 +1,63 @@
+//! Which availability zones operators have taken out of service.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::ZoneTag;
+
+/// State of one availability zone. The greater sequence number wins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneRecord {
+    /// The zone.
+    pub zone: ZoneTag,
+    /// Counts the operators' edits of this zone.
+    pub seq: u64,
+    /// Whether the zone is out of service.
+    pub out: bool,
+}
+
+/// The latest known record of each zone. A zone without a record is in service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneBook {
+    records: BTreeMap<ZoneTag, ZoneRecord>,
+}
+
+impl ZoneBook {
+    /// Takes a record over if it is newer; returns whether it was.
+    ///
+    /// ```
+    /// # use buckthornlink_core::member::{ZoneBook, ZoneRecord};
+    /// # use buckthornlink_core::ZoneTag;
+    /// let mut book = ZoneBook::default();
+    /// let out = ZoneRecord { zone: ZoneTag(1), seq: 2, out: true };
+    /// assert!(book.merge(out));
+    /// assert!(!book.merge(ZoneRecord { seq: 1, out: false, ..out }));
+    /// assert!(book.is_out(ZoneTag(1)));
+    /// ```
+    pub fn merge(&mut self, record: ZoneRecord) -> bool {
+        let known = self.records.get(&record.zone).map_or(0, |r| r.seq);
+        if record.seq <= known {
+            return false;
+        }
+        self.records.insert(record.zone, record);
+        true
+    }
+
+    /// Whether operators have taken `zone` out.
+    #[must_use]
+    pub fn is_out(&self, zone: ZoneTag) -> bool {
+        self.records.get(&zone).is_some_and(|r| r.out)
+    }
+
+    /// Sequence number of the record of `zone`, or zero.
+    #[must_use]
+    pub fn seq(&self, zone: ZoneTag) -> u64 {
+        self.records.get(&zone).map_or(0, |r| r.seq)
+    }
+
+    /// All records, ordered by zone.
+    pub fn iter(&self) -> impl Iterator<Item = &ZoneRecord> {
+        self.records.values()
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/verdict.rs
@@ -0,0 +1,150 @@
+//! Verdicts: whether a request may have run on a backend server.
+//!
+//! A verdict travels end to end as the HTTP header [`VERDICT_HEADER`].
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Response header that carries the [`Verdict`].
+pub const VERDICT_HEADER: &str = "buckthornlink-verdict";
+/// Response header that carries the [`Refusal`] behind a verdict other than [`Verdict::Ran`].
+pub const REASON_HEADER: &str = "buckthornlink-reason";
+/// Request header with the caller's id of the request; required unless the method is idempotent.
+pub const REQUEST_ID_HEADER: &str = "buckthornlink-request-id";
+/// Request header that counts the attempts whose outcome the caller does not know, from 1.
+pub const ATTEMPT_HEADER: &str = "buckthornlink-attempt";
+/// Request header with the time left until the caller gives up, in milliseconds.
+pub const DEADLINE_HEADER: &str = "buckthornlink-deadline-ms";
+/// Request header that names the class of the request.
+pub const CLASS_HEADER: &str = "buckthornlink-class";
+/// Request header on calls that already admitted work makes; names the calling service.
+pub const DEPENDANT_HEADER: &str = "buckthornlink-dependant";
+/// Response header by which a backend server declares that it did not run a request.
+///
+/// The value [`SHED_FOR_DEPENDENCY`] says that a dependency refused; any other value says that the
+/// backend server is overloaded.
+pub const SHED_HEADER: &str = "buckthornlink-shed";
+/// Value of [`SHED_HEADER`] when a dependency refused the request.
+pub const SHED_FOR_DEPENDENCY: &str = "dependency";
+/// Response header with the boot id of the backend server that answered.
+pub const BACKEND_BOOT_HEADER: &str = "buckthornlink-backend-boot";
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The backend server ran the request; its whole answer follows.
+    Ran,
+    /// No byte of the request reached a backend server. The caller may send it again as it was.
+    NotRun,
+    /// The request may have run. The caller must not repeat it as a first attempt.
+    MayHaveRun,
+}
+
+impl Verdict {
+    /// The spelling used in [`VERDICT_HEADER`].
+    ///
+    /// ```
+    /// # use buckthornlink_core::Verdict;
+    /// assert_eq!(Verdict::NotRun.as_str(), "not-run");
+    /// ```
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// The text is not a verdict.
+#[derive(Debug, thiserror::Error)]
+#[error("unknown verdict {0:?}; expected ran, not-run or may-have-run")]
+pub struct ParseVerdictError(String);
+
+impl FromStr for Verdict {
+    type Err = ParseVerdictError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        match s {
+            "ran" => Ok(Self::Ran),
+            "not-run" => Ok(Self::NotRun),
+            "may-have-run" => Ok(Self::MayHaveRun),
+            _ => Err(ParseVerdictError(s.to_owned())),
+        }
+    }
+}
+
+/// Why a request has no answer from a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refusal {
+    /// The deadline would pass before the request could finish.
+    Deadline,
+    /// The queue is full.
+    Overload,
+    /// The backend server is in cold start and at its limit.
+    Cold,
+    /// The instance is leaving.
+    Draining,
+    /// Operators took the availability zone out of service.
+    ZoneOut,
+    /// The request lacks a request id, or a header does not parse.
+    Malformed,
+    /// A repeat whose first attempt this agent has no record of.
+    NoRecord,
+    /// The first attempt is still running here.
+    StillRunning,
+    /// The first attempt ended here without a full answer.
+    OutcomeUnknown,
+    /// The request's id was used before for another request.
+    IdReused,
+    /// The backend server shed the request and declared that it did not run.
+    Shed,
+    /// The backend server could not be reached.
+    Unreachable,
+    /// The connection to the backend server failed after the request was sent.
+    BackendFailed,
+    /// The calling service has not declared this dependency.
+    Undeclared,
+    /// A dependency is failing, and calls to it are refused early.
+    DependencyDown,
+}
+
+impl Refusal {
+    /// The spelling used in [`REASON_HEADER`].
+    ///
+    /// ```
+    /// # use buckthornlink_core::verdict::Refusal;
+    /// assert_eq!(Refusal::ZoneOut.as_str(), "zone-out");
+    /// ```
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Overload => "overload",
+            Self::Cold => "cold",
+            Self::Draining => "draining",
+            Self::ZoneOut => "zone-out",
+            Self::Malformed => "malformed",
+            Self::NoRecord => "no-record",
+            Self::StillRunning => "still-running",
+            Self::OutcomeUnknown => "outcome-unknown",
+            Self::IdReused => "id-reused",
+            Self::Shed => "shed",
+            Self::Unreachable => "unreachable",
+            Self::BackendFailed => "backend-failed",
+            Self::Undeclared => "undeclared",
+            Self::DependencyDown => "dependency-down",
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink-fakes/examples/whole_path/main.rs
@@ -0,0 +1,189 @@
+//! Runs the whole path on loopback: callers, fabric, balancers, agents and backend servers.
+//!
+//! While mixed calls run over many long flows, a balancer is replaced, a backend server drains and
+//! comes back cold, and a zone goes out and returns. The counts come from the records of the
+//! callers and backend servers. The last line of the output is one JSON object.
+
+mod plan;
+mod report;
+
+use std::time::{Duration, Instant};
+
+use clap::{Parser, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+
+use buckthornlink_core::balancer::Policy;
+use buckthornlink_fakes::{Callers, Fleet, Preset};
+use plan::{Fault, Plan, Runner};
+use report::Report;
+
+/// Pause between two looks at the plan.
+const STEP: Duration = Duration::from_millis(20);
+/// Time for which the fleet warms up before the plan starts.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Run the whole path on loopback and report what happened.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Fleet to run
+    #[arg(long, value_enum, default_value_t)]
+    preset: PresetName,
+    /// Length of the run, in seconds
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Seed of all random choices
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Flows that callers keep open
+    #[arg(long, default_value_t = 120)]
+    flows: usize,
+    /// Mean pause between two requests on a flow, in milliseconds
+    #[arg(long, default_value_t = 150)]
+    think_ms: u64,
+    /// What happens during the run
+    #[arg(long, value_enum, default_value_t)]
+    faults: FaultSet,
+    /// Switch the store off from second 2 to second 8
+    #[arg(long)]
+    store_outage: bool,
+    /// How balancers place openers
+    #[arg(long, value_enum, default_value_t)]
+    policy: PolicyName,
+    /// Delay between callers and balancers, one way, in milliseconds
+    #[arg(long, default_value_t = 3)]
+    delay_ms: u64,
+    /// Log level of the processes
+    #[arg(long, default_value = "error")]
+    log: String,
+}
+
+#[derive(Clone, Copy, Debug, Default, ValueEnum)]
+enum PresetName {
+    #[default]
+    Carpatia,
+    Chalkline,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+enum FaultSet {
+    /// Nothing
+    None,
+    /// Changes that operators plan
+    #[default]
+    Planned,
+    /// Planned changes and failures
+    All,
+}
+
+#[derive(Clone, Copy, Debug, Default, ValueEnum)]
+enum PolicyName {
+    #[default]
+    Adaptive,
+    RoundRobin,
+    Random,
+    LeastReported,
+    Rendezvous,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let args = Arguments::parse();
+    buckthornlink_node::logs::init(&buckthornlink_node::settings::LogSettings {
+        level: args.log.clone(),
+        ..Default::default()
+    });
+    let report = run(&args).await?;
+    println!("{}", report.table());
+    for cause in report.causes() {
+        println!("{cause}");
+    }
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
+
+async fn run(args: &Arguments) -> anyhow::Result<Report> {
+    let delay = Duration::from_millis(args.delay_ms);
+    let mut fleet = Fleet::spawn_with(args.preset(), args.seed, args.policy(), delay).await?;
+    let version = fleet.apply(&fleet.config_text()).await?;
+    let in_force = fleet.wait_for(version).await?;
+    let callers = fleet.call(args.flows, Duration::from_millis(args.think_ms))?;
+    tokio::time::sleep(WARM_UP).await;
+    let plan = args.plan();
+    let mut runner = Runner::new(plan);
+    let start = Instant::now();
+    let length = Duration::from_secs(args.seconds);
+    let bar = progress(args.seconds);
+    let mut rates = report::Rates::start(&fleet);
+    while start.elapsed() < length {
+        let note = runner.step(start.elapsed(), &mut fleet, &callers).await?;
+        if let Some(note) = note {
+            bar.println(format!("{:6.2} s  {note}", start.elapsed().as_secs_f64()));
+        }
+        bar.set_position(start.elapsed().as_secs());
+        rates.sample(&fleet);
+        tokio::time::sleep(STEP).await;
+    }
+    bar.finish_and_clear();
+    finish(fleet, callers, &runner, &rates, in_force).await
+}
+
+async fn finish(
+    fleet: Fleet,
+    callers: Callers,
+    runner: &Runner,
+    rates: &report::Rates,
+    in_force: Duration,
+) -> anyhow::Result<Report> {
+    let imbalance = fleet.imbalance();
+    let counts = callers.finish().await;
+    let last_packet = runner.last_packet(&fleet);
+    Ok(Report::new(
+        counts,
+        &fleet,
+        imbalance,
+        last_packet,
+        rates.greatest(),
+        in_force,
+    ))
+}
+
+impl Arguments {
+    const fn preset(&self) -> Preset {
+        match self.preset {
+            PresetName::Carpatia => Preset::Carpatia,
+            PresetName::Chalkline => Preset::Chalkline,
+        }
+    }
+
+    const fn policy(&self) -> Policy {
+        match self.policy {
+            PolicyName::Adaptive => Policy::Adaptive,
+            PolicyName::RoundRobin => Policy::RoundRobin,
+            PolicyName::Random => Policy::Random,
+            PolicyName::LeastReported => Policy::LeastReported,
+            PolicyName::Rendezvous => Policy::Rendezvous,
+        }
+    }
+
+    fn plan(&self) -> Plan {
+        let length = Duration::from_secs(self.seconds);
+        let mut plan = match self.faults {
+            FaultSet::None => Plan::default(),
+            FaultSet::Planned => Plan::planned(length, self.store_outage),
+            FaultSet::All => Plan::all(length, self.seed, self.store_outage),
+        };
+        if self.store_outage {
+            plan.add(Duration::from_secs(2), Fault::StoreDown);
+            plan.add(Duration::from_secs(8), Fault::StoreUp);
+        }
+        plan
+    }
+}
+
+fn progress(seconds: u64) -> ProgressBar {
+    let bar = ProgressBar::new(seconds);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s") {
+        bar.set_style(style);
+    }
+    bar
+}
--- /dev/null
+++ b/buckthornlink-fakes/examples/whole_path/report.rs
@@ -0,0 +1,136 @@
+//! What a run found.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use buckthornlink_fakes::{Counts, Fleet};
+use serde::Serialize;
+use tabled::{Table, Tabled};
+
+/// Length of the windows over which control bytes are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Figures of a run.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    #[serde(flatten)]
+    counts: Counts,
+    run_twice: usize,
+    wrong_service: u64,
+    overloads: u64,
+    imbalance: f64,
+    zone_out_last_packet_ms: Option<u128>,
+    control_bytes_per_second: u64,
+    config_in_force_ms: u128,
+    store_reads: u64,
+    store_writes: u64,
+}
+
+#[derive(Tabled)]
+struct Row {
+    figure: String,
+    value: String,
+}
+
+impl Report {
+    pub fn new(
+        counts: Counts,
+        fleet: &Fleet,
+        imbalance: f64,
+        last_packet: Option<Duration>,
+        control: u64,
+        in_force: Duration,
+    ) -> Self {
+        let (store_reads, store_writes) = fleet.store().calls();
+        Self {
+            counts,
+            run_twice: fleet.record().run_twice(),
+            wrong_service: fleet.record().wrong_service(),
+            overloads: fleet.record().overloads(),
+            imbalance: (imbalance * 1_000.0).round() / 1_000.0,
+            zone_out_last_packet_ms: last_packet.map(|d| d.as_millis()),
+            control_bytes_per_second: control,
+            config_in_force_ms: in_force.as_millis(),
+            store_reads,
+            store_writes,
+        }
+    }
+
+    /// The figures as a table.
+    pub fn table(&self) -> String {
+        let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(self) else {
+            return String::new();
+        };
+        let rows = fields
+            .iter()
+            .filter(|(_, v)| !v.is_object())
+            .map(|(name, value)| Row {
+                figure: name.replace('_', " "),
+                value: value.to_string(),
+            });
+        Table::new(rows).to_string()
+    }
+
+    /// A line for each kind of broken flow and refusal.
+    pub fn causes(&self) -> Vec<String> {
+        let broken = self.counts.causes.iter();
+        let broken = broken.map(|(cause, n)| format!("{n} broken: {cause}"));
+        let refused = self.counts.refusals.iter();
+        broken
+            .chain(refused.map(|(reason, n)| format!("{n} refused: {reason}")))
+            .collect()
+    }
+}
+
+/// Control bytes of each process over windows of one second.
+pub struct Rates {
+    last: HashMap<String, u64>,
+    since: Instant,
+    greatest: u64,
+}
+
+impl Rates {
+    pub fn start(fleet: &Fleet) -> Self {
+        Self {
+            last: control_bytes(fleet),
+            since: Instant::now(),
+            greatest: 0,
+        }
+    }
+
+    /// Closes the window if it is over.
+    pub fn sample(&mut self, fleet: &Fleet) {
+        let elapsed = self.since.elapsed();
+        if elapsed < RATE_WINDOW {
+            return;
+        }
+        let now = control_bytes(fleet);
+        for (process, bytes) in &now {
+            let earlier = self.last.get(process).copied().unwrap_or(0);
+            let millis = u64::try_from(elapsed.as_millis())
+                .unwrap_or(u64::MAX)
+                .max(1);
+            let rate = bytes.saturating_sub(earlier) * 1_000 / millis;
+            self.greatest = self.greatest.max(rate);
+        }
+        self.last = now;
+        self.since = Instant::now();
+    }
+
+    /// Greatest rate of any process in any window, in bytes per second.
+    pub const fn greatest(&self) -> u64 {
+        self.greatest
+    }
+}
+
+fn control_bytes(fleet: &Fleet) -> HashMap<String, u64> {
+    let balancers = fleet
+        .balancers()
+        .iter()
+        .map(|(ip, b)| (ip.to_string(), b.control_bytes()));
+    let agents = fleet.sites().iter().filter_map(|s| {
+        let agent = s.agent()?;
+        Some((agent.link().to_string(), agent.stats().control_bytes))
+    });
+    balancers.chain(agents).collect()
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/caller.rs
@@ -0,0 +1,131 @@
+//! Callers that keep flows open and send requests on them.
+
+mod counts;
+mod flow;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::{ClientConfig, Endpoint, IdleTimeout, TransportConfig};
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::pem::PemObject;
+use tokio::task::JoinSet;
+
+use crate::record::Record;
+use crate::tls::Authority;
+pub use counts::Counts;
+use counts::Tally;
+use flow::Caller;
+
+/// A flow counts as lost if nothing is heard for this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+const KEEP_ALIVE: Duration = Duration::from_millis(800);
+/// Flows that share one UDP socket.
+const FLOWS_PER_SOCKET: usize = 8;
+
+/// What callers are told at their start.
+#[derive(Clone, Debug)]
+pub struct CallersSetup {
+    /// Address that the callers' sockets are bound to.
+    pub ip: Ipv4Addr,
+    /// Address of the service.
+    pub addr: SocketAddrV4,
+    /// Name of the service.
+    pub service: &'static str,
+    /// Flows kept open.
+    pub flows: usize,
+    /// Mean pause between two requests on a flow.
+    pub think: Duration,
+    /// Deadline of each request.
+    pub deadline: Duration,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// What backend servers ran.
+    pub record: Record,
+}
+
+/// Running callers. They stop when dropped.
+#[derive(Debug)]
+pub struct Callers {
+    tally: Arc<Tally>,
+    stop: Arc<AtomicBool>,
+    tasks: JoinSet<()>,
+}
+
+impl Callers {
+    /// Opens the flows and starts to send requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a socket cannot be bound or the certificate does not parse.
+    pub fn spawn(setup: &CallersSetup, authority: &Authority) -> anyhow::Result<Self> {
+        let config = client_config(authority)?;
+        let tally = Arc::new(Tally::default());
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut tasks = JoinSet::new();
+        let mut endpoint = None;
+        for index in 0..setup.flows {
+            if index % FLOWS_PER_SOCKET == 0 {
+                let mut opened = Endpoint::client((setup.ip, 0).into())?;
+                opened.set_default_client_config(config.clone());
+                endpoint = Some(opened);
+            }
+            let endpoint = endpoint.clone().context("no endpoint")?;
+            let caller = Caller::new(
+                setup.clone(),
+                index,
+                endpoint,
+                Arc::clone(&tally),
+                Arc::clone(&stop),
+            );
+            tasks.spawn(caller.run());
+        }
+        Ok(Self { tally, stop, tasks })
+    }
+
+    /// What has happened so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.tally.counts()
+    }
+
+    /// Notes that flows which end with this zone are given up, not broken; or no longer.
+    pub fn set_zone_out(&self, zone: &str, is_out: bool) {
+        self.tally.set_zone_out(zone, is_out);
+    }
+
+    /// Names a cause for flows that break with this server.
+    pub fn note_cause(&self, server: &str, cause: &str) {
+        self.tally.note_cause(server, cause);
+    }
+
+    /// Finishes what is under way and closes all flows.
+    pub async fn finish(mut self) -> Counts {
+        self.stop.store(true, Ordering::Relaxed);
+        while self.tasks.join_next().await.is_some() {}
+        self.tally.counts()
+    }
+}
+
+fn client_config(authority: &Authority) -> anyhow::Result<ClientConfig> {
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_slice(
+        authority.settings().roots.as_bytes(),
+    )?)?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut crypto = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    crypto.alpn_protocols = vec![b"h3".to_vec()];
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::try_from(IDLE_TIMEOUT)?));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(crypto)?));
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/caller/counts.rs
@@ -0,0 +1,98 @@
+//! What callers have seen.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+
+/// Counts over all callers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests begun.
+    pub requests: u64,
+    /// Requests with a whole and right answer.
+    pub answered: u64,
+    /// Requests that were refused as not run.
+    pub refused_not_run: u64,
+    /// Of these, requests that did run by the backend servers' record.
+    pub false_not_run: u64,
+    /// Requests whose outcome the caller was told it cannot know.
+    pub may_have_run: u64,
+    /// Requests that a backend server answered with an error.
+    pub failed: u64,
+    /// Requests with an answer that belongs to another request.
+    pub wrong_answer: u64,
+    /// Requests answered after their deadline.
+    pub late: u64,
+    /// Flows opened.
+    pub opened_flows: u64,
+    /// Flows moved on request.
+    pub moved_flows: u64,
+    /// Flows cut though neither the caller nor a zone taken out ended them.
+    pub broken_flows: u64,
+    /// Flows that ended with a zone taken out.
+    pub given_up_flows: u64,
+    /// Causes of broken flows.
+    pub causes: BTreeMap<String, u64>,
+    /// Reasons given with refusals.
+    pub refusals: BTreeMap<String, u64>,
+}
+
+/// Counts that callers share.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    counts: Counts,
+    zones_out: BTreeSet<String>,
+    causes: BTreeMap<String, String>,
+}
+
+impl Tally {
+    pub(super) fn counts(&self) -> Counts {
+        self.with(|inner| inner.counts.clone())
+    }
+
+    pub(super) fn count(&self, f: impl FnOnce(&mut Counts)) {
+        self.with(|inner| f(&mut inner.counts));
+    }
+
+    pub(super) fn set_zone_out(&self, zone: &str, is_out: bool) {
+        self.with(|inner| {
+            if is_out {
+                inner.zones_out.insert(zone.to_owned());
+            } else {
+                inner.zones_out.remove(zone);
+            }
+        });
+    }
+
+    pub(super) fn note_cause(&self, server: &str, cause: &str) {
+        self.with(|inner| inner.causes.insert(server.to_owned(), cause.to_owned()));
+    }
+
+    /// Counts a flow that was cut while it lived with `server`.
+    pub(super) fn note_cut(&self, server: &str, what: &str) {
+        self.with(|inner| {
+            let zone = server.split('@').nth(1).unwrap_or("");
+            if inner.zones_out.contains(zone) {
+                inner.counts.given_up_flows += 1;
+                return;
+            }
+            inner.counts.broken_flows += 1;
+            let cause = inner
+                .causes
+                .get(server)
+                .map_or("no known cause", String::as_str);
+            let text = format!("{server}: {what}; {cause}");
+            *inner.counts.causes.entry(text).or_default() += 1;
+        });
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
+        f(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/fabric.rs
@@ -0,0 +1,169 @@
+//! A fabric that hands any datagram to any balancer.
+//!
+//! Each caller is given a socket of its own towards the balancers, so that balancers see callers
+//! apart from each other.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+
+const BUFFER_BYTES: usize = 65_536;
+
+/// A running fabric. It stops when dropped.
+#[derive(Debug)]
+pub struct Fabric {
+    ip: Ipv4Addr,
+    shared: Arc<Shared>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    balancers: Mutex<Vec<Ipv4Addr>>,
+    rng: Mutex<SmallRng>,
+    delay: Duration,
+}
+
+/// Address of the fabric that stands for one port of every balancer.
+#[derive(Clone, Copy, Debug)]
+struct Front {
+    ip: Ipv4Addr,
+    port: u16,
+}
+
+impl Fabric {
+    /// A fabric at `ip` without addresses or balancers. Each datagram takes `delay` on its way.
+    #[must_use]
+    pub fn open(ip: Ipv4Addr, seed: u64, delay: Duration) -> Self {
+        Self {
+            ip,
+            shared: Arc::new(Shared {
+                balancers: Mutex::default(),
+                rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+                delay,
+            }),
+            tasks: Mutex::default(),
+        }
+    }
+
+    /// Starts to deliver datagrams for `port` of the fabric to the same port of a balancer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port cannot be bound.
+    pub async fn serve(&self, port: u16) -> std::io::Result<()> {
+        let front = Front { ip: self.ip, port };
+        let socket = Arc::new(UdpSocket::bind((front.ip, front.port)).await?);
+        let run = run(socket, front, Arc::clone(&self.shared));
+        self.tasks
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .spawn(run);
+        Ok(())
+    }
+
+    /// Starts to deliver to a balancer.
+    pub fn add(&self, balancer: Ipv4Addr) {
+        self.balancers(|list| list.push(balancer));
+    }
+
+    /// Stops delivering to a balancer.
+    pub fn remove(&self, balancer: Ipv4Addr) {
+        self.balancers(|list| list.retain(|b| *b != balancer));
+    }
+
+    /// Address of the fabric for `port`.
+    #[must_use]
+    pub const fn addr(&self, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, port)
+    }
+
+    fn balancers<T>(&self, f: impl FnOnce(&mut Vec<Ipv4Addr>) -> T) -> T {
+        f(&mut self
+            .shared
+            .balancers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Shared {
+    /// Any balancer.
+    fn pick(&self) -> Option<Ipv4Addr> {
+        let balancers = self
+            .balancers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if balancers.is_empty() {
+            return None;
+        }
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(balancers[rng.random_range(0..balancers.len())])
+    }
+}
+
+async fn run(front: Arc<UdpSocket>, at: Front, shared: Arc<Shared>) {
+    let mut callers: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+    let mut returns = JoinSet::new();
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let Ok((len, caller)) = front.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let socket = if let Some(socket) = callers.get(&caller) {
+            Arc::clone(socket)
+        } else {
+            let Ok(socket) = UdpSocket::bind((at.ip, 0)).await else {
+                continue;
+            };
+            let socket = Arc::new(socket);
+            callers.insert(caller, Arc::clone(&socket));
+            returns.spawn(give_back(
+                Arc::clone(&socket),
+                Arc::clone(&front),
+                caller,
+                shared.delay,
+            ));
+            socket
+        };
+        if let Some(ip) = shared.pick() {
+            deliver(
+                socket,
+                buffer[..len].to_vec(),
+                (ip, at.port).into(),
+                shared.delay,
+            );
+        }
+    }
+}
+
+async fn give_back(
+    socket: Arc<UdpSocket>,
+    front: Arc<UdpSocket>,
+    caller: SocketAddr,
+    delay: Duration,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        if let Ok((len, _)) = socket.recv_from(&mut buffer).await {
+            deliver(Arc::clone(&front), buffer[..len].to_vec(), caller, delay);
+        }
+    }
+}
+
+fn deliver(socket: Arc<UdpSocket>, datagram: Vec<u8>, to: SocketAddr, delay: Duration) {
+    if delay.is_zero() {
+        let _ = socket.try_send_to(&datagram, to);
+        return;
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(delay).await;
+        let _ = socket.try_send_to(&datagram, to);
+    });
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -0,0 +1,428 @@
+//! A whole fleet on loopback: real balancers and agents between the stand-ins.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+
+use buckthornlink::balancer::{Balancer, BalancerSettings, StoreSettings};
+use buckthornlink::platform::{Catalog, EtcdStore};
+use buckthornlink_agent::{Agent, AgentSettings, BackendSettings};
+use buckthornlink_core::Version;
+use buckthornlink_core::balancer::Policy;
+use buckthornlink_node::settings::{KeySettings, LogSettings};
+
+use crate::backend::{BackendHandle, BackendServer, BackendSetup};
+use crate::caller::{Callers, CallersSetup};
+use crate::fabric::Fabric;
+use crate::preset::{Preset, ServicePreset};
+use crate::record::Record;
+use crate::store::FakeStore;
+use crate::tls::Authority;
+
+/// Port of the link of every balancer.
+const LINK_PORT: u16 = 4_400;
+/// Balancers of a fleet.
+const BALANCERS: usize = 3;
+const WAIT: Duration = Duration::from_secs(10);
+const WAIT_STEP: Duration = Duration::from_millis(20);
+const EDIT_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Numbers the fleets of one process, so that their addresses differ.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
+
+/// A running fleet. It stops when dropped.
+pub struct Fleet {
+    preset: Preset,
+    seed: u64,
+    net: [u8; 2],
+    next_ip: u8,
+    store: FakeStore,
+    fabric: Fabric,
+    balancers: Vec<(Ipv4Addr, Balancer)>,
+    sites: Vec<Site>,
+    authority: Authority,
+    record: Record,
+    policy: Policy,
+    edits: AtomicU8,
+}
+
+/// The place of one backend server and its agent; both can be gone for a time.
+pub struct Site {
+    service: ServicePreset,
+    zone: &'static str,
+    name: String,
+    boots: u64,
+    backend: Option<BackendServer>,
+    handle: Option<BackendHandle>,
+    agent: Option<Agent>,
+}
+
+impl Site {
+    /// Name of the backend server, with its zone behind an `@`.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Name of the availability zone.
+    #[must_use]
+    pub const fn zone(&self) -> &'static str {
+        self.zone
+    }
+
+    /// Name of the service.
+    #[must_use]
+    pub const fn service(&self) -> &'static str {
+        self.service.name
+    }
+
+    /// Control over the backend server.
+    #[must_use]
+    pub const fn backend(&self) -> Option<&BackendHandle> {
+        self.handle.as_ref()
+    }
+
+    /// The agent, unless it is gone.
+    #[must_use]
+    pub const fn agent(&self) -> Option<&Agent> {
+        self.agent.as_ref()
+    }
+}
+
+impl Fleet {
+    /// Starts the store, the fabric, three balancers and all sites, without a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn spawn(preset: Preset, seed: u64) -> anyhow::Result<Self> {
+        Self::spawn_with(preset, seed, Policy::default(), Duration::ZERO).await
+    }
+
+    /// The same with a policy for openers and a delay between callers and balancers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn spawn_with(
+        preset: Preset,
+        seed: u64,
+        policy: Policy,
+        delay: Duration,
+    ) -> anyhow::Result<Self> {
+        let net = network();
+        let front = ip(net, 1);
+        let fabric = Fabric::open(front, seed, delay);
+        fabric.serve(LINK_PORT).await.context("fabric")?;
+        for service in preset.services() {
+            fabric.serve(service.port).await.context("fabric")?;
+        }
+        let names = preset.services().map(|s| s.name.to_owned());
+        let mut fleet = Self {
+            preset,
+            seed,
+            net,
+            next_ip: 10,
+            store: FakeStore::spawn(SocketAddrV4::new(front, 0)).await?,
+            fabric,
+            balancers: Vec::new(),
+            sites: Vec::new(),
+            authority: Authority::open(names)?,
+            record: Record::default(),
+            policy,
+            edits: AtomicU8::new(0),
+        };
+        for _ in 0..BALANCERS {
+            fleet.add_balancer().await?;
+        }
+        fleet.add_sites().await?;
+        Ok(fleet)
+    }
+
+    /// Starts one more balancer and tells the fabric.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn add_balancer(&mut self) -> anyhow::Result<()> {
+        let own = ip(self.net, self.next_ip);
+        self.next_ip += 1;
+        let zones = self.preset.zones();
+        let zone = zones[usize::from(self.next_ip) % zones.len()];
+        let settings = BalancerSettings {
+            zone: zone.to_owned(),
+            ip: own,
+            link_port: LINK_PORT,
+            http: SocketAddrV4::new(own, 0),
+            entry: self.fabric.addr(LINK_PORT),
+            store: StoreSettings {
+                url: self.store.url(),
+            },
+            keys: keys(),
+            policy: self.policy,
+            control_bytes_per_second: 4_000,
+            seed: Some(self.seed + u64::from(self.next_ip)),
+            record: None,
+            log: LogSettings::default(),
+        };
+        let balancer = Balancer::spawn(settings).await?;
+        self.fabric.add(own);
+        self.balancers.push((own, balancer));
+        Ok(())
+    }
+
+    /// Takes the oldest balancer out: the fabric first, unless it is killed.
+    pub async fn remove_balancer(&mut self, is_killed: bool) {
+        let (own, balancer) = self.balancers.remove(0);
+        if is_killed {
+            drop(balancer);
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            self.fabric.remove(own);
+        } else {
+            self.fabric.remove(own);
+            balancer.leave().await;
+        }
+    }
+
+    /// Writes a configuration to the store, as an operator would.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the edit is not accepted.
+    pub async fn apply(&self, text: &str) -> anyhow::Result<Version> {
+        let edit = self.edit_id();
+        let accepted = self
+            .catalog()
+            .apply(text, None, &edit, "fleet", EDIT_PATIENCE)
+            .await?;
+        Ok(accepted.record.version)
+    }
+
+    /// Takes a zone out of service or brings it back, as an operator would.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the edit is not accepted.
+    pub async fn set_zone(&self, zone: &str, out: bool) -> anyhow::Result<()> {
+        let edit = self.edit_id();
+        self.catalog()
+            .set_zone(zone, out, &edit, "fleet", EDIT_PATIENCE)
+            .await?;
+        for site in self.sites.iter().filter(|s| s.zone == zone) {
+            if let Some(handle) = &site.handle {
+                handle.set_out(out);
+            }
+        }
+        Ok(())
+    }
+
+    /// The operators' text for this fleet.
+    #[must_use]
+    pub fn config_text(&self) -> String {
+        self.preset.config_at(ip(self.net, 1))
+    }
+
+    /// Waits until every balancer and agent has `version` in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_for(&self, version: Version) -> anyhow::Result<Duration> {
+        let start = Instant::now();
+        while !self.is_in_force(version) {
+            anyhow::ensure!(
+                start.elapsed() < WAIT,
+                "version {version} is not in force in time"
+            );
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Lets a site leave: its agent drains, then its backend server stops.
+    pub async fn drain_site(&mut self, index: usize) -> bool {
+        let site = &mut self.sites[index];
+        if let Some(handle) = &site.handle {
+            handle.set_out(true);
+        }
+        let Some(agent) = site.agent.take() else {
+            return true;
+        };
+        let is_drained = agent.drain().await.finish().await;
+        site.backend = None;
+        is_drained
+    }
+
+    /// Kills a site's agent and backend server at once.
+    pub fn kill_site(&mut self, index: usize) {
+        let site = &mut self.sites[index];
+        site.agent = None;
+        site.backend = None;
+        if let Some(handle) = &site.handle {
+            handle.set_out(true);
+        }
+    }
+
+    /// Starts a site's backend server, cold, and its agent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn start_site(&mut self, index: usize) -> anyhow::Result<()> {
+        let agents = ip(self.net, 200);
+        let any = SocketAddrV4::new(agents, 0);
+        let site = &mut self.sites[index];
+        site.boots += 1;
+        let setup = BackendSetup {
+            name: site.name.clone(),
+            service: site.service,
+            record: self.record.clone(),
+            seed: self.seed * 1_000 + (index as u64) * 10 + site.boots,
+        };
+        let backend = BackendServer::spawn(any, setup).await?;
+        let settings = AgentSettings {
+            service: site.service.name.to_owned(),
+            service_port: site.service.port,
+            zone: site.zone.to_owned(),
+            link: any,
+            http: any,
+            dependencies: any,
+            entry: self.fabric.addr(LINK_PORT),
+            backend: BackendSettings {
+                addr: backend.addr(),
+                health: "/health".to_owned(),
+                load: "/load".to_owned(),
+            },
+            tls: self.authority.settings().clone(),
+            keys: keys(),
+            dependency_flows: 4,
+            drain_ms: Duration::from_secs(5),
+            record: None,
+            log: LogSettings::default(),
+        };
+        let agent = Agent::spawn(settings).await?;
+        backend.handle().set_dependencies(agent.dependencies());
+        site.handle = Some(backend.handle());
+        site.backend = Some(backend);
+        site.agent = Some(agent);
+        Ok(())
+    }
+
+    /// Starts callers of the first service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a socket cannot be bound.
+    pub fn call(&self, flows: usize, think: Duration) -> anyhow::Result<Callers> {
+        let service = self.preset.services()[0];
+        let setup = CallersSetup {
+            ip: ip(self.net, 250),
+            addr: self.fabric.addr(service.port),
+            service: service.name,
+            flows,
+            think,
+            deadline: Duration::from_secs(2),
+            seed: self.seed,
+            record: self.record.clone(),
+        };
+        Callers::spawn(&setup, &self.authority)
+    }
+
+    /// The sites.
+    #[must_use]
+    pub fn sites(&self) -> &[Site] {
+        &self.sites
+    }
+
+    /// The balancers with their addresses.
+    #[must_use]
+    pub fn balancers(&self) -> &[(Ipv4Addr, Balancer)] {
+        &self.balancers
+    }
+
+    /// The store.
+    #[must_use]
+    pub const fn store(&self) -> &FakeStore {
+        &self.store
+    }
+
+    /// What backend servers ran.
+    #[must_use]
+    pub const fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Greatest share of work of a warm backend server over the mean of its service, over all
+    /// services.
+    #[must_use]
+    pub fn imbalance(&self) -> f64 {
+        let services = self.preset.services();
+        let ratios = services.iter().map(|s| self.imbalance_of(s.name));
+        ratios.fold(1.0, f64::max)
+    }
+
+    fn imbalance_of(&self, service: &str) -> f64 {
+        let sites = self.sites.iter().filter(|s| s.service.name == service);
+        let rates: Vec<f64> = sites
+            .filter_map(|s| s.handle.as_ref()?.warm_rate())
+            .collect();
+        let sum: f64 = rates.iter().sum();
+        let greatest = rates.iter().copied().fold(0.0, f64::max);
+        #[expect(clippy::cast_precision_loss, reason = "a service has few servers")]
+        let mean = sum / rates.len().max(1) as f64;
+        if mean > 0.0 { greatest / mean } else { 1.0 }
+    }
+
+    fn is_in_force(&self, version: Version) -> bool {
+        let balancers = self.balancers.iter().all(|(_, b)| b.version() >= version);
+        let mut agents = self.sites.iter().filter_map(|s| s.agent.as_ref());
+        balancers && agents.all(|a| a.version() >= version)
+    }
+
+    async fn add_sites(&mut self) -> anyhow::Result<()> {
+        let zones = self.preset.zones();
+        for service in self.preset.services() {
+            for index in 0..service.servers {
+                let zone = zones[index % zones.len()];
+                self.sites.push(Site {
+                    service,
+                    zone,
+                    name: format!("{}-{index}@{zone}", service.name),
+                    boots: 0,
+                    backend: None,
+                    handle: None,
+                    agent: None,
+                });
+                self.start_site(self.sites.len() - 1).await?;
+            }
+        }
+        Ok(())
+    }
+
+    fn catalog(&self) -> Catalog<EtcdStore> {
+        Catalog::open(EtcdStore::open(self.store.url()))
+    }
+
+    fn edit_id(&self) -> String {
+        format!("fleet-{}", self.edits.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+fn keys() -> Vec<KeySettings> {
+    vec![KeySettings {
+        id: 1,
+        secret: vec![0x42; 32],
+    }]
+}
+
+/// A loopback network of its own for each fleet of each process.
+fn network() -> [u8; 2] {
+    let process = u8::try_from(std::process::id() % 100).unwrap_or(0);
+    [100 + process, FLEETS.fetch_add(1, Ordering::Relaxed)]
+}
+
+const fn ip(net: [u8; 2], host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, net[0], net[1], host)
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/lib.rs
@@ -0,0 +1,37 @@
+//! Small stand-ins for what surrounds buckthornlink. They are never shipped.
+//!
+//! * [`Fabric`] sprays the datagrams of each caller over all balancers at random.
+//! * [`FakeStore`] speaks the etcd v3 gateway, with faults that can be switched on.
+//! * [`BackendServer`] has slots, a cold start, and a record of everything it ran.
+//! * [`Callers`] keep flows open and send requests on them.
+//! * [`Fleet`] sets all this up on loopback, with real balancers and agents.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use buckthornlink_fakes::{Fleet, Preset};
+//!
+//! # async fn run() -> anyhow::Result<()> {
+//! let fleet = Fleet::spawn(Preset::Carpatia, 1).await?;
+//! fleet.apply(&Preset::Carpatia.config_text()).await?;
+//! # Ok(())
+//! # }
+//! ```
+
+mod backend;
+mod caller;
+mod fabric;
+mod fleet;
+mod preset;
+mod record;
+mod store;
+mod tls;
+
+pub use backend::{BackendHandle, BackendServer, BackendSetup};
+pub use caller::{Callers, CallersSetup, Counts};
+pub use fabric::Fabric;
+pub use fleet::{Fleet, Site};
+pub use preset::{Preset, ServicePreset};
+pub use record::{Record, Work};
+pub use store::FakeStore;
+pub use tls::Authority;
--- /dev/null
+++ b/buckthornlink-node/src/lib.rs
@@ -0,0 +1,26 @@
+//! Process plumbing that both binaries of buckthornlink share.
+//!
+//! * [`settings`] loads JSON settings and names every fault by field, line and column.
+//! * [`logs`] starts structured logging.
+//! * [`trace`] records the events of a reducer and reads them back.
+//! * [`link`] is the UDP socket between processes, and the HTTP server beside it.
+//! * [`source`] follows the operators' records in the store.
+//! * [`metrics`] holds the Prometheus registry and its server.
+//!
+//! # Example
+//!
+//! ```
+//! use buckthornlink_node::settings::{self, LogSettings};
+//!
+//! let logs: LogSettings = settings::parse("{\"level\": \"debug\"}")?;
+//! assert_eq!(logs.level, "debug");
+//! # Ok::<(), settings::SettingsError>(())
+//! ```
+
+pub mod clock;
+pub mod link;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod source;
+pub mod trace;
--- /dev/null
+++ b/buckthornlink-node/src/metrics.rs
@@ -0,0 +1,71 @@
+//! The Prometheus registry and the HTTP server for operators.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use axum::Router;
+use axum::http::header::CONTENT_TYPE;
+use axum::response::IntoResponse;
+use axum::routing::get;
+use prometheus::{Encoder, Registry, TextEncoder};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Upper bounds of latency histograms, in seconds.
+pub const LATENCY_BUCKETS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
+/// Upper bounds of size histograms, in bytes.
+pub const SIZE_BUCKETS: [f64; 7] = [64.0, 256.0, 1e3, 4e3, 16e3, 64e3, 256e3];
+
+/// A running HTTP server. It stops when the handle is dropped.
+#[derive(Debug)]
+pub struct HttpServer {
+    addr: SocketAddrV4,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Serves `router` at `addr`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn bind(addr: SocketAddrV4, router: Router) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let SocketAddr::V4(addr) = listener.local_addr()? else {
+            return Err(std::io::Error::other("listener is not IPv4"));
+        };
+        let task = tokio::spawn(async move {
+            if let Err(err) = axum::serve(listener, router).await {
+                log::error!(addr:% = addr, err:% = err; "HTTP server failed");
+            }
+        });
+        Ok(Self { addr, task })
+    }
+
+    /// The address that is served.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddrV4 {
+        self.addr
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A router that serves the registry at `/metrics`.
+pub fn router(registry: Registry) -> Router {
+    Router::new().route("/metrics", get(move || async move { render(&registry) }))
+}
+
+fn render(registry: &Registry) -> impl IntoResponse + use<> {
+    let encoder = TextEncoder::new();
+    let mut body = Vec::new();
+    if let Err(err) = encoder.encode(&registry.gather(), &mut body) {
+        log::error!(err:% = err; "metrics cannot be encoded");
+    }
+    ([(CONTENT_TYPE, encoder.format_type().to_owned())], body)
+}
--- /dev/null
+++ b/buckthornlink-node/src/source.rs
@@ -0,0 +1,235 @@
+//! Follows the operators' records in the store.
+//!
+//! A watching process reads the records once, then waits for changes. Any other process polls
+//! rarely. Both report what they see; the reducer ignores what is not newer.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use buckthornlink_core::Version;
+use buckthornlink_core::config::Config;
+use buckthornlink_core::member::ZoneRecord;
+use buckthornlink_platform::{
+    BALANCERS_PREFIX, BalancerEntry, CONFIG_KEY, Catalog, Change, ConfigRecord, LeaseId,
+    ROOT_PREFIX, Revision, Store, StoreError, Watch, ZONES_PREFIX, ZoneEntry,
+};
+
+/// Interval of polls while another process watches.
+const POLL_INTERVAL: Duration = Duration::from_secs(60);
+/// A watch is opened anew after this time, in case it has broken without a sign.
+const WATCH_LIFETIME: Duration = Duration::from_secs(120);
+const RETRY_MIN: Duration = Duration::from_millis(100);
+const RETRY_MAX: Duration = Duration::from_secs(5);
+/// Lifetime of a balancer's entry in the store.
+const ENTRY_TTL: Duration = Duration::from_secs(60);
+const RENEW_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Something read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// A configuration that passed its checks.
+    Config {
+        /// Its version.
+        version: Version,
+        /// The configuration.
+        config: Config,
+    },
+    /// A zone record.
+    Zone(ZoneRecord),
+}
+
+/// A task that follows the store. It stops when the handle is dropped.
+#[derive(Debug)]
+pub struct Follower {
+    task: JoinHandle<()>,
+    watching: watch::Sender<bool>,
+}
+
+impl Follower {
+    /// Starts to follow the store; `report` is called with whatever is read.
+    pub fn spawn<S: Store>(store: S, report: impl Fn(Update) + Send + Sync + 'static) -> Self {
+        let (watching, is_watching) = watch::channel(false);
+        let task = tokio::spawn(follow(Catalog::open(store), is_watching, report));
+        Self { task, watching }
+    }
+
+    /// Starts or stops watching.
+    pub fn set_watching(&self, watching: bool) {
+        self.watching.send_replace(watching);
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Keeps a balancer's entry in the store until dropped.
+#[derive(Debug)]
+pub struct Registration {
+    task: JoinHandle<()>,
+}
+
+impl Registration {
+    /// Starts to keep the entry.
+    pub fn spawn<S: Store>(store: S, entry: BalancerEntry) -> Self {
+        let task = tokio::spawn(async move {
+            let mut backoff = Backoff::default();
+            loop {
+                if let Err(err) = keep_entry(&store, &entry, &mut backoff).await {
+                    log::debug!(err:% = err; "entry in the store is not kept");
+                }
+                backoff.pause().await;
+            }
+        });
+        Self { task }
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn follow<S: Store>(
+    catalog: Catalog<S>,
+    mut is_watching: watch::Receiver<bool>,
+    report: impl Fn(Update) + Send + Sync,
+) {
+    let mut backoff = Backoff::default();
+    loop {
+        let result = if *is_watching.borrow_and_update() {
+            tokio::select! {
+                result = watch_store(&catalog, &report, &mut backoff) => result,
+                changed = is_watching.changed() => if changed.is_ok() { Ok(()) } else { return },
+            }
+        } else {
+            let result = read_all(&catalog, &report).await.map(drop);
+            if result.is_ok() {
+                backoff.reset();
+                let pause = jittered(POLL_INTERVAL);
+                let _ = timeout(pause, is_watching.changed()).await;
+            }
+            result
+        };
+        if let Err(err) = result {
+            log::debug!(err:% = err; "store cannot be followed");
+            backoff.pause().await;
+        }
+    }
+}
+
+/// Reads everything, then reports changes until the watch breaks or grows old.
+async fn watch_store<S: Store>(
+    catalog: &Catalog<S>,
+    report: &impl Fn(Update),
+    backoff: &mut Backoff,
+) -> Result<(), StoreError> {
+    let revision = read_all(catalog, report).await?;
+    let mut watch = catalog.store().watch(ROOT_PREFIX, revision).await?;
+    backoff.reset();
+    let report_all = async {
+        loop {
+            for change in watch.next().await? {
+                report_change(&change, report);
+            }
+        }
+    };
+    timeout(jittered(WATCH_LIFETIME), report_all)
+        .await
+        .unwrap_or(Ok(()))
+}
+
+async fn read_all<S: Store>(
+    catalog: &Catalog<S>,
+    report: &impl Fn(Update),
+) -> Result<Revision, StoreError> {
+    let (zones, revision) = catalog.zones().await?;
+    for zone in &zones {
+        report(Update::Zone(zone.to_record()));
+    }
+    if let Some(current) = catalog.config().await? {
+        report_config(&current.record, report);
+    }
+    Ok(revision)
+}
+
+fn report_change(change: &Change, report: &impl Fn(Update)) {
+    let Change::Put(entry) = change else {
+        return;
+    };
+    if entry.key == CONFIG_KEY {
+        match serde_json::from_slice::<ConfigRecord>(&entry.value) {
+            Ok(record) => report_config(&record, report),
+            Err(err) => log::error!(err:% = err; "configuration in the store does not parse"),
+        }
+    } else if entry.key.starts_with(ZONES_PREFIX) {
+        match serde_json::from_slice::<ZoneEntry>(&entry.value) {
+            Ok(zone) => report(Update::Zone(zone.to_record())),
+            Err(err) => log::error!(err:% = err; "zone record in the store does not parse"),
+        }
+    }
+}
+
+fn report_config(record: &ConfigRecord, report: &impl Fn(Update)) {
+    match Config::parse(&record.text) {
+        Ok(config) => report(Update::Config {
+            version: record.version,
+            config,
+        }),
+        Err(err) => log::error!(err:% = err; "configuration in the store is faulty"),
+    }
+}
+
+/// Grants a lease, writes the entry and renews until that fails.
+async fn keep_entry<S: Store>(
+    store: &S,
+    entry: &BalancerEntry,
+    backoff: &mut Backoff,
+) -> Result<(), StoreError> {
+    let lease: LeaseId = store.grant(ENTRY_TTL).await?;
+    let value = serde_json::to_vec(entry).map_err(|e| StoreError::Malformed(e.to_string()))?;
+    let key = format!("{BALANCERS_PREFIX}{}", entry.link);
+    store.put_leased(&key, &value, lease).await?;
+    backoff.reset();
+    loop {
+        sleep(jittered(RENEW_INTERVAL)).await;
+        if store.renew(lease).await?.is_zero() {
+            return Ok(());
+        }
+    }
+}
+
+/// Growing pauses between failures.
+#[derive(Debug)]
+struct Backoff {
+    next: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self { next: RETRY_MIN }
+    }
+}
+
+impl Backoff {
+    const fn reset(&mut self) {
+        self.next = RETRY_MIN;
+    }
+
+    async fn pause(&mut self) {
+        sleep(jittered(self.next)).await;
+        self.next = (self.next * 2).min(RETRY_MAX);
+    }
+}
+
+/// Between half and one and a half times `span`.
+fn jittered(span: Duration) -> Duration {
+    span.mul_f64(rand::rng().random_range(0.5..1.5))
+}
