--- /dev/null
+++ b/buckthornlink-platform/src/catalog.rs
@@ -0,0 +1,113 @@
+//! The operators' records in the store: one configuration, one record for each zone.
+//!
+//! Every edit is a compare-and-swap and carries an id. When the answer to a write is lost, the
+//! same write is tried again and the id is looked for, until the outcome is known or time is up.
+
+mod edit;
+mod record;
+
+pub use edit::{Accepted, EditError};
+pub use record::{BalancerEntry, ConfigRecord, ZoneEntry};
+
+use crate::store::{Entry, Revision, Store, StoreError};
+
+/// Prefix of all keys of the system.
+pub const ROOT_PREFIX: &str = "/buckthornlink/";
+/// Key of the configuration.
+pub const CONFIG_KEY: &str = "/buckthornlink/config";
+/// Prefix of the zone records.
+pub const ZONES_PREFIX: &str = "/buckthornlink/zones/";
+/// Prefix of the leased entries of balancers, by which the command line finds them.
+pub const BALANCERS_PREFIX: &str = "/buckthornlink/balancers/";
+
+/// Zone records read at the most.
+const MAX_ZONES: u32 = 256;
+
+/// Access to the operators' records.
+#[derive(Clone, Debug)]
+pub struct Catalog<S> {
+    store: S,
+}
+
+/// A record and the revision at which it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Current<T> {
+    /// The record.
+    pub record: T,
+    /// Revision of its key.
+    pub revision: Revision,
+}
+
+impl<S: Store> Catalog<S> {
+    /// The catalog in `store`.
+    #[must_use]
+    pub const fn open(store: S) -> Self {
+        Self { store }
+    }
+
+    /// The store underneath.
+    #[must_use]
+    pub const fn store(&self) -> &S {
+        &self.store
+    }
+
+    /// The configuration, if one has been accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer or holds something else.
+    pub async fn config(&self) -> Result<Option<Current<ConfigRecord>>, StoreError> {
+        read(self.store.get(CONFIG_KEY).await?)
+    }
+
+    /// The record of one zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer or holds something else.
+    pub async fn zone(&self, name: &str) -> Result<Option<Current<ZoneEntry>>, StoreError> {
+        read(self.store.get(&zone_key(name)).await?)
+    }
+
+    /// All zone records and the store's revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer or holds something else.
+    pub async fn zones(&self) -> Result<(Vec<ZoneEntry>, Revision), StoreError> {
+        let (entries, revision) = self.store.range(ZONES_PREFIX, MAX_ZONES).await?;
+        let zones = entries.iter().map(|e| decode(&e.value));
+        Ok((zones.collect::<Result<_, _>>()?, revision))
+    }
+
+    /// Balancers with a valid lease, at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer or holds something else.
+    pub async fn balancers(&self, limit: u32) -> Result<Vec<BalancerEntry>, StoreError> {
+        let (entries, _) = self.store.range(BALANCERS_PREFIX, limit).await?;
+        entries.iter().map(|e| decode(&e.value)).collect()
+    }
+}
+
+fn zone_key(name: &str) -> String {
+    format!("{ZONES_PREFIX}{name}")
+}
+
+fn read<T>(entry: Option<Entry>) -> Result<Option<Current<T>>, StoreError>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let Some(entry) = entry else {
+        return Ok(None);
+    };
+    Ok(Some(Current {
+        record: decode(&entry.value)?,
+        revision: entry.revision,
+    }))
+}
+
+fn decode<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(value).map_err(|err| StoreError::Malformed(err.to_string()))
+}
--- /dev/null
+++ b/buckthornlink-platform/src/catalog/edit.rs
@@ -0,0 +1,281 @@
+//! Edits with a known outcome.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use buckthornlink_core::config::{Config, ConfigDelta, ConfigError};
+use buckthornlink_core::{Verdict, Version};
+
+use super::{CONFIG_KEY, Catalog, ConfigRecord, Current, ZoneEntry, zone_key};
+use crate::store::{Revision, Store, StoreError, Swap};
+
+/// Pause between two tries of the same write.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// An accepted edit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted<T> {
+    /// The record as it was written.
+    pub record: T,
+    /// Whether a later edit has replaced it already.
+    pub superseded: bool,
+}
+
+/// Why an edit was not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum EditError {
+    /// The text is faulty; nothing was written.
+    #[error(transparent)]
+    Invalid(#[from] ConfigError),
+    /// Another edit came first; nothing was written.
+    #[error("refused: {editor} made version {version} in the meantime:\n{delta}")]
+    Conflict {
+        /// Who made the other edit.
+        editor: String,
+        /// The version that stands now.
+        version: Version,
+        /// What would change from it to the refused text.
+        delta: ConfigDelta,
+    },
+    /// Another operator changed the zone first; nothing was written.
+    #[error("refused: {editor} changed zone {zone} in the meantime")]
+    ZoneConflict {
+        /// Who made the other edit.
+        editor: String,
+        /// The zone.
+        zone: String,
+    },
+    /// The configuration lists no such zone; nothing was written.
+    #[error("no zone is called {0:?} in the configuration")]
+    UnknownZone(String),
+    /// The store could not be asked; nothing was written.
+    #[error("nothing was written: {0}")]
+    NotRun(StoreError),
+    /// The write may have taken effect.
+    #[error("outcome unknown ({cause}); ask again with: {ask}")]
+    Unknown {
+        /// Id of the edit.
+        edit: String,
+        /// What went wrong last.
+        cause: StoreError,
+        /// Command that asks again.
+        ask: String,
+    },
+}
+
+impl EditError {
+    /// Whether the edit may have taken effect.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::Unknown { .. } => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+}
+
+/// How a write that was tried until its outcome was known ended.
+enum Write {
+    Done,
+    Conflict,
+    NotRun(StoreError),
+    Unknown(StoreError),
+}
+
+impl<S: Store> Catalog<S> {
+    /// Replaces the configuration if it is still at `base`; `None` stands for the current one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is faulty, another edit came first, or the outcome could not
+    /// be found out within `patience`.
+    pub async fn apply(
+        &self,
+        text: &str,
+        base: Option<Version>,
+        edit: &str,
+        editor: &str,
+        patience: Duration,
+    ) -> Result<Accepted<ConfigRecord>, EditError> {
+        let config = Config::parse(text)?;
+        let current = self.config().await.map_err(EditError::NotRun)?;
+        let standing = current.as_ref().map(|c| &c.record);
+        let version = standing.map_or(Version::default(), |r| r.version);
+        if base.is_some_and(|base| base != version) {
+            return Err(conflict(standing, &config));
+        }
+        let record = ConfigRecord::following(standing, text, edit, editor);
+        let expected = current.as_ref().map_or(Revision(0), |c| c.revision);
+        match self.write(CONFIG_KEY, &record, expected, patience).await {
+            Write::Done => Ok(Accepted {
+                record,
+                superseded: false,
+            }),
+            Write::NotRun(err) => Err(EditError::NotRun(err)),
+            Write::Unknown(cause) => Err(unknown(edit, cause)),
+            Write::Conflict => {
+                let now = self.config().await.map_err(|cause| unknown(edit, cause))?;
+                resolve_config(now, record, edit, &config)
+            }
+        }
+    }
+
+    /// Takes a zone out of service, or brings it back.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the zone is not configured, another edit came first, or the outcome
+    /// could not be found out within `patience`.
+    pub async fn set_zone(
+        &self,
+        name: &str,
+        out: bool,
+        edit: &str,
+        editor: &str,
+        patience: Duration,
+    ) -> Result<Accepted<ZoneEntry>, EditError> {
+        self.check_zone(name).await?;
+        let current = self.zone(name).await.map_err(EditError::NotRun)?;
+        let standing = current.as_ref().map(|c| &c.record);
+        let record = ZoneEntry::following(standing, name, out, edit, editor);
+        let expected = current.as_ref().map_or(Revision(0), |c| c.revision);
+        match self
+            .write(&zone_key(name), &record, expected, patience)
+            .await
+        {
+            Write::Done => Ok(Accepted {
+                record,
+                superseded: false,
+            }),
+            Write::NotRun(err) => Err(EditError::NotRun(err)),
+            Write::Unknown(cause) => Err(unknown(edit, cause)),
+            Write::Conflict => {
+                let now = self
+                    .zone(name)
+                    .await
+                    .map_err(|cause| unknown(edit, cause))?;
+                resolve_zone(now, record, edit)
+            }
+        }
+    }
+
+    /// Looks for an edit whose outcome was unknown; returns the version it was found in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store does not answer.
+    pub async fn find_edit(&self, edit: &str) -> Result<Option<Version>, StoreError> {
+        if let Some(current) = self.config().await? {
+            let record = current.record;
+            let age = record.edits.iter().position(|e| e == edit);
+            if let Some(age) = age {
+                return Ok(Some(Version(record.version.0.saturating_sub(age as u64))));
+            }
+        }
+        let (zones, _) = self.zones().await?;
+        let found = zones.iter().find(|z| z.edits.iter().any(|e| e == edit));
+        Ok(found.map(|z| Version(z.seq)))
+    }
+
+    async fn check_zone(&self, name: &str) -> Result<(), EditError> {
+        let current = self.config().await.map_err(EditError::NotRun)?;
+        let text = current.map(|c| c.record.text).unwrap_or_default();
+        let config = Config::parse(&text)?;
+        if config.zones.iter().any(|zone| zone == name) {
+            return Ok(());
+        }
+        Err(EditError::UnknownZone(name.to_owned()))
+    }
+
+    /// Tries one write until the store has said whether it took effect.
+    ///
+    /// A try whose answer is lost may still take effect, so the same compare-and-swap is repeated:
+    /// if the earlier try did take effect, the repeat conflicts with it.
+    async fn write<T: Serialize + Sync>(
+        &self,
+        key: &str,
+        record: &T,
+        expected: Revision,
+        patience: Duration,
+    ) -> Write {
+        let value = match serde_json::to_vec(record) {
+            Ok(value) => value,
+            Err(err) => return Write::NotRun(StoreError::Malformed(err.to_string())),
+        };
+        let give_up = Instant::now() + patience;
+        let mut may_have_run = false;
+        loop {
+            let err = match self.store().swap(key, &value, expected).await {
+                Ok(Swap::Done) => return Write::Done,
+                Ok(Swap::Conflict(_)) => return Write::Conflict,
+                Err(err) => err,
+            };
+            may_have_run |= err.verdict() == Verdict::MayHaveRun;
+            if Instant::now() >= give_up {
+                return if may_have_run {
+                    Write::Unknown(err)
+                } else {
+                    Write::NotRun(err)
+                };
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn resolve_config(
+    now: Option<Current<ConfigRecord>>,
+    record: ConfigRecord,
+    edit: &str,
+    config: &Config,
+) -> Result<Accepted<ConfigRecord>, EditError> {
+    let standing = now.map(|c| c.record);
+    let edits = standing.as_ref().map_or(&[][..], |r| &r.edits);
+    match edits.iter().position(|e| e == edit) {
+        Some(age) => Ok(Accepted {
+            record,
+            superseded: age > 0,
+        }),
+        None => Err(conflict(standing.as_ref(), config)),
+    }
+}
+
+fn resolve_zone(
+    now: Option<Current<ZoneEntry>>,
+    record: ZoneEntry,
+    edit: &str,
+) -> Result<Accepted<ZoneEntry>, EditError> {
+    let standing = now.map(|c| c.record);
+    let edits = standing.as_ref().map_or(&[][..], |r| &r.edits);
+    match edits.iter().position(|e| e == edit) {
+        Some(age) => Ok(Accepted {
+            record,
+            superseded: age > 0,
+        }),
+        None => Err(EditError::ZoneConflict {
+            editor: standing.map(|r| r.editor).unwrap_or_default(),
+            zone: record.name,
+        }),
+    }
+}
+
+fn conflict(standing: Option<&ConfigRecord>, config: &Config) -> EditError {
+    let old = standing
+        .and_then(|r| Config::parse(&r.text).ok())
+        .unwrap_or_default();
+    EditError::Conflict {
+        editor: standing.map(|r| r.editor.clone()).unwrap_or_default(),
+        version: standing.map_or(Version::default(), |r| r.version),
+        delta: ConfigDelta::between(&old, config),
+    }
+}
+
+fn unknown(edit: &str, cause: StoreError) -> EditError {
+    EditError::Unknown {
+        edit: edit.to_owned(),
+        cause,
+        ask: format!("buckthornlink show --edit {edit}"),
+    }
+}
--- /dev/null
+++ b/buckthornlink-platform/src/catalog/record.rs
@@ -0,0 +1,104 @@
+//! Values of the operators' records.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use buckthornlink_core::member::ZoneRecord;
+use buckthornlink_core::{Version, ZoneTag};
+
+/// Edit ids that a record remembers, so that a lost answer can be resolved later.
+const REMEMBERED_EDITS: usize = 16;
+
+/// The configuration as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigRecord {
+    /// Grows by one with each accepted edit.
+    pub version: Version,
+    /// Ids of the latest edits, newest first.
+    pub edits: Vec<String>,
+    /// Who made the latest edit.
+    pub editor: String,
+    /// The operators' text.
+    pub text: String,
+}
+
+/// The state of one zone as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneEntry {
+    /// Name of the zone.
+    pub name: String,
+    /// Whether it is out of service.
+    pub out: bool,
+    /// Grows by one with each accepted edit.
+    pub seq: u64,
+    /// Ids of the latest edits, newest first.
+    pub edits: Vec<String>,
+    /// Who made the latest edit.
+    pub editor: String,
+}
+
+/// A balancer's leased entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BalancerEntry {
+    /// Address of the link socket.
+    pub link: SocketAddrV4,
+    /// Address of the status and metrics server.
+    pub http: SocketAddrV4,
+    /// Availability zone.
+    pub zone: String,
+}
+
+impl ConfigRecord {
+    /// The record that follows `current`.
+    #[must_use]
+    pub fn following(current: Option<&Self>, text: &str, edit: &str, editor: &str) -> Self {
+        let version = current.map_or(Version::default(), |c| c.version);
+        let edits = current.map_or(&[][..], |c| &c.edits);
+        Self {
+            version: version.next(),
+            edits: remember(edit, edits),
+            editor: editor.to_owned(),
+            text: text.to_owned(),
+        }
+    }
+}
+
+impl ZoneEntry {
+    /// The record that follows `current`.
+    #[must_use]
+    pub fn following(
+        current: Option<&Self>,
+        name: &str,
+        out: bool,
+        edit: &str,
+        editor: &str,
+    ) -> Self {
+        let edits = current.map_or(&[][..], |c| &c.edits);
+        Self {
+            name: name.to_owned(),
+            out,
+            seq: current.map_or(0, |c| c.seq) + 1,
+            edits: remember(edit, edits),
+            editor: editor.to_owned(),
+        }
+    }
+
+    /// The record in the form in which it spreads.
+    #[must_use]
+    pub fn to_record(&self) -> ZoneRecord {
+        ZoneRecord {
+            zone: ZoneTag::of(&self.name),
+            seq: self.seq,
+            out: self.out,
+        }
+    }
+}
+
+fn remember(edit: &str, earlier: &[String]) -> Vec<String> {
+    let newest = std::iter::once(edit.to_owned());
+    newest
+        .chain(earlier.iter().cloned())
+        .take(REMEMBERED_EDITS)
+        .collect()
+}
--- /dev/null
+++ b/buckthornlink-platform/src/etcd.rs
@@ -0,0 +1,241 @@
+//! The HTTP/JSON gateway of the etcd v3 API.
+
+mod json;
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::store::{Change, Entry, LeaseId, Revision, Store, StoreError, Swap, Watch};
+use json::{
+    Bytes, Compare, GrantRequest, GrantResponse, LeaseRequest, Operation, PutRequest, RangeRequest,
+    RangeResponse, RenewResponse, Streamed, TxnRequest, TxnResponse, WatchCreate, WatchRequest,
+    WatchResponse,
+};
+
+/// Time allowed for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest line that a watch may send, in bytes: a value with its encoding.
+const MAX_LINE_BYTES: usize = 4_000_000;
+
+/// A client of one etcd gateway.
+#[derive(Clone, Debug)]
+pub struct EtcdStore {
+    base: String,
+    http: reqwest::Client,
+}
+
+impl EtcdStore {
+    /// A client of the gateway at `base`, such as `http://127.0.0.1:2379`.
+    ///
+    /// No connection is made until the first call.
+    ///
+    /// ```
+    /// let store = buckthornlink_platform::EtcdStore::open("http://127.0.0.1:2379");
+    /// ```
+    #[must_use]
+    pub fn open(base: impl Into<String>) -> Self {
+        let builder = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .no_proxy();
+        Self {
+            base: base.into().trim_end_matches('/').to_owned(),
+            http: builder.build().unwrap_or_default(),
+        }
+    }
+
+    async fn call<Q, A>(&self, path: &str, request: &Q) -> Result<A, StoreError>
+    where
+        Q: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        let sent = self.post(path, request).timeout(CALL_TIMEOUT).send();
+        let response = check_status(sent.await?).await?;
+        let body = response.bytes().await?;
+        serde_json::from_slice(&body).map_err(|err| StoreError::Malformed(err.to_string()))
+    }
+
+    fn post<Q: Serialize>(&self, path: &str, request: &Q) -> reqwest::RequestBuilder {
+        self.http.post(format!("{}{path}", self.base)).json(request)
+    }
+
+    async fn read(&self, request: RangeRequest) -> Result<(Vec<Entry>, Revision), StoreError> {
+        let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
+        let revision = Revision(response.header.revision);
+        Ok((
+            response.kvs.into_iter().map(Entry::from).collect(),
+            revision,
+        ))
+    }
+
+    async fn transact(&self, request: TxnRequest) -> Result<TxnResponse, StoreError> {
+        self.call("/v3/kv/txn", &request).await
+    }
+}
+
+impl Store for EtcdStore {
+    type Watch = EtcdWatch;
+
+    async fn range(&self, prefix: &str, limit: u32) -> Result<(Vec<Entry>, Revision), StoreError> {
+        self.read(RangeRequest {
+            key: Bytes::from(prefix),
+            range_end: Some(prefix_end(prefix)),
+            limit: i64::from(limit),
+        })
+        .await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let request = RangeRequest {
+            key: Bytes::from(key),
+            range_end: None,
+            limit: 1,
+        };
+        let (mut entries, _) = self.read(request).await?;
+        Ok(entries.pop())
+    }
+
+    async fn swap(&self, key: &str, value: &[u8], expected: Revision) -> Result<Swap, StoreError> {
+        let request = TxnRequest {
+            compare: vec![Compare::revision(key, expected)],
+            success: vec![Operation::put(PutRequest::new(key, value, None))],
+            failure: vec![Operation::range(RangeRequest {
+                key: Bytes::from(key),
+                range_end: None,
+                limit: 1,
+            })],
+        };
+        let response = self.transact(request).await?;
+        if response.succeeded {
+            return Ok(Swap::Done);
+        }
+        Ok(Swap::Conflict(response.first_entry()))
+    }
+
+    async fn put_leased(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<(), StoreError> {
+        let put = PutRequest::new(key, value, Some(lease));
+        let request = TxnRequest {
+            compare: Vec::new(),
+            success: vec![Operation::put(put)],
+            failure: Vec::new(),
+        };
+        self.transact(request).await.map(drop)
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let ttl = i64::try_from(ttl.as_secs().max(1)).unwrap_or(i64::MAX);
+        let response: GrantResponse = self.call("/v3/lease/grant", &GrantRequest { ttl }).await?;
+        Ok(LeaseId(response.id))
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        let request = LeaseRequest { id: lease.0 };
+        let response: Streamed<RenewResponse> = self.call("/v3/lease/keepalive", &request).await?;
+        let seconds = u64::try_from(response.result.ttl).unwrap_or(0);
+        Ok(Duration::from_secs(seconds))
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let request = LeaseRequest { id: lease.0 };
+        let _: serde_json::Value = self.call("/v3/lease/revoke", &request).await?;
+        Ok(())
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision) -> Result<EtcdWatch, StoreError> {
+        let request = WatchRequest {
+            create_request: WatchCreate {
+                key: Bytes::from(prefix),
+                range_end: prefix_end(prefix),
+                start_revision: after.0 + 1,
+            },
+        };
+        let response = check_status(self.post("/v3/watch", &request).send().await?).await?;
+        Ok(EtcdWatch {
+            response,
+            buffer: BytesMut::new(),
+        })
+    }
+}
+
+/// A watch: one JSON object per line until the connection ends.
+#[derive(Debug)]
+pub struct EtcdWatch {
+    response: reqwest::Response,
+    buffer: BytesMut,
+}
+
+impl EtcdWatch {
+    /// The next whole line.
+    async fn line(&mut self) -> Result<BytesMut, StoreError> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+                return Ok(self.buffer.split_to(end + 1));
+            }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                return Err(StoreError::Malformed("watch event is too long".to_owned()));
+            }
+            let chunk = self.response.chunk().await?;
+            let chunk = chunk.ok_or_else(|| StoreError::Lost("watch ended".to_owned()))?;
+            self.buffer.extend_from_slice(&chunk);
+        }
+    }
+}
+
+impl Watch for EtcdWatch {
+    async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
+        loop {
+            let line = self.line().await?;
+            let parsed = serde_json::from_slice::<Streamed<WatchResponse>>(&line);
+            let response = parsed.map_err(|err| StoreError::Malformed(err.to_string()))?;
+            let changes: Vec<_> = response
+                .result
+                .events
+                .into_iter()
+                .map(Change::from)
+                .collect();
+            if !changes.is_empty() {
+                return Ok(changes);
+            }
+        }
+    }
+}
+
+impl From<reqwest::Error> for StoreError {
+    fn from(err: reqwest::Error) -> Self {
+        let text = err.to_string();
+        if err.is_connect() || err.is_builder() {
+            Self::Unreachable(text)
+        } else if err.is_decode() {
+            Self::Malformed(text)
+        } else {
+            Self::Lost(text)
+        }
+    }
+}
+
+async fn check_status(response: reqwest::Response) -> Result<reqwest::Response, StoreError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let message = response.text().await.unwrap_or_default();
+    Err(StoreError::Refused {
+        status: status.as_u16(),
+        message,
+    })
+}
+
+/// The first key after all keys that start with `prefix`.
+fn prefix_end(prefix: &str) -> Bytes {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            break;
+        }
+    }
+    Bytes(end)
+}
--- /dev/null
+++ b/buckthornlink-platform/src/lib.rs
@@ -0,0 +1,30 @@
+//! The platform's key-value store, and the operators' records in it.
+//!
+//! [`Store`] is the small interface that the system needs. [`EtcdStore`] speaks the HTTP/JSON
+//! gateway of the etcd v3 API. [`Catalog`] reads and edits the configuration and the zone records
+//! by compare-and-swap.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use buckthornlink_platform::{Catalog, EtcdStore};
+//!
+//! # async fn run() -> Result<(), buckthornlink_platform::StoreError> {
+//! let catalog = Catalog::open(EtcdStore::open("http://127.0.0.1:2379"));
+//! if let Some(current) = catalog.config().await? {
+//!     println!("version {}", current.record.version);
+//! }
+//! # Ok(())
+//! # }
+//! ```
+
+mod catalog;
+mod etcd;
+mod store;
+
+pub use catalog::{
+    Accepted, BALANCERS_PREFIX, BalancerEntry, CONFIG_KEY, Catalog, ConfigRecord, Current,
+    EditError, ROOT_PREFIX, ZONES_PREFIX, ZoneEntry,
+};
+pub use etcd::EtcdStore;
+pub use store::{Change, Entry, LeaseId, Revision, Store, StoreError, Swap, Watch};
--- /dev/null
+++ b/buckthornlink-wire/src/cid.rs
@@ -0,0 +1,83 @@
+//! Connection ids that name the agent which holds the flow.
+//!
+//! Layout: one byte key id, one AES block, three bytes tag. The block holds the agent's IPv4
+//! address and port, zone, service, boot, a nonce and a zero byte. A random id passes the tag and
+//! the zero byte with a chance of 2^-32; the service must then match the port it arrived at.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use buckthornlink_core::{ServicePort, ZoneTag};
+
+use crate::key::{Block, Key, KeyRing};
+
+/// Length of every connection id that agents issue, in bytes.
+pub const CID_BYTES: usize = 20;
+
+const TAG_BYTES: usize = 3;
+const BLOCK_END: usize = CID_BYTES - TAG_BYTES;
+
+/// Where a flow lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Place {
+    /// Link address of the agent.
+    pub agent: SocketAddrV4,
+    /// The service that the flow was opened to.
+    pub service: ServicePort,
+    /// Availability zone of the agent.
+    pub zone: ZoneTag,
+    /// Short boot id of the agent process.
+    pub boot: u16,
+}
+
+/// Sealing and opening of connection ids.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionId;
+
+impl ConnectionId {
+    /// Encrypts and authenticates a place. Only the low three bytes of `nonce` are used.
+    #[must_use]
+    pub fn seal(place: &Place, nonce: u32, key: &Key) -> [u8; CID_BYTES] {
+        let block = key.encrypt(pack(place, nonce));
+        let tag = key.cid_tag(block);
+        let mut cid = [0; CID_BYTES];
+        cid[0] = key.id();
+        cid[1..BLOCK_END].copy_from_slice(&block);
+        cid[BLOCK_END..].copy_from_slice(&tag[..TAG_BYTES]);
+        cid
+    }
+
+    /// The place that `cid` names, or `None` if no valid key sealed it.
+    #[must_use]
+    pub fn open(cid: &[u8], keys: &KeyRing) -> Option<Place> {
+        let cid: &[u8; CID_BYTES] = cid.try_into().ok()?;
+        let key = keys.get(cid[0])?;
+        let block = Block::try_from(&cid[1..BLOCK_END]).ok()?;
+        let tag = key.cid_tag(block);
+        if tag[..TAG_BYTES] != cid[BLOCK_END..] {
+            return None;
+        }
+        unpack(key.decrypt(block))
+    }
+}
+
+fn pack(place: &Place, nonce: u32) -> Block {
+    let mut block = [0; 16];
+    block[..4].copy_from_slice(&place.agent.ip().octets());
+    block[4..6].copy_from_slice(&place.agent.port().to_be_bytes());
+    block[6..8].copy_from_slice(&place.zone.0.to_be_bytes());
+    block[8..10].copy_from_slice(&place.service.0.to_be_bytes());
+    block[10..12].copy_from_slice(&place.boot.to_be_bytes());
+    block[12..15].copy_from_slice(&nonce.to_be_bytes()[1..]);
+    block
+}
+
+fn unpack(block: Block) -> Option<Place> {
+    let [a, b, c, d, p0, p1, z0, z1, s0, s1, b0, b1, _, _, _, zero] = block;
+    let place = Place {
+        agent: SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([p0, p1])),
+        service: ServicePort(u16::from_be_bytes([s0, s1])),
+        zone: ZoneTag(u16::from_be_bytes([z0, z1])),
+        boot: u16::from_be_bytes([b0, b1]),
+    };
+    (zero == 0).then_some(place)
+}
--- /dev/null
+++ b/buckthornlink/src/balancer.rs
@@ -0,0 +1,194 @@
+//! A running balancer.
+//!
+//! * `forward` moves datagrams; it reads a snapshot and never waits for the reducer.
+//! * `executor` runs the reducer and performs its effects.
+//! * `sockets` holds one socket for each service.
+
+mod executor;
+mod forward;
+mod metrics;
+mod settings;
+mod sockets;
+mod status;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+
+use buckthornlink_core::balancer::{Event, Setup};
+use buckthornlink_core::{Version, ZoneTag};
+use buckthornlink_node::clock::boot_id;
+use buckthornlink_node::link::{self, ConfigReply, ConfigSource};
+use buckthornlink_node::metrics::{HttpServer, router};
+use buckthornlink_node::settings::key_ring;
+use buckthornlink_node::source::{Follower, Registration, Update};
+use buckthornlink_node::trace::{Recorder, TraceRole};
+use buckthornlink_platform::{BalancerEntry, EtcdStore};
+
+use executor::{Executor, Job};
+use forward::Shared;
+pub use settings::{BalancerSettings, StoreSettings};
+pub use status::{MemberStatus, Status};
+
+/// Time for which a leaving balancer keeps forwarding, until the fabric has noticed.
+const LINGER: Duration = Duration::from_millis(500);
+/// Jobs that wait for the reducer before openers are dropped.
+const JOB_QUEUE: usize = 4_096;
+
+/// A running balancer. Dropping it stops it at once.
+#[derive(Debug)]
+pub struct Balancer {
+    shared: Arc<Shared>,
+    jobs: flume::Sender<Job>,
+    http: HttpServer,
+    _link_http: HttpServer,
+    _registration: Registration,
+    _tasks: JoinSet<()>,
+}
+
+impl Balancer {
+    /// Binds the sockets and starts.
+    ///
+    /// The balancer learns its configuration from the store or from a peer; until then it has no
+    /// service sockets.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot stand or an address cannot be bound.
+    pub async fn spawn(settings: BalancerSettings) -> anyhow::Result<Self> {
+        let keys = Arc::new(key_ring(&settings.keys)?);
+        let bind = SocketAddrV4::new(settings.ip, settings.link_port);
+        let socket = UdpSocket::bind(bind)
+            .await
+            .with_context(|| format!("link {bind}"))?;
+        let link = v4(socket.local_addr()?)?;
+        let shared = Arc::new(Shared::new(settings.ip, link, socket, Arc::clone(&keys))?);
+        let link_http = HttpServer::bind(
+            link,
+            link::router(Arc::clone(&shared) as Arc<dyn ConfigSource>, keys),
+        )
+        .await
+        .with_context(|| format!("link {link}"))?;
+        let setup = setup(&settings, link);
+        let recorder = open_recorder(&settings, setup)?;
+        let (jobs, queue) = flume::bounded(JOB_QUEUE);
+        let operators = router(shared.metrics.registry.clone()).merge(status::router(jobs.clone()));
+        let http = HttpServer::bind(settings.http, operators)
+            .await
+            .with_context(|| format!("http {}", settings.http))?;
+        let store = EtcdStore::open(&settings.store.url);
+        let follower = follow(store.clone(), jobs.clone());
+        let registration = Registration::spawn(store, entry(&settings, link, http.addr()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(forward::receive_link(Arc::clone(&shared), jobs.clone()));
+        let executor = Executor::new(setup, Arc::clone(&shared), jobs.clone(), follower, recorder);
+        tasks.spawn(executor.run(queue));
+        log::info!(link:% = link, http:% = http.addr(), zone = settings.zone; "balancer started");
+        Ok(Self {
+            shared,
+            jobs,
+            http,
+            _link_http: link_http,
+            _registration: registration,
+            _tasks: tasks,
+        })
+    }
+
+    /// Address of the link socket.
+    #[must_use]
+    pub fn link(&self) -> SocketAddrV4 {
+        self.shared.link
+    }
+
+    /// Address of the metrics and status server.
+    #[must_use]
+    pub const fn http(&self) -> SocketAddrV4 {
+        self.http.addr()
+    }
+
+    /// Version of the configuration in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.shared.snapshot.load().version
+    }
+
+    /// Control bytes sent so far.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        self.shared.metrics.control_bytes.get()
+    }
+
+    /// Tells the peers, forwards until the fabric has noticed, and stops.
+    pub async fn leave(self) {
+        let _ = self.jobs.send_async(Job::event(Event::Drain)).await;
+        tokio::time::sleep(LINGER).await;
+        log::info!(link:% = self.shared.link; "balancer stopped");
+    }
+}
+
+impl ConfigSource for Shared {
+    fn current(&self) -> Arc<ConfigReply> {
+        self.config.load_full()
+    }
+}
+
+fn setup(settings: &BalancerSettings, link: SocketAddrV4) -> Setup {
+    let boot = boot_id();
+    Setup {
+        addr: link,
+        zone: ZoneTag::of(&settings.zone),
+        boot,
+        policy: settings.policy,
+        entry: settings.entry,
+        control_bytes: settings.control_bytes_per_second,
+        seed: settings
+            .seed
+            .unwrap_or(boot.0 ^ u64::from(u32::from(*link.ip()))),
+    }
+}
+
+fn entry(settings: &BalancerSettings, link: SocketAddrV4, http: SocketAddrV4) -> BalancerEntry {
+    BalancerEntry {
+        link,
+        http,
+        zone: settings.zone.clone(),
+    }
+}
+
+fn open_recorder(settings: &BalancerSettings, setup: Setup) -> anyhow::Result<Option<Recorder>> {
+    let Some(path) = &settings.record else {
+        return Ok(None);
+    };
+    let recorder = Recorder::open(path, TraceRole::Balancer(setup));
+    recorder
+        .map(Some)
+        .with_context(|| format!("record {}", path.display()))
+}
+
+fn follow(store: EtcdStore, jobs: flume::Sender<Job>) -> Follower {
+    Follower::spawn(store, move |update| {
+        let event = match update {
+            Update::Config { version, config } => Event::Config { version, config },
+            Update::Zone(record) => Event::Zone(record),
+        };
+        if jobs.try_send(Job::event(event)).is_err() {
+            log::warn!("reducer is behind; an update of the store waits for the next poll");
+        }
+    })
+}
+
+fn v4(addr: SocketAddr) -> anyhow::Result<SocketAddrV4> {
+    match addr {
+        SocketAddr::V4(addr) => Ok(addr),
+        SocketAddr::V6(addr) => anyhow::bail!("{addr} is not an IPv4 address"),
+    }
+}
+
+/// Address of the socket that serves a port.
+const fn at(ip: Ipv4Addr, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(ip, port)
+}
--- /dev/null
+++ b/buckthornlink/src/balancer/executor.rs
@@ -0,0 +1,273 @@
+//! Runs the reducer and performs its effects.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use buckthornlink_core::balancer::{Balancer, Candidate, Effect, Event, Setup, Snapshot, TICK};
+use buckthornlink_core::message::Message;
+use buckthornlink_core::{ServicePort, Version};
+use buckthornlink_node::clock::Clock;
+use buckthornlink_node::link::{self, ConfigReply};
+use buckthornlink_node::source::Follower;
+use buckthornlink_node::trace::Recorder;
+use buckthornlink_wire::{Header, control};
+
+use super::forward::{Shared, receive_service};
+use super::metrics::Drop;
+use super::sockets::{self, Loops, ServiceSocket};
+use super::status::Status;
+
+/// Work for the reducer's task.
+pub(super) enum Job {
+    /// An event without a datagram.
+    Event(Box<Event>),
+    /// An opener with its datagram.
+    Opener(Event, Opener),
+    /// A question for the state as it is now.
+    Status(oneshot::Sender<Status>),
+}
+
+/// A datagram that the reducer is to place.
+pub(super) struct Opener {
+    pub(super) service: ServicePort,
+    pub(super) caller: SocketAddrV4,
+    pub(super) datagram: Vec<u8>,
+    /// Whether it belongs to a flow that was given up, and is only to be reset.
+    pub(super) is_orphan: bool,
+    pub(super) arrived: Instant,
+}
+
+impl Job {
+    pub(super) fn event(event: Event) -> Self {
+        Self::Event(Box::new(event))
+    }
+
+    pub(super) const fn opener(event: Event, opener: Opener) -> Self {
+        Self::Opener(event, opener)
+    }
+}
+
+/// The reducer with what it needs to perform effects.
+pub(super) struct Executor {
+    state: Balancer,
+    clock: Clock,
+    shared: Arc<Shared>,
+    jobs: flume::Sender<Job>,
+    follower: Follower,
+    recorder: Option<Recorder>,
+    http: reqwest::Client,
+    loops: Loops,
+    tasks: JoinSet<()>,
+    fetching: Option<(Version, Instant)>,
+    out: BytesMut,
+}
+
+/// A fetch that has not ended after this time may be started again.
+const FETCH_PATIENCE: Duration = Duration::from_secs(1);
+
+impl Executor {
+    pub(super) fn new(
+        setup: Setup,
+        shared: Arc<Shared>,
+        jobs: flume::Sender<Job>,
+        follower: Follower,
+        recorder: Option<Recorder>,
+    ) -> Self {
+        Self {
+            state: Balancer::new(setup),
+            clock: Clock::start(),
+            shared,
+            jobs,
+            follower,
+            recorder,
+            http: link::client(),
+            loops: Loops::default(),
+            tasks: JoinSet::new(),
+            fetching: None,
+            out: BytesMut::new(),
+        }
+    }
+
+    /// Runs until the last sender of jobs is gone.
+    pub(super) async fn run(mut self, queue: flume::Receiver<Job>) {
+        let mut ticks = interval(Duration::from_millis(TICK.0));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        loop {
+            let job = tokio::select! {
+                _ = ticks.tick() => Job::event(Event::Tick),
+                job = queue.recv_async() => match job {
+                    Ok(job) => job,
+                    Err(flume::RecvError::Disconnected) => return,
+                },
+            };
+            self.perform_job(job);
+        }
+    }
+
+    fn perform_job(&mut self, job: Job) {
+        match job {
+            Job::Event(event) => self.reduce(*event, None),
+            Job::Opener(event, opener) => self.reduce(event, Some(&opener)),
+            Job::Status(reply) => drop(reply.send(Status::of(&self.state, self.clock.now()))),
+        }
+    }
+
+    fn reduce(&mut self, event: Event, opener: Option<&Opener>) {
+        let now = self.clock.now();
+        let is_tick = event == Event::Tick;
+        let recorded = self.recorder.as_ref().map(|_| event.clone());
+        let effects = self.state.reduce(event, now);
+        if let (Some(recorder), Some(event)) = (&self.recorder, recorded) {
+            recorder.record(now, &event, &effects);
+        }
+        for effect in effects {
+            self.perform(effect, opener);
+        }
+        if is_tick {
+            self.update_gauges();
+        }
+    }
+
+    fn perform(&mut self, effect: Effect, opener: Option<&Opener>) {
+        match effect {
+            Effect::Forward(candidates) => self.forward(&candidates, opener),
+            Effect::Drop => self.shared.metrics.dropped(Drop::Unroutable),
+            Effect::Send { to, message } => self.send(to, &message),
+            Effect::Fetch { from, version } => self.fetch(from, version),
+            Effect::Publish(snapshot) => self.publish(snapshot),
+            Effect::Watch(watching) => self.follower.set_watching(watching),
+        }
+    }
+
+    fn forward(&mut self, candidates: &[Candidate], opener: Option<&Opener>) {
+        let (Some(first), Some(opener)) = (candidates.first(), opener) else {
+            return;
+        };
+        let Opener {
+            service, caller, ..
+        } = *opener;
+        let via = self.shared.link;
+        let header = if opener.is_orphan {
+            Header::Orphan {
+                service,
+                caller,
+                via,
+            }
+        } else {
+            Header::Opener {
+                service,
+                caller,
+                via,
+                hops: 0,
+                rest: candidates[1..].to_vec(),
+            }
+        };
+        self.shared
+            .send(first.addr, &header, &opener.datagram, &mut self.out);
+        let elapsed = opener.arrived.elapsed().as_secs_f64();
+        self.shared.metrics.opener_seconds.observe(elapsed);
+    }
+
+    fn send(&mut self, to: SocketAddrV4, message: &Message) {
+        match control::encode(message) {
+            Ok(bytes) => {
+                self.shared
+                    .metrics
+                    .control_bytes
+                    .inc_by(message.size() as u64);
+                self.shared
+                    .send(to, &Header::Control, &bytes, &mut self.out);
+            }
+            Err(err) => log::error!(err:% = err; "control message cannot be encoded"),
+        }
+    }
+
+    /// Fetches a configuration from a peer, one at a time.
+    fn fetch(&mut self, from: SocketAddrV4, version: Version) {
+        let is_fetching = self
+            .fetching
+            .is_some_and(|(wanted, since)| wanted >= version && since.elapsed() < FETCH_PATIENCE);
+        if is_fetching {
+            return;
+        }
+        self.fetching = Some((version, Instant::now()));
+        let http = self.http.clone();
+        let keys = Arc::clone(&self.shared.keys);
+        let jobs = self.jobs.clone();
+        self.tasks.spawn(async move {
+            match link::fetch(&http, from, None, &keys).await {
+                Ok(ConfigReply { version, config }) => {
+                    let event = Event::Config { version, config };
+                    let _ = jobs.send_async(Job::event(event)).await;
+                }
+                Err(err) => log::debug!(from:% = from, err:% = err; "configuration not fetched"),
+            }
+        });
+    }
+
+    /// Opens and closes service sockets, then routes from the new snapshot.
+    fn publish(&mut self, snapshot: Snapshot) {
+        log::info!(version:% = snapshot.version, zones_out = snapshot.zones_out.len();
+            "snapshot in force");
+        let old = self.shared.sockets.load_full();
+        let mut sockets = (*old).clone();
+        sockets.retain(|service, _| snapshot.has_service(*service));
+        self.loops.retain(&snapshot.services);
+        for &service in &snapshot.services {
+            if sockets.contains_key(&service) {
+                continue;
+            }
+            if let Some(socket) = self.open_service(service) {
+                sockets.insert(service, socket);
+            }
+        }
+        let config = ConfigReply {
+            version: self.state.version(),
+            config: self.state.config().clone(),
+        };
+        self.shared.sockets.store(Arc::new(sockets));
+        self.shared.config.store(Arc::new(config));
+        self.shared.snapshot.store(Arc::new(snapshot));
+    }
+
+    fn open_service(&mut self, service: ServicePort) -> Option<Arc<ServiceSocket>> {
+        let socket = match sockets::bind(self.shared.ip, service) {
+            Ok(socket) => socket,
+            Err(err) => {
+                log::error!(service:% = service, err:% = err; "service cannot be bound");
+                return None;
+            }
+        };
+        let service_socket = Arc::new(ServiceSocket {
+            service,
+            socket,
+            metrics: self.shared.metrics.service(service),
+        });
+        let receive = receive_service(
+            Arc::clone(&self.shared),
+            Arc::clone(&service_socket),
+            self.jobs.clone(),
+        );
+        self.loops.insert(service, self.tasks.spawn(receive));
+        Some(service_socket)
+    }
+
+    fn update_gauges(&mut self) {
+        while self.tasks.try_join_next().is_some() {}
+        let metrics = &self.shared.metrics;
+        let version = i64::try_from(self.state.version().0).unwrap_or(i64::MAX);
+        metrics.version.set(version);
+        let members = i64::try_from(self.state.members().len()).unwrap_or(i64::MAX);
+        metrics.members.set(members);
+        let out = self.state.zones().iter().filter(|z| z.out).count();
+        metrics
+            .zones_out
+            .set(i64::try_from(out).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/buckthornlink/src/balancer/forward.rs
@@ -0,0 +1,263 @@
+//! The forwarding path.
+//!
+//! Datagrams of established flows are routed by their connection id and the published snapshot.
+//! Openers and control messages go to the reducer; if it is behind, they are dropped, and QUIC or
+//! the next exchange repeats them.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use bytes::BytesMut;
+use tokio::net::UdpSocket;
+
+use buckthornlink_core::FlowKey;
+use buckthornlink_core::balancer::{Event, Snapshot};
+use buckthornlink_core::member::{Load, Phase};
+use buckthornlink_node::link::ConfigReply;
+use buckthornlink_wire::{ConnectionId, Header, KeyRing, Place, Return, control, destination_id};
+
+use super::executor::{Job, Opener};
+use super::metrics::{Drop, Metrics};
+use super::sockets::{ServiceSocket, SocketMap};
+
+/// Receive buffer, in bytes; the largest datagram that can come.
+const BUFFER_BYTES: usize = 65_536;
+/// An unchanged load report is passed on to the reducer after this time.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the receive loops and the executor share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) ip: Ipv4Addr,
+    pub(super) link: SocketAddrV4,
+    pub(super) link_socket: UdpSocket,
+    pub(super) keys: Arc<KeyRing>,
+    pub(super) snapshot: ArcSwap<Snapshot>,
+    pub(super) config: ArcSwap<ConfigReply>,
+    pub(super) sockets: ArcSwap<SocketMap>,
+    pub(super) metrics: Metrics,
+}
+
+impl Shared {
+    pub(super) fn new(
+        ip: Ipv4Addr,
+        link: SocketAddrV4,
+        link_socket: UdpSocket,
+        keys: Arc<KeyRing>,
+    ) -> anyhow::Result<Self> {
+        Ok(Self {
+            ip,
+            link,
+            link_socket,
+            keys,
+            snapshot: ArcSwap::default(),
+            config: ArcSwap::default(),
+            sockets: ArcSwap::default(),
+            metrics: Metrics::new()?,
+        })
+    }
+
+    /// Sends a datagram in an envelope. A full socket buffer drops it, as a network would.
+    pub(super) fn send(
+        &self,
+        to: SocketAddrV4,
+        header: &Header,
+        payload: &[u8],
+        out: &mut BytesMut,
+    ) {
+        header.encode(self.keys.current(), payload, out);
+        if self
+            .link_socket
+            .try_send_to(out, SocketAddr::V4(to))
+            .is_err()
+        {
+            self.metrics.dropped(Drop::Overload);
+        }
+    }
+}
+
+/// Receives from callers, for one service.
+pub(super) async fn receive_service(
+    shared: Arc<Shared>,
+    service: Arc<ServiceSocket>,
+    jobs: flume::Sender<Job>,
+) {
+    let mut lane = ServiceLane {
+        shared,
+        service,
+        jobs,
+        out: BytesMut::new(),
+    };
+    let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
+    loop {
+        buffer.clear();
+        buffer.reserve(BUFFER_BYTES);
+        match lane.service.socket.recv_buf_from(&mut buffer).await {
+            Ok((_, SocketAddr::V4(caller))) => lane.receive(caller, &mut buffer),
+            Ok((_, SocketAddr::V6(_))) => {}
+            Err(err) => log::debug!(err:% = err; "receive from callers failed"),
+        }
+    }
+}
+
+struct ServiceLane {
+    shared: Arc<Shared>,
+    service: Arc<ServiceSocket>,
+    jobs: flume::Sender<Job>,
+    out: BytesMut,
+}
+
+impl ServiceLane {
+    fn receive(&mut self, caller: SocketAddrV4, datagram: &mut BytesMut) {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "datagrams have at most 65,535 bytes"
+        )]
+        self.service.metrics.received.observe(datagram.len() as f64);
+        let Some(cid) = destination_id(datagram) else {
+            self.shared.metrics.dropped(Drop::Noise);
+            return;
+        };
+        match ConnectionId::open(&cid, &self.shared.keys) {
+            Some(place) => self.forward(caller, place, datagram),
+            None => self.open(caller, &cid, datagram, false),
+        }
+    }
+
+    /// Forwards a datagram of an established flow.
+    fn forward(&mut self, caller: SocketAddrV4, place: Place, datagram: &[u8]) {
+        if place.service != self.service.service {
+            self.shared.metrics.dropped(Drop::Misrouted);
+            return;
+        }
+        if self.shared.snapshot.load().is_out(place.zone) {
+            self.service.metrics.orphans.inc();
+            self.open(caller, &[], datagram, true);
+            return;
+        }
+        let header = Header::Flow {
+            service: self.service.service,
+            caller,
+            via: self.shared.link,
+        };
+        self.shared
+            .send(place.agent, &header, datagram, &mut self.out);
+    }
+
+    /// Leaves a datagram that names no usable agent to the reducer.
+    fn open(&self, caller: SocketAddrV4, cid: &[u8], datagram: &[u8], is_orphan: bool) {
+        let service = self.service.service;
+        if !is_orphan {
+            self.service.metrics.openers.inc();
+        }
+        let event = Event::Opener {
+            service,
+            flow: FlowKey::new(service, caller, cid),
+        };
+        let opener = Opener {
+            service,
+            caller,
+            datagram: datagram.to_vec(),
+            is_orphan,
+            arrived: Instant::now(),
+        };
+        if self.jobs.try_send(Job::opener(event, opener)).is_err() {
+            self.shared.metrics.dropped(Drop::Overload);
+        }
+    }
+}
+
+/// Receives from agents and other balancers.
+pub(super) async fn receive_link(shared: Arc<Shared>, jobs: flume::Sender<Job>) {
+    let mut lane = LinkLane {
+        shared,
+        jobs,
+        reports: HashMap::new(),
+    };
+    let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
+    loop {
+        buffer.clear();
+        buffer.reserve(BUFFER_BYTES);
+        match lane.shared.link_socket.recv_buf_from(&mut buffer).await {
+            Ok((_, SocketAddr::V4(from))) => lane.receive(from, &buffer),
+            Ok((_, SocketAddr::V6(_))) => {}
+            Err(err) => log::debug!(err:% = err; "receive from the link failed"),
+        }
+    }
+}
+
+struct LinkLane {
+    shared: Arc<Shared>,
+    jobs: flume::Sender<Job>,
+    reports: HashMap<SocketAddrV4, LastReport>,
+}
+
+/// The load report that was last passed on.
+struct LastReport {
+    phase: Phase,
+    load: Load,
+    at: Instant,
+}
+
+impl LinkLane {
+    fn receive(&mut self, from: SocketAddrV4, datagram: &[u8]) {
+        match Header::decode(datagram, &self.shared.keys) {
+            Ok((Header::Return(back), start)) => self.give_back(from, &back, &datagram[start..]),
+            Ok((Header::Control, start)) => self.control(from, &datagram[start..]),
+            Ok(_) | Err(_) => self.shared.metrics.dropped(Drop::Envelope),
+        }
+    }
+
+    /// Sends a datagram to its caller from the address of its service.
+    fn give_back(&mut self, from: SocketAddrV4, back: &Return, payload: &[u8]) {
+        self.report(from, back.phase, back.load);
+        let sockets = self.shared.sockets.load();
+        let Some(service) = sockets.get(&back.service) else {
+            self.shared.metrics.dropped(Drop::Misrouted);
+            return;
+        };
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "datagrams have at most 65,535 bytes"
+        )]
+        service.metrics.returned.observe(payload.len() as f64);
+        let caller = SocketAddr::V4(back.caller);
+        if service.socket.try_send_to(payload, caller).is_err() {
+            self.shared.metrics.dropped(Drop::Overload);
+        }
+    }
+
+    /// Passes a load report on if it is news.
+    fn report(&mut self, agent: SocketAddrV4, phase: Phase, load: Load) {
+        let now = Instant::now();
+        let is_known = self.reports.get(&agent).is_some_and(|last| {
+            last.phase == phase && last.load == load && now - last.at < REPORT_INTERVAL
+        });
+        if is_known {
+            return;
+        }
+        let event = Event::Report { agent, phase, load };
+        if self.jobs.try_send(Job::event(event)).is_ok() {
+            let last = LastReport {
+                phase,
+                load,
+                at: now,
+            };
+            self.reports.insert(agent, last);
+        }
+    }
+
+    fn control(&self, from: SocketAddrV4, payload: &[u8]) {
+        let Ok(message) = control::decode(payload) else {
+            self.shared.metrics.dropped(Drop::Envelope);
+            return;
+        };
+        let event = Event::Control { from, message };
+        if self.jobs.try_send(Job::event(event)).is_err() {
+            self.shared.metrics.dropped(Drop::Overload);
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink/src/balancer/sockets.rs
@@ -0,0 +1,60 @@
+//! One UDP socket for each configured service.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use tokio::net::UdpSocket;
+use tokio::task::AbortHandle;
+
+use buckthornlink_core::ServicePort;
+
+use super::metrics::ServiceMetrics;
+
+/// Socket and metrics of one service.
+#[derive(Debug)]
+pub(super) struct ServiceSocket {
+    pub(super) service: ServicePort,
+    pub(super) socket: UdpSocket,
+    pub(super) metrics: ServiceMetrics,
+}
+
+/// The sockets by service.
+pub(super) type SocketMap = HashMap<ServicePort, Arc<ServiceSocket>>;
+
+/// Receive loops of the open sockets.
+#[derive(Debug, Default)]
+pub(super) struct Loops {
+    tasks: HashMap<ServicePort, AbortHandle>,
+}
+
+impl Loops {
+    /// Notes the receive loop of a socket.
+    pub(super) fn insert(&mut self, service: ServicePort, task: AbortHandle) {
+        self.tasks.insert(service, task);
+    }
+
+    /// Stops the receive loops of services that are not in `kept`.
+    pub(super) fn retain(&mut self, kept: &[ServicePort]) {
+        self.tasks.retain(|service, task| {
+            let is_kept = kept.contains(service);
+            if !is_kept {
+                task.abort();
+            }
+            is_kept
+        });
+    }
+}
+
+impl Drop for Loops {
+    fn drop(&mut self) {
+        self.retain(&[]);
+    }
+}
+
+/// Binds the socket of a service.
+pub(super) fn bind(ip: Ipv4Addr, service: ServicePort) -> std::io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(super::at(ip, service.0))?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
--- /dev/null
+++ b/buckthornlink/src/balancer/status.rs
@@ -0,0 +1,92 @@
+//! What a balancer tells operators about itself.
+
+use std::net::SocketAddrV4;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use buckthornlink_core::balancer::Balancer;
+use buckthornlink_core::member::{Member, Phase, Role};
+use buckthornlink_core::{Millis, ServicePort, Version};
+
+use super::executor::Job;
+
+/// State of a balancer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Version of the configuration in force.
+    pub version: Version,
+    /// Names of the zones out of service.
+    pub zones_out: Vec<String>,
+    /// The instances that it knows.
+    pub members: Vec<MemberStatus>,
+}
+
+/// State of one instance as a balancer knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Link address.
+    pub addr: SocketAddrV4,
+    /// Service of an agent; left out for balancers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServicePort>,
+    /// Name of the availability zone.
+    pub zone: String,
+    /// Life-cycle phase.
+    pub phase: Phase,
+    /// Open flows, as last reported.
+    pub flows: u32,
+    /// Milliseconds since the balancer last heard the instance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heard_ms: Option<Millis>,
+}
+
+impl Status {
+    /// The status that follows from a reducer's state.
+    #[must_use]
+    pub fn of(state: &Balancer, now: Millis) -> Self {
+        let out = state.zones().iter().filter(|z| z.out);
+        let names = out.filter_map(|z| state.config().zone_name(z.zone));
+        let mut members: Vec<_> = state.members().iter().map(|(_, m)| m).collect();
+        members.sort_by_key(|m| m.fact.addr);
+        Self {
+            version: state.version(),
+            zones_out: names.map(str::to_owned).collect(),
+            members: members.iter().map(|m| member(state, m, now)).collect(),
+        }
+    }
+}
+
+/// A router that serves the status at `/status`.
+pub(super) fn router(jobs: flume::Sender<Job>) -> Router {
+    Router::new().route("/status", get(serve)).with_state(jobs)
+}
+
+fn member(state: &Balancer, member: &Member, now: Millis) -> MemberStatus {
+    let zone = state.config().zone_name(member.fact.zone);
+    MemberStatus {
+        addr: member.fact.addr,
+        service: match member.fact.role {
+            Role::Agent(service) => Some(service),
+            Role::Balancer => None,
+        },
+        zone: zone.unwrap_or("unknown").to_owned(),
+        phase: member.fact.phase,
+        flows: member.load.map_or(0, |(load, _)| load.flows),
+        heard_ms: member.heard.map(|at| now.since(at)),
+    }
+}
+
+async fn serve(State(jobs): State<flume::Sender<Job>>) -> Result<Json<Status>, StatusCode> {
+    let (reply, status) = oneshot::channel();
+    let sent = jobs.send_async(Job::Status(reply)).await;
+    sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    status
+        .await
+        .map(Json)
+        .map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
+}
--- /dev/null
+++ b/buckthornlink/src/command/apply.rs
@@ -0,0 +1,128 @@
+//! `buckthornlink apply`.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use serde::Serialize;
+
+use buckthornlink_core::Version;
+use buckthornlink_core::config::{Config, ConfigDelta};
+use buckthornlink_platform::{Catalog, EtcdStore};
+
+use super::status::ask_balancers;
+use super::{EditArguments, Failure, Outcome, Output, StoreArguments, block_on, check};
+
+/// Pause between two rounds of asking the balancers.
+const WAIT_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Arguments {
+    /// Configuration text in JSON
+    file: PathBuf,
+    /// Version that the text was made from; the edit is refused if another one stands
+    #[arg(long, value_name = "VERSION")]
+    base: Option<u64>,
+    /// Show what would change and write nothing
+    #[arg(long)]
+    dry_run: bool,
+    /// Wait until every balancer has the new version in force
+    #[arg(long)]
+    wait: bool,
+    /// Output format
+    #[arg(long, value_enum, default_value_t)]
+    output: Output,
+    #[command(flatten)]
+    store: StoreArguments,
+    #[command(flatten)]
+    edit: EditArguments,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    version: Version,
+    edit: String,
+    superseded: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    in_force_ms: Option<u128>,
+}
+
+impl Arguments {
+    pub(super) fn run(self) -> Outcome {
+        let text = check::read(&self.file)?;
+        let config = Config::parse(&text).with_context(|| self.file.display().to_string())?;
+        block_on(async {
+            let catalog = self.store.open();
+            if self.dry_run {
+                return self.compare(&catalog, &config).await;
+            }
+            let report = self.apply(&catalog, &text).await?;
+            self.output.print(&report, |r| match r.in_force_ms {
+                Some(ms) => format!("accepted as version {}, in force after {ms} ms", r.version),
+                None => format!("accepted as version {}", r.version),
+            })?;
+            Ok(())
+        })
+    }
+
+    async fn compare(&self, catalog: &Catalog<EtcdStore>, config: &Config) -> Outcome {
+        let current = catalog.config().await?;
+        let text = current.map_or_else(
+            || "{\"zones\":[],\"services\":[]}".to_owned(),
+            |c| c.record.text,
+        );
+        let delta = ConfigDelta::between(&Config::parse(&text)?, config);
+        self.output.print(&delta, ToString::to_string)?;
+        Ok(())
+    }
+
+    async fn apply(&self, catalog: &Catalog<EtcdStore>, text: &str) -> Result<Report, Failure> {
+        let edit = self.edit.edit_id();
+        let base = self.base.map(Version);
+        let patience = self.edit.patience();
+        let accepted = catalog
+            .apply(text, base, &edit, &self.edit.editor, patience)
+            .await?;
+        let version = accepted.record.version;
+        let in_force_ms = if self.wait {
+            Some(self.wait_for(catalog, version).await?)
+        } else {
+            None
+        };
+        Ok(Report {
+            version,
+            edit,
+            superseded: accepted.superseded,
+            in_force_ms,
+        })
+    }
+
+    /// Asks the balancers until all of them have `version` in force.
+    async fn wait_for(
+        &self,
+        catalog: &Catalog<EtcdStore>,
+        version: Version,
+    ) -> Result<u128, Failure> {
+        let start = Instant::now();
+        loop {
+            let answers = ask_balancers(catalog).await?;
+            let is_behind = |a: &&super::status::Answer| a.version() < Some(version);
+            let behind = answers.iter().filter(is_behind).count();
+            if behind == 0 {
+                return Ok(start.elapsed().as_millis());
+            }
+            if start.elapsed() > self.edit.patience() {
+                let all = answers.len();
+                let error = anyhow::anyhow!(
+                    "accepted as version {version}, but {behind} of {all} balancers do not have \
+                     it in force yet; ask again with: buckthornlink status"
+                );
+                return Err(Failure {
+                    verdict: buckthornlink_core::Verdict::MayHaveRun,
+                    error,
+                });
+            }
+            tokio::time::sleep(WAIT_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink/src/command/check.rs
@@ -0,0 +1,58 @@
+//! `buckthornlink check`.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use serde::Serialize;
+
+use buckthornlink_core::config::Config;
+
+use super::{Outcome, Output};
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Arguments {
+    /// Configuration text in JSON
+    #[arg(required_unless_present = "print_schema")]
+    file: Option<PathBuf>,
+    /// Print the JSON Schema of the configuration and stop
+    #[arg(long)]
+    print_schema: bool,
+    /// Output format
+    #[arg(long, value_enum, default_value_t)]
+    output: Output,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    zones: usize,
+    services: usize,
+}
+
+impl Arguments {
+    pub(super) fn run(self) -> Outcome {
+        let Some(file) = self.file.filter(|_| !self.print_schema) else {
+            println!("{}", buckthornlink_node::settings::schema::<Config>());
+            return Ok(());
+        };
+        let text = read(&file)?;
+        let config = Config::parse(&text).with_context(|| file.display().to_string())?;
+        let report = Report {
+            zones: config.zones.len(),
+            services: config.services.len(),
+        };
+        self.output.print(&report, |r| {
+            format!(
+                "{}: {} services in {} zones",
+                file.display(),
+                r.services,
+                r.zones
+            )
+        })?;
+        Ok(())
+    }
+}
+
+/// Reads a configuration text.
+pub(super) fn read(file: &PathBuf) -> anyhow::Result<String> {
+    std::fs::read_to_string(file).with_context(|| file.display().to_string())
+}
--- /dev/null
+++ b/buckthornlink/src/command/status.rs
@@ -0,0 +1,101 @@
+//! `buckthornlink status`.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use tabled::{Table, Tabled};
+
+use buckthornlink_core::Version;
+use buckthornlink_core::member::Phase;
+use buckthornlink_platform::{BalancerEntry, Catalog, EtcdStore, StoreError};
+
+use super::{Outcome, Output, StoreArguments, block_on};
+use crate::balancer::Status;
+
+/// Balancers asked at the most.
+const MAX_BALANCERS: u32 = 4_096;
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Arguments {
+    /// Output format
+    #[arg(long, value_enum, default_value_t)]
+    output: Output,
+    #[command(flatten)]
+    store: StoreArguments,
+}
+
+/// What one balancer answered.
+#[derive(Debug, Serialize)]
+pub(super) struct Answer {
+    entry: BalancerEntry,
+    status: Option<Status>,
+}
+
+#[derive(Tabled)]
+struct Row {
+    balancer: String,
+    zone: String,
+    version: String,
+    #[tabled(rename = "zones out")]
+    zones_out: String,
+    #[tabled(rename = "open agents")]
+    open: usize,
+    #[tabled(rename = "silent or gone")]
+    gone: usize,
+}
+
+impl Arguments {
+    pub(super) fn run(self) -> Outcome {
+        block_on(async {
+            let answers = ask_balancers(&self.store.open()).await?;
+            self.output.print(&answers, |a| {
+                Table::new(a.iter().map(Row::from)).to_string()
+            })?;
+            Ok(())
+        })
+    }
+}
+
+impl Answer {
+    /// Version that the balancer has in force, if it answered.
+    pub(super) fn version(&self) -> Option<Version> {
+        self.status.as_ref().map(|s| s.version)
+    }
+}
+
+impl From<&Answer> for Row {
+    fn from(answer: &Answer) -> Self {
+        let status = answer.status.as_ref();
+        let agents = status.map_or(&[][..], |s| &s.members);
+        let agents = agents.iter().filter(|m| m.service.is_some());
+        let phases: Vec<Phase> = agents.map(|m| m.phase).collect();
+        Self {
+            balancer: answer.entry.link.to_string(),
+            zone: answer.entry.zone.clone(),
+            version: status.map_or("no answer".to_owned(), |s| s.version.to_string()),
+            zones_out: status.map_or(String::new(), |s| s.zones_out.join(", ")),
+            open: phases.iter().filter(|p| p.is_open()).count(),
+            gone: phases.iter().filter(|p| p.is_gone()).count(),
+        }
+    }
+}
+
+/// Asks every balancer that has a valid entry in the store.
+pub(super) async fn ask_balancers(catalog: &Catalog<EtcdStore>) -> Result<Vec<Answer>, StoreError> {
+    let entries = catalog.balancers(MAX_BALANCERS).await?;
+    let http = buckthornlink_node::link::client();
+    let mut answers = Vec::with_capacity(entries.len());
+    for entry in entries {
+        let status = ask(&http, &entry).await.ok();
+        answers.push(Answer { entry, status });
+    }
+    Ok(answers)
+}
+
+async fn ask(http: &reqwest::Client, entry: &BalancerEntry) -> reqwest::Result<Status> {
+    let request = http
+        .get(format!("http://{}/status", entry.http))
+        .timeout(ASK_TIMEOUT);
+    request.send().await?.error_for_status()?.json().await
+}
