perf(core): share flows in proportion to what each backend server bears

Cause: while all servers are cold, each agent compared itself with the plain mean, so openers were handed on until the hop limit, and whoever was last kept them; four flows per dependency cannot be spread evenly. Change: balancers report an even share per unit of weight, agents compare with that; margins of one flow; eight flows per dependency by default.

--- a/buckthornlink-agent/src/agent.rs
+++ b/buckthornlink-agent/src/agent.rs
@@ -57,7 +57,7 @@
     shared: Shared,
     patience: Duration,
     drained: watch::Receiver<bool>,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
     state: PhantomData<S>,
 }
 
@@ -131,7 +131,7 @@
             shared,
             patience: settings.drain_ms,
             drained,
-            _tasks: tasks,
+            tasks,
             state: PhantomData,
         })
     }
@@ -148,7 +148,7 @@
             shared: self.shared,
             patience: self.patience,
             drained: self.drained,
-            _tasks: self._tasks,
+            tasks: self.tasks,
             state: PhantomData,
         }
     }
@@ -159,6 +159,7 @@
     pub async fn finish(mut self) -> bool {
         let is_done = self.drained.wait_for(|is_drained| *is_drained);
         let is_drained = matches!(timeout(self.patience, is_done).await, Ok(Ok(_)));
+        self.tasks.shutdown().await;
         log::info!(link:% = self.link, drained = is_drained; "agent stopped");
         is_drained
     }
--- a/buckthornlink-agent/src/client.rs
+++ b/buckthornlink-agent/src/client.rs
@@ -79,9 +79,9 @@
     ) -> Result<Self, OpenError> {
         let connection = endpoint.connect(addr.into(), name)?.await?;
         let transport = h3_quinn::Connection::new(connection.clone());
-        let (mut driven, sender) = h3::client::new(transport).await?;
+        let (mut http, sender) = h3::client::new(transport).await?;
         let driver = tokio::spawn(async move {
-            driven.wait_idle().await;
+            http.wait_idle().await;
         });
         Ok(Self {
             connection,
--- a/buckthornlink-agent/src/flow.rs
+++ b/buckthornlink-agent/src/flow.rs
@@ -58,11 +58,11 @@
         incoming.refuse();
         return;
     };
-    if let Ok(accepted) = incoming.accept() {
-        if let Ok(connection) = accepted.await {
-            run(&connection, orders, &server).await;
-            note_end(&connection, &server);
-        }
+    if let Ok(accepted) = incoming.accept()
+        && let Ok(connection) = accepted.await
+    {
+        run(&connection, orders, &server).await;
+        note_end(&connection, &server);
     }
     let _ = server
         .jobs
--- a/buckthornlink-agent/src/link.rs
+++ b/buckthornlink-agent/src/link.rs
@@ -54,9 +54,8 @@
     }
 
     fn receive(&self, from: SocketAddrV4, bytes: &[u8]) {
-        let (header, start) = match Header::decode(bytes, &self.keys) {
-            Ok(decoded) => decoded,
-            Err(_) => return self.metrics.dropped(Dropped::Envelope),
+        let Ok((header, start)) = Header::decode(bytes, &self.keys) else {
+            return self.metrics.dropped(Dropped::Envelope);
         };
         let payload = &bytes[start..];
         match header {
--- a/buckthornlink-agent/src/settings.rs
+++ b/buckthornlink-agent/src/settings.rs
@@ -90,7 +90,7 @@
 }
 
 const fn default_dependency_flows() -> usize {
-    4
+    8
 }
 
 const fn default_drain() -> Duration {
--- a/buckthornlink-agent/src/socket.rs
+++ b/buckthornlink-agent/src/socket.rs
@@ -181,9 +181,10 @@
 }
 
 fn describe(incoming: &Incoming, len: usize) -> RecvMeta {
-    let mut meta = RecvMeta::default();
-    meta.addr = SocketAddr::V4(incoming.caller);
-    meta.len = len;
-    meta.stride = len;
-    meta
+    RecvMeta {
+        addr: SocketAddr::V4(incoming.caller),
+        len,
+        stride: len,
+        ..RecvMeta::default()
+    }
 }
--- a/buckthornlink-core/src/agent/flows.rs
+++ b/buckthornlink-core/src/agent/flows.rs
@@ -10,17 +10,17 @@
 /// Most agents that pass one opener on.
 const MAX_HOPS: u8 = 2;
 /// An opener is handed on if this agent holds more flows than the next one by this many...
-const HAND_ON_MARGIN: u32 = 2;
+const HAND_ON_MARGIN: u32 = 1;
 /// ...or by this share of its own flows, in percent, whichever is more.
 const HAND_ON_PERCENT: u32 = 5;
 /// Flows that a cold backend server may hold in any case.
 const COLD_FLOWS: u32 = 4;
 /// Interval between two rounds of rebalancing.
 const REBALANCE_INTERVAL: Millis = Millis(500);
-/// Flows are moved once this agent holds more than the mean by this share, in percent...
+/// Flows are moved once this agent holds more than an even share by this, in percent...
 const REBALANCE_PERCENT: u32 = 8;
 /// ...and by at least this many flows.
-const REBALANCE_MARGIN: u32 = 2;
+const REBALANCE_MARGIN: u32 = 1;
 /// Divisor of the own flows that bounds how many are moved in one round.
 const REBALANCE_STEP: u32 = 8;
 
@@ -29,7 +29,7 @@
 pub(super) struct Flows {
     open: BTreeSet<FlowId>,
     moving: BTreeSet<FlowId>,
-    mean: u32,
+    even: u32,
     rebalanced: Millis,
 }
 
@@ -45,8 +45,8 @@
         flows
     }
 
-    pub(super) const fn set_mean(&mut self, mean: u32) {
-        self.mean = mean;
+    pub(super) const fn set_even(&mut self, even: u32) {
+        self.even = even;
     }
 
     /// Open flows that will stay.
@@ -107,13 +107,14 @@
     /// Asks some flows to move if this agent holds clearly more than the others.
     pub(super) fn rebalance(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let is_due = now.since(self.flows.rebalanced) >= REBALANCE_INTERVAL;
-        if !is_due || self.flows.mean == 0 || self.left_at.is_some() {
+        if !is_due || self.flows.even == 0 || self.left_at.is_some() {
             return;
         }
         self.flows.rebalanced = now;
         let staying = self.flows.staying();
-        let excess = staying.saturating_sub(self.flows.mean);
-        let threshold = (self.flows.mean * REBALANCE_PERCENT / 100).max(REBALANCE_MARGIN);
+        let excess = staying.saturating_sub(self.flows.even);
+        let share = self.flows.even.saturating_mul(REBALANCE_PERCENT) / 100;
+        let threshold = share.max(REBALANCE_MARGIN);
         if excess <= threshold {
             return;
         }
@@ -128,19 +129,21 @@
         takes_work && self.flows.count() < self.flow_limit()
     }
 
-    /// Flows that the backend server bears: all of its connections when warm, and while cold its
-    /// share of what the others hold.
+    /// Flows that the backend server bears: all of its connections when warm, and while cold an
+    /// even share in proportion to its weight.
     fn flow_limit(&self) -> u32 {
-        if !self.limiter.is_cold() || self.flows.mean == 0 {
+        if !self.limiter.is_cold() || self.flows.even == 0 {
             return self.limits.connections;
         }
-        let share = self.flows.mean * u32::from(self.limiter.weight()) / u32::from(u8::MAX);
+        let share =
+            u64::from(self.flows.even) * u64::from(self.limiter.weight()) / u64::from(u8::MAX);
+        let share = u32::try_from(share).unwrap_or(u32::MAX);
         share.max(COLD_FLOWS).min(self.limits.connections)
     }
 
     fn prefers(&self, next: Candidate) -> bool {
         let own = self.flows.staying();
-        let margin = (own * HAND_ON_PERCENT / 100).max(HAND_ON_MARGIN);
+        let margin = (own.saturating_mul(HAND_ON_PERCENT) / 100).max(HAND_ON_MARGIN);
         own > next.flows + margin && next.addr != self.own.addr
     }
 }
--- a/buckthornlink-core/src/agent/report.rs
+++ b/buckthornlink-core/src/agent/report.rs
@@ -120,7 +120,7 @@
             self.contacts.learn(peer);
         }
         self.contacts.interval = ack.interval;
-        self.flows.set_mean(ack.flows);
+        self.flows.set_even(ack.flows);
         self.refute(&ack, now)
     }
 
--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -21,7 +21,7 @@
 pub use budget::Budget;
 pub use opener::{Candidate, MAX_CANDIDATES, Policy};
 
-use crate::config::Config;
+use crate::config::{Config, Service};
 use crate::id::{BootId, FlowKey, ServicePort, Version, ZoneTag};
 use crate::member::{Fact, Load, Members, Phase, Role, ZoneBook, ZoneRecord};
 use crate::message::Message;
@@ -266,7 +266,7 @@
     }
 
     fn snapshot(&self) -> Snapshot {
-        let mut services: Vec<_> = self.config.services.iter().map(|s| s.port()).collect();
+        let mut services: Vec<_> = self.config.services.iter().map(Service::port).collect();
         services.sort_unstable();
         let out = self.zones.iter().filter(|r| r.out);
         Snapshot {
--- a/buckthornlink-core/src/balancer/observe.rs
+++ b/buckthornlink-core/src/balancer/observe.rs
@@ -81,7 +81,7 @@
             zones: self.zones.iter().copied().collect(),
             peers: self.pick_balancers(PEERS_IN_ACK),
             interval: self.interval(now),
-            flows: self.mean_flows(fact.service()),
+            flows: self.even_flows(fact.service()),
             silenced,
         };
         self.send(to, Message::Ack(ack), effects);
--- a/buckthornlink-core/src/balancer/opener.rs
+++ b/buckthornlink-core/src/balancer/opener.rs
@@ -156,7 +156,7 @@
         let weight = fresh.map_or(u8::MAX, |(load, _)| load.weight.max(1));
         let flows = match fresh {
             Some(_) => expected_flows(member),
-            None => self.mean_flows(member.fact.service()) + member.sent,
+            None => self.even_flows(member.fact.service()) + member.sent,
         };
         let is_pressed = fresh.is_some_and(|(load, _)| load.pressure >= PRESSURE_LIMIT);
         let factor = if is_pressed { 2 } else { 1 };
@@ -167,17 +167,19 @@
         }
     }
 
-    /// Mean number of flows of the open agents of a service, by their latest reports.
-    pub(super) fn mean_flows(&self, service: Option<ServicePort>) -> u32 {
+    /// Flows that an agent at full limits holds if every open agent of the service holds the same
+    /// in proportion to its weight, by the latest reports.
+    pub(super) fn even_flows(&self, service: Option<ServicePort>) -> u32 {
         let keys = service.map_or(&[][..], |s| self.members.agents(s));
         let members = keys.iter().filter_map(|&key| self.members.get(key));
         let open = members.filter(|m| m.is_open() && !self.zones.is_out(m.fact.zone));
-        let (mut sum, mut count) = (0, 0);
+        let (mut flows, mut weight) = (0, 0);
         for (load, _) in open.filter_map(|m| m.load) {
-            sum += load.flows;
-            count += 1;
+            flows += u64::from(load.flows);
+            weight += u64::from(load.weight);
         }
-        if count == 0 { 0 } else { sum / count }
+        let even = (flows * u64::from(u8::MAX)).checked_div(weight);
+        u32::try_from(even.unwrap_or(0)).unwrap_or(u32::MAX)
     }
 }
 
--- a/buckthornlink-core/src/message.rs
+++ b/buckthornlink-core/src/message.rs
@@ -57,7 +57,7 @@
     pub peers: Vec<Fact>,
     /// Time until the next report is due.
     pub interval: Millis,
-    /// Mean number of flows of an open agent of the receiver's service.
+    /// Flows that an agent of the receiver's service holds at full limits if load is even.
     pub flows: u32,
     /// The receiver as the balancer knows it, if it is marked silent.
     pub silenced: Option<Fact>,
--- a/buckthornlink-fakes/examples/whole_path/plan.rs
+++ b/buckthornlink-fakes/examples/whole_path/plan.rs
@@ -1,6 +1,7 @@
 //! What happens during a run, and when.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use buckthornlink_fakes::{Callers, Fleet};
@@ -50,10 +51,10 @@
         let mut plan = Self::default();
         let at = |share: f64| length.mul_f64(share);
         if has_outage {
-            plan.add(Duration::from_millis(1_000), Fault::ZoneOut(1));
-            plan.add(Duration::from_millis(3_000), Fault::ReplaceBalancer);
-            plan.add(Duration::from_millis(4_000), Fault::Drain(0));
-            plan.add(Duration::from_millis(6_000), Fault::Start(0));
+            plan.add(Duration::from_secs(1), Fault::ZoneOut(1));
+            plan.add(Duration::from_secs(3), Fault::ReplaceBalancer);
+            plan.add(Duration::from_secs(4), Fault::Drain(0));
+            plan.add(Duration::from_secs(6), Fault::Start(0));
             plan.add(Duration::from_millis(8_500), Fault::ZoneIn(1));
             return plan;
         }
@@ -105,7 +106,7 @@
 struct ZoneWatch {
     zone: &'static str,
     accepted: Instant,
-    datagrams: u64,
+    datagrams: HashMap<SocketAddrV4, u64>,
     last: Option<Instant>,
     is_over: bool,
 }
@@ -240,10 +241,13 @@
 
     fn look(&mut self, fleet: &Fleet) {
         let datagrams = datagrams(self.zone, fleet);
-        if datagrams != self.datagrams {
-            self.datagrams = datagrams;
+        let has_grown = |(agent, count): (&SocketAddrV4, &u64)| {
+            *count > self.datagrams.get(agent).copied().unwrap_or(0)
+        };
+        if datagrams.iter().any(has_grown) {
             self.last = Some(Instant::now());
         }
+        self.datagrams = datagrams;
     }
 
     /// Closes the watch as the zone comes back; what backend servers got until then counts.
@@ -259,13 +263,11 @@
     }
 }
 
-/// Datagrams of flows and openers that the agents of a zone got so far.
-fn datagrams(zone: &str, fleet: &Fleet) -> u64 {
+/// Datagrams of flows and openers that each agent of a zone got so far.
+fn datagrams(zone: &str, fleet: &Fleet) -> HashMap<SocketAddrV4, u64> {
     let sites = fleet.sites().iter().filter(|s| s.zone() == zone);
-    sites
-        .filter_map(|s| s.agent())
-        .map(|a| a.stats().datagrams)
-        .sum()
+    let agents = sites.filter_map(|s| s.agent());
+    agents.map(|a| (a.link(), a.stats().datagrams)).collect()
 }
 
 /// Zones of the fleet, in the order of its first sites.
--- a/buckthornlink-fakes/examples/whole_path/report.rs
+++ b/buckthornlink-fakes/examples/whole_path/report.rs
@@ -19,6 +19,7 @@
     wrong_service: u64,
     overloads: u64,
     imbalance: f64,
+    imbalances: std::collections::BTreeMap<&'static str, f64>,
     zone_out_last_packet_ms: Option<u128>,
     control_bytes_per_second: u64,
     config_in_force_ms: u128,
@@ -47,7 +48,12 @@
             run_twice: fleet.record().run_twice(),
             wrong_service: fleet.record().wrong_service(),
             overloads: fleet.record().overloads(),
-            imbalance: (imbalance * 1_000.0).round() / 1_000.0,
+            imbalance: rounded(imbalance),
+            imbalances: fleet
+                .imbalances()
+                .into_iter()
+                .map(|(s, i)| (s, rounded(i)))
+                .collect(),
             zone_out_last_packet_ms: last_packet.map(|d| d.as_millis()),
             control_bytes_per_second: control,
             config_in_force_ms: in_force.as_millis(),
@@ -82,6 +88,11 @@
     }
 }
 
+/// Three digits after the point are enough for a ratio.
+fn rounded(ratio: f64) -> f64 {
+    (ratio * 1_000.0).round() / 1_000.0
+}
+
 /// Control bytes of each process over windows of one second.
 pub struct Rates {
     last: HashMap<String, u64>,
--- a/buckthornlink-fakes/src/fleet.rs
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -297,7 +297,7 @@
             },
             tls: self.authority.settings().clone(),
             keys: keys(),
-            dependency_flows: 4,
+            dependency_flows: 8,
             drain_ms: Duration::from_secs(5),
             record: None,
             log: LogSettings::default(),
@@ -358,9 +358,20 @@
     /// services.
     #[must_use]
     pub fn imbalance(&self) -> f64 {
+        self.imbalances()
+            .iter()
+            .map(|(_, ratio)| *ratio)
+            .fold(1.0, f64::max)
+    }
+
+    /// The imbalance of each service.
+    #[must_use]
+    pub fn imbalances(&self) -> Vec<(&'static str, f64)> {
         let services = self.preset.services();
-        let ratios = services.iter().map(|s| self.imbalance_of(s.name));
-        ratios.fold(1.0, f64::max)
+        services
+            .iter()
+            .map(|s| (s.name, self.imbalance_of(s.name)))
+            .collect()
     }
 
     fn imbalance_of(&self, service: &str) -> f64 {
--- a/buckthornlink-node/src/link.rs
+++ b/buckthornlink-node/src/link.rs
@@ -2,7 +2,7 @@
 //!
 //! Datagrams in [envelopes](buckthornlink_wire::Header) come by UDP. A configuration, which does
 //! not fit a datagram, is fetched by HTTP from the same address and port; the body is an
-//! authenticated envelope around compressed MessagePack.
+//! authenticated envelope around compressed `MessagePack`.
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
--- a/buckthornlink-node/src/trace.rs
+++ b/buckthornlink-node/src/trace.rs
@@ -143,7 +143,7 @@
     /// # Errors
     ///
     /// Returns an error if the content is not a trace of `E`.
-    pub fn next<E: DeserializeOwned>(&mut self) -> Result<Option<TraceRecord<E>>, TraceError> {
+    pub fn read<E: DeserializeOwned>(&mut self) -> Result<Option<TraceRecord<E>>, TraceError> {
         if self.input.fill_buf()?.is_empty() {
             return Ok(None);
         }
--- a/buckthornlink-wire/src/control.rs
+++ b/buckthornlink-wire/src/control.rs
@@ -1,4 +1,4 @@
-//! Control messages in MessagePack.
+//! Control messages in `MessagePack`.
 
 use buckthornlink_core::message::Message;
 
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -28,7 +28,7 @@
     /// An event without a datagram.
     Event(Box<Event>),
     /// An opener with its datagram.
-    Opener(Event, Opener),
+    Opener(Box<Event>, Opener),
     /// A question for the state as it is now.
     Status(oneshot::Sender<Status>),
 }
@@ -48,8 +48,8 @@
         Self::Event(Box::new(event))
     }
 
-    pub(super) const fn opener(event: Event, opener: Opener) -> Self {
-        Self::Opener(event, opener)
+    pub(super) fn opener(event: Event, opener: Opener) -> Self {
+        Self::Opener(Box::new(event), opener)
     }
 }
 
@@ -113,7 +113,7 @@
     fn perform_job(&mut self, job: Job) {
         match job {
             Job::Event(event) => self.reduce(*event, None),
-            Job::Opener(event, opener) => self.reduce(event, Some(&opener)),
+            Job::Opener(event, opener) => self.reduce(*event, Some(&opener)),
             Job::Status(reply) => drop(reply.send(Status::of(&self.state, self.clock.now()))),
         }
     }
--- a/buckthornlink/src/command/replay.rs
+++ b/buckthornlink/src/command/replay.rs
@@ -72,7 +72,7 @@
         F: Serialize,
     {
         let mut summary = Summary::default();
-        while let Some(record) = reader.next::<E>()? {
+        while let Some(record) = reader.read::<E>()? {
             let effects = reduce(record.event.clone(), record.at);
             summary.events += 1;
             summary.effects += effects.len() as u64;
