feat(node): fetch changes of the configuration, not all of it

Cause: at 1,900 services each edit made every balancer fetch the whole text and every agent its part, a burst far over the control budget; agents reported to all balancers at once and so heard of an edit only once per interval, 6.6 s at the target size. A test at that size took 65 s, because the cycle check compared names pairwise in every round. Change: processes name the version they have and get the changes since; agents report to their balancers in turn; control bytes are counted as sent; the cycle check is linear in services and dependencies.

--- a/buckthornlink-agent/src/executor.rs
+++ b/buckthornlink-agent/src/executor.rs
@@ -18,7 +18,7 @@
 use buckthornlink_node::clock::Clock;
 use buckthornlink_node::link::{self, ConfigReply};
 use buckthornlink_node::trace::Recorder;
-use buckthornlink_wire::{Header, KeyRing, control};
+use buckthornlink_wire::{DATAGRAM_HEADER_BYTES, Header, KeyRing, control};
 
 use crate::answer::{Answer, Answers};
 use crate::metrics::{Dropped, Metrics};
@@ -285,11 +285,9 @@
     fn send(&mut self, to: SocketAddrV4, message: &Message) {
         match control::encode(message) {
             Ok(bytes) => {
-                self.shared
-                    .metrics
-                    .control_bytes
-                    .inc_by(message.size() as u64);
                 self.transmit(to, &Header::Control, &bytes);
+                let sent = self.out.len() + DATAGRAM_HEADER_BYTES;
+                self.shared.metrics.control_bytes.inc_by(sent as u64);
             }
             Err(err) => log::error!(err:% = err; "control message cannot be encoded"),
         }
@@ -320,8 +318,9 @@
         let keys = Arc::clone(&self.shared.keys);
         let jobs = self.jobs.clone();
         let name = self.setup.name.clone();
+        let have = self.shared.config.borrow().clone();
         self.tasks.spawn(async move {
-            match link::fetch(&http, from, Some(&name), &keys).await {
+            match link::fetch(&http, from, Some(&name), &have, &keys).await {
                 Ok(ConfigReply { version, config }) => {
                     let event = Event::Config { version, config };
                     let _ = jobs.send_async(Job::Event(event)).await;
--- a/buckthornlink-agent/src/link.rs
+++ b/buckthornlink-agent/src/link.rs
@@ -14,7 +14,8 @@
 use crate::metrics::{Dropped, Metrics};
 use crate::socket::{Incoming, Returns};
 
-const BUFFER_BYTES: usize = 65_536;
+/// Receive buffer, in bytes. Datagrams that fill it were cut short and are dropped.
+const BUFFER_BYTES: usize = 2_048;
 const SOCKET_BUFFER_BYTES: usize = 4 << 20;
 
 /// Binds the link socket.
@@ -46,6 +47,7 @@
             buffer.clear();
             buffer.reserve(BUFFER_BYTES);
             match self.socket.recv_buf_from(&mut buffer).await {
+                Ok((BUFFER_BYTES.., _)) => self.metrics.dropped(Dropped::Envelope),
                 Ok((_, SocketAddr::V4(from))) => self.receive(from, &buffer),
                 Ok((_, SocketAddr::V6(_))) => {}
                 Err(err) => log::debug!(err:% = err; "receive from the link failed"),
--- a/buckthornlink-core/src/agent/report.rs
+++ b/buckthornlink-core/src/agent/report.rs
@@ -37,6 +37,7 @@
     interval: Millis,
     beaten: Option<Millis>,
     reported: Option<Fact>,
+    turn: usize,
 }
 
 impl Default for Contacts {
@@ -46,6 +47,7 @@
             interval: DEFAULT_INTERVAL,
             beaten: None,
             reported: None,
+            turn: 0,
         }
     }
 }
@@ -124,28 +126,39 @@
         self.refute(&ack, now)
     }
 
-    /// Reports if the interval has passed or something has changed.
+    /// Reports to all balancers if something has changed, or else to the next one in turn.
+    ///
+    /// Each balancer is reported to once per interval. The turns are spread over it, so that
+    /// whatever the balancers have learned comes back several times per interval.
     pub(super) fn beat_if_due(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let interval = if self.contacts.known.is_empty() {
-            HELLO_INTERVAL
-        } else {
-            self.contacts.interval
-        };
-        let is_due = self
-            .contacts
-            .beaten
-            .is_none_or(|at| now.since(at) >= interval);
-        let is_changed = self.contacts.reported != Some(self.own);
-        if is_due || is_changed {
+        if self.contacts.reported != Some(self.own) {
             self.beat(now, effects);
+            return;
+        }
+        let targets = self.contacts.choose(&self.own);
+        let spacing = match targets.len() {
+            0 => HELLO_INTERVAL,
+            count => Millis(self.contacts.interval.0 / count as u64),
+        };
+        let beaten = self.contacts.beaten;
+        if beaten.is_none_or(|at| now.since(at) >= spacing) {
+            self.contacts.turn += 1;
+            let turn = self.contacts.turn % targets.len().max(1);
+            let next = targets.get(turn).copied();
+            self.report(next.into_iter().collect(), now, effects);
         }
     }
 
-    /// Reports now.
+    /// Reports to all balancers now.
     pub(super) fn beat(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let targets = self.contacts.choose(&self.own);
+        self.report(targets, now, effects);
+    }
+
+    /// Reports to `targets`, or says hello if there is none.
+    fn report(&mut self, targets: Vec<SocketAddrV4>, now: Millis, effects: &mut Vec<Effect>) {
         self.contacts.beaten = Some(now);
         self.contacts.reported = Some(self.own);
-        let targets = self.contacts.choose(&self.own);
         if targets.is_empty() {
             let message = Message::Hello(self.own);
             let to = self.setup.entry;
--- a/buckthornlink-core/src/config/check.rs
+++ b/buckthornlink-core/src/config/check.rs
@@ -1,6 +1,6 @@
 //! Checks that the JSON syntax cannot express.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::{Config, ConfigError, Service};
 use crate::id::ZoneTag;
@@ -136,9 +136,10 @@
 }
 
 fn check_dependencies(config: &Config, source: Source<'_>) -> Result<(), ConfigError> {
+    let names: HashSet<&str> = config.services.iter().map(|s| s.name.as_str()).collect();
     for (i, service) in config.services.iter().enumerate() {
         for (j, name) in service.dependencies.iter().enumerate() {
-            if config.service_named(name).is_some() {
+            if names.contains(name.as_str()) {
                 continue;
             }
             let field = format!("services[{i}].dependencies[{j}]");
@@ -149,21 +150,37 @@
     Ok(())
 }
 
-/// Removes services without open dependencies until none is left; what remains holds a cycle.
+/// Removes services that nothing left depends on until none is left; what remains holds a cycle.
 fn check_cycles(config: &Config, source: Source<'_>) -> Result<(), ConfigError> {
-    let mut rest: Vec<&Service> = config.services.iter().collect();
-    loop {
-        let names: Vec<&str> = rest.iter().map(|s| s.name.as_str()).collect();
-        let is_open = |s: &&Service| s.dependencies.iter().any(|d| names.contains(&d.as_str()));
-        let next: Vec<&Service> = rest.iter().copied().filter(is_open).collect();
-        if next.is_empty() {
-            return Ok(());
-        }
-        if next.len() == rest.len() {
-            let message = format!("dependencies form a cycle through {}", names.join(", "));
-            let field = "services.dependencies".to_owned();
-            return Err(source.fault_of(names[0], 0, field, message));
+    let by_name: HashMap<&str, &Service> = config
+        .services
+        .iter()
+        .map(|s| (s.name.as_str(), s))
+        .collect();
+    let mut dependants: HashMap<&str, usize> = by_name.keys().map(|name| (*name, 0)).collect();
+    for name in config.services.iter().flat_map(|s| &s.dependencies) {
+        *dependants.entry(name).or_default() += 1;
+    }
+    let is_free = |name: &&str| dependants[*name] == 0;
+    let mut free: Vec<&str> = by_name.keys().copied().filter(is_free).collect();
+    while let Some(name) = free.pop() {
+        dependants.remove(name);
+        for dependency in by_name[name].dependencies.iter().map(String::as_str) {
+            let count = dependants.entry(dependency).or_default();
+            *count -= 1;
+            if *count == 0 {
+                free.push(dependency);
+            }
         }
-        rest = next;
     }
+    let rest = config
+        .services
+        .iter()
+        .filter(|s| dependants.contains_key(s.name.as_str()));
+    let names: Vec<&str> = rest.map(|s| s.name.as_str()).collect();
+    let Some(first) = names.first() else {
+        return Ok(());
+    };
+    let message = format!("dependencies form a cycle through {}", names.join(", "));
+    Err(source.fault_of(first, 0, "services.dependencies".to_owned(), message))
 }
--- a/buckthornlink-core/src/config/delta.rs
+++ b/buckthornlink-core/src/config/delta.rs
@@ -1,5 +1,6 @@
 //! What an edit changes.
 
+use std::collections::HashMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -29,8 +30,9 @@
     /// ```
     #[must_use]
     pub fn between(old: &Config, new: &Config) -> Self {
-        let is_changed = |s: &&Service| old.service_named(&s.name) != Some(s);
-        let is_removed = |s: &&Service| new.service_named(&s.name).is_none();
+        let (before, after) = (by_name(old), by_name(new));
+        let is_changed = |s: &&Service| before.get(s.name.as_str()) != Some(s);
+        let is_removed = |s: &&Service| !after.contains_key(s.name.as_str());
         let removed = old.services.iter().filter(is_removed);
         Self {
             changed: new.services.iter().filter(is_changed).cloned().collect(),
@@ -56,6 +58,15 @@
         new
     }
 
+    /// Whether the part of the configuration that concerns `slice` stays as it was.
+    #[must_use]
+    pub fn spares(&self, slice: &Config) -> bool {
+        let is_in = |name: &str| slice.service_named(name).is_some();
+        let is_touched = self.changed.iter().any(|s| is_in(&s.name));
+        let is_cut = self.removed.iter().any(|name| is_in(name));
+        self.zones.is_none() && !is_touched && !is_cut
+    }
+
     /// Whether nothing changes.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
@@ -63,6 +74,14 @@
     }
 }
 
+fn by_name(config: &Config) -> HashMap<&str, &Service> {
+    config
+        .services
+        .iter()
+        .map(|s| (s.name.as_str(), s))
+        .collect()
+}
+
 impl fmt::Display for ConfigDelta {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.is_empty() {
--- a/buckthornlink-core/tests/agent.rs
+++ b/buckthornlink-core/tests/agent.rs
@@ -158,7 +158,7 @@
             seq: 2,
             out: false,
             ..record
-        }]
+        }];
     });
     assert_eq!(desk.state.limit(), 1);
     assert_eq!(desk.ask(request(3, "r3", 1)), [Effect::Run(Ticket(3))]);
--- a/buckthornlink-core/tests/agent_properties.rs
+++ b/buckthornlink-core/tests/agent_properties.rs
@@ -169,7 +169,7 @@
                         zone: ZoneTag(1),
                         seq,
                         out,
-                    }]
+                    }];
                 })
             }
             Step::Health { is_up } => desk.state.reduce(Event::Health { is_up }, desk.now),
--- /dev/null
+++ b/buckthornlink-fakes/examples/slopes/process.rs
@@ -0,0 +1,143 @@
+//! A balancer as a process of its own, with many members and the load of the target size.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use anyhow::Context;
+use buckthornlink_core::Version;
+use buckthornlink_core::member::Load;
+use buckthornlink_core::message::{Heartbeat, Message};
+use buckthornlink_fakes::{FakeStore, Preset};
+use buckthornlink_node::settings::{KeySettings, key_ring};
+use buckthornlink_platform::{Catalog, EtcdStore};
+use buckthornlink_wire::{Header, KeyRing, control};
+use bytes::BytesMut;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, interval, sleep};
+
+use crate::reducer::{exchanges, fact};
+use crate::series::Series;
+
+/// Agents that report to one balancer.
+const OBSERVED: u32 = 33;
+/// Reports per second that they send, at the interval that fits the control budget.
+const REPORTS_PER_SECOND: u32 = 5;
+const WATCHED: Duration = Duration::from_secs(5);
+const SETTLE: Duration = Duration::from_secs(1);
+/// Clock ticks of the kernel's processor accounting, per second.
+const TICKS_PER_SECOND: f64 = 100.0;
+const PAGE_BYTES: u64 = 4_096;
+
+pub async fn measure(sizes: &[u32], program: &Path) -> anyhow::Result<Vec<Series>> {
+    let mut memory = Series::new("process-memory", "members", "MB");
+    let mut processor = Series::new("process-processor", "members", "% of a core");
+    for &members in sizes {
+        let (bytes, share) = run(members, program).await?;
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "memory stays far below 2^52 bytes"
+        )]
+        memory.push(members, bytes as f64 / 1e6);
+        processor.push(members, share * 100.0);
+    }
+    Ok(vec![memory, processor])
+}
+
+/// Memory and share of a core of one balancer process.
+async fn run(members: u32, program: &Path) -> anyhow::Result<(u64, f64)> {
+    let local = Ipv4Addr::LOCALHOST;
+    let store = FakeStore::spawn(SocketAddrV4::new(local, 0)).await?;
+    let catalog = Catalog::open(EtcdStore::open(store.url()));
+    let text = Preset::Carpatia.config_text();
+    catalog
+        .apply(&text, None, "slopes", "slopes", Duration::from_secs(2))
+        .await?;
+    let peer = UdpSocket::bind((local, 0)).await?;
+    let link = SocketAddrV4::new(Ipv4Addr::new(127, 9, 9, 9), 4_400);
+    let mut child = start(program, &store, link)?;
+    sleep(SETTLE).await;
+    let keys = key_ring(&[key()])?;
+    for message in exchanges(members) {
+        send(&peer, link, &message, &keys).await?;
+        sleep(Duration::from_micros(200)).await;
+    }
+    let id = child.id().to_string();
+    let before = processor_ticks(&id)?;
+    let start = Instant::now();
+    let mut reports = interval(Duration::from_secs(1) / REPORTS_PER_SECOND);
+    let mut round = 0;
+    while start.elapsed() < WATCHED {
+        reports.tick().await;
+        round += 1;
+        let beat = Heartbeat {
+            fact: fact(1 + round % OBSERVED),
+            load: Load::default(),
+            version: Version(1),
+        };
+        send(&peer, link, &Message::Heartbeat(beat), &keys).await?;
+    }
+    let used = (processor_ticks(&id)? - before) / TICKS_PER_SECOND;
+    let bytes = resident_bytes(&id)?;
+    child.kill()?;
+    child.wait()?;
+    Ok((bytes, used / start.elapsed().as_secs_f64()))
+}
+
+fn start(program: &Path, store: &FakeStore, link: SocketAddrV4) -> anyhow::Result<Child> {
+    let settings = serde_json::json!({
+        "zone": "brasov-1",
+        "ip": link.ip(),
+        "link_port": link.port(),
+        "http": SocketAddrV4::new(*link.ip(), 0),
+        "entry": SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
+        "store": { "url": store.url() },
+        "keys": [key()],
+        "log": { "level": "error" },
+    });
+    let file = std::env::temp_dir().join(format!("slopes-{}.json", std::process::id()));
+    std::fs::write(&file, settings.to_string())?;
+    let child = Command::new(program)
+        .arg("balancer")
+        .arg(&file)
+        .stderr(Stdio::inherit())
+        .spawn();
+    child.with_context(|| program.display().to_string())
+}
+
+fn key() -> KeySettings {
+    KeySettings {
+        id: 1,
+        secret: vec![1; 32],
+    }
+}
+
+async fn send(
+    peer: &UdpSocket,
+    link: SocketAddrV4,
+    message: &Message,
+    keys: &KeyRing,
+) -> anyhow::Result<()> {
+    let mut out = BytesMut::new();
+    Header::Control.encode(keys.current(), &control::encode(message)?, &mut out);
+    peer.send_to(&out, link).await?;
+    Ok(())
+}
+
+/// Resident memory of a process, in bytes.
+pub fn resident_bytes(id: &str) -> anyhow::Result<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/statm"))?;
+    let pages: u64 = text.split_whitespace().nth(1).context("statm")?.parse()?;
+    Ok(pages * PAGE_BYTES)
+}
+
+/// Processor time of a process so far, in clock ticks.
+fn processor_ticks(id: &str) -> anyhow::Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let fields = text.rsplit(')').next().context("stat")?;
+    let mut fields = fields.split_whitespace().skip(11);
+    let user: f64 = fields.next().context("stat")?.parse()?;
+    let system: f64 = fields.next().context("stat")?.parse()?;
+    Ok(user + system)
+}
--- a/buckthornlink-node/src/link.rs
+++ b/buckthornlink-node/src/link.rs
@@ -2,10 +2,12 @@
 //!
 //! Datagrams in [envelopes](buckthornlink_wire::Header) come by UDP. A configuration, which does
 //! not fit a datagram, is fetched by HTTP from the same address and port; the body is an
-//! authenticated envelope around compressed `MessagePack`.
+//! authenticated envelope around compressed `MessagePack`. A process that names the version that
+//! it has gets only what has changed since.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
@@ -16,13 +18,15 @@
 use serde::{Deserialize, Serialize};
 
 use buckthornlink_core::Version;
-use buckthornlink_core::config::Config;
+use buckthornlink_core::config::{Config, ConfigDelta};
 use buckthornlink_wire::{DecodeError, Header, KeyRing};
 
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 const COMPRESSION_LEVEL: i32 = 3;
 /// Bytes that a configuration may have after decompression.
 const MAX_CONFIG_BYTES: usize = 4_000_000;
+/// Changes that are remembered.
+const MAX_CHANGES: usize = 64;
 
 /// A configuration on its way between two processes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +37,59 @@
     pub config: Config,
 }
 
+/// What a process answers to a fetch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Answer {
+    /// The configuration, or the part of it that was asked for.
+    Whole(ConfigReply),
+    /// The changes since the version that the receiver has, in order.
+    Changes {
+        version: Version,
+        deltas: Vec<ConfigDelta>,
+    },
+}
+
+/// The latest changes of a configuration, so that processes which are a little behind need not
+/// fetch all of it.
+#[derive(Debug, Default)]
+pub struct History {
+    changes: Mutex<VecDeque<Change>>,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    base: Version,
+    delta: ConfigDelta,
+}
+
+impl History {
+    /// Notes a change from `old` to a newer configuration.
+    pub fn note(&self, old: &ConfigReply, new: &ConfigReply) {
+        let change = Change {
+            base: old.version,
+            delta: ConfigDelta::between(&old.config, &new.config),
+        };
+        let mut changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        changes.push_back(change);
+        if changes.len() > MAX_CHANGES {
+            changes.pop_front();
+        }
+    }
+
+    /// The changes since `base`, if they are all remembered.
+    fn since(&self, base: Version) -> Option<Vec<ConfigDelta>> {
+        let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        let start = changes.iter().position(|c| c.base == base)?;
+        Some(
+            changes
+                .iter()
+                .skip(start)
+                .map(|c| c.delta.clone())
+                .collect(),
+        )
+    }
+}
+
 /// Why a configuration could not be fetched.
 #[derive(Debug, thiserror::Error)]
 pub enum FetchError {
@@ -54,6 +111,9 @@
 pub trait ConfigSource: Send + Sync + 'static {
     /// The configuration in force.
     fn current(&self) -> Arc<ConfigReply>;
+
+    /// Its latest changes.
+    fn history(&self) -> &History;
 }
 
 /// A router that serves the configuration at `/config`, whole or for one service.
@@ -62,7 +122,8 @@
     Router::new().route("/config", get(serve)).with_state(offer)
 }
 
-/// Fetches a configuration, or the part of it that concerns `service`.
+/// Fetches a configuration, or the part of it that concerns `service`. `have` is what the caller
+/// has already.
 ///
 /// # Errors
 ///
@@ -71,19 +132,30 @@
     http: &reqwest::Client,
     from: SocketAddrV4,
     service: Option<&str>,
+    have: &ConfigReply,
     keys: &KeyRing,
 ) -> Result<ConfigReply, FetchError> {
     let query = service
-        .map(|name| format!("?service={name}"))
+        .map(|name| format!("&service={name}"))
         .unwrap_or_default();
-    let request = http
-        .get(format!("http://{from}/config{query}"))
-        .timeout(FETCH_TIMEOUT);
-    let response = request.send().await?.error_for_status()?;
+    let url = format!("http://{from}/config?have={}{query}", have.version);
+    let response = http
+        .get(url)
+        .timeout(FETCH_TIMEOUT)
+        .send()
+        .await?
+        .error_for_status()?;
     let body = response.bytes().await?;
     let (_, start) = Header::decode(&body, keys)?;
     let bytes = zstd::bulk::decompress(&body[start..], MAX_CONFIG_BYTES)?;
-    Ok(rmp_serde::from_slice(&bytes)?)
+    Ok(match rmp_serde::from_slice(&bytes)? {
+        Answer::Whole(reply) => reply,
+        Answer::Changes { version, deltas } => {
+            let apply = |config: Config, delta: &ConfigDelta| delta.apply(&config);
+            let config = deltas.iter().fold(have.config.clone(), apply);
+            ConfigReply { version, config }
+        }
+    })
 }
 
 /// An HTTP client for [`fetch`].
@@ -101,31 +173,46 @@
     keys: Arc<KeyRing>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 struct ConfigQuery {
     service: Option<String>,
+    #[serde(default)]
+    have: u64,
 }
 
 async fn serve(
     State(offer): State<Offer>,
     Query(query): Query<ConfigQuery>,
 ) -> Result<Vec<u8>, StatusCode> {
-    let current = offer.source.current();
-    let reply = match &query.service {
-        None => current.as_ref().clone(),
-        Some(name) => ConfigReply {
-            version: current.version,
-            config: current.config.slice(name).ok_or(StatusCode::NOT_FOUND)?,
-        },
-    };
-    seal(&reply, &offer.keys).map_err(|err| {
+    let answer = answer(offer.source.as_ref(), &query).ok_or(StatusCode::NOT_FOUND)?;
+    seal(&answer, &offer.keys).map_err(|err| {
         log::error!(err:% = err; "configuration cannot be encoded");
         StatusCode::INTERNAL_SERVER_ERROR
     })
 }
 
-fn seal(reply: &ConfigReply, keys: &KeyRing) -> anyhow::Result<Vec<u8>> {
-    let bytes = rmp_serde::to_vec(reply)?;
+/// The least that brings the asking process up to date, or `None` if its service is unknown.
+fn answer(source: &dyn ConfigSource, query: &ConfigQuery) -> Option<Answer> {
+    let current = source.current();
+    let version = current.version;
+    let changes = source.history().since(Version(query.have));
+    let Some(name) = &query.service else {
+        return Some(match changes {
+            Some(deltas) => Answer::Changes { version, deltas },
+            None => Answer::Whole(current.as_ref().clone()),
+        });
+    };
+    let config = current.config.slice(name)?;
+    let is_spared = changes.is_some_and(|deltas| deltas.iter().all(|d| d.spares(&config)));
+    if is_spared {
+        let deltas = Vec::new();
+        return Some(Answer::Changes { version, deltas });
+    }
+    Some(Answer::Whole(ConfigReply { version, config }))
+}
+
+fn seal(answer: &Answer, keys: &KeyRing) -> anyhow::Result<Vec<u8>> {
+    let bytes = rmp_serde::to_vec(answer)?;
     let packed = zstd::bulk::compress(&bytes, COMPRESSION_LEVEL)?;
     let mut out = BytesMut::new();
     Header::Control.encode(keys.current(), &packed, &mut out);
--- /dev/null
+++ b/buckthornlink-node/tests/config_fetch.rs
@@ -0,0 +1,148 @@
+//! Processes that are a little behind fetch only what has changed.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+
+use buckthornlink_core::Version;
+use buckthornlink_core::config::Config;
+use buckthornlink_node::link::{ConfigReply, ConfigSource, History, client, fetch, router};
+use buckthornlink_node::metrics::HttpServer;
+use buckthornlink_wire::KeyRing;
+
+/// Services of the target size.
+const SERVICES: u16 = 1_900;
+/// What one process may spend on control in a second, in bytes.
+const BUDGET_BYTES: u64 = 4_000;
+
+#[derive(Default)]
+struct Source {
+    current: Mutex<Arc<ConfigReply>>,
+    history: History,
+}
+
+impl Source {
+    fn set(&self, new: ConfigReply) {
+        let mut current = self.current.lock().unwrap();
+        self.history.note(&current, &new);
+        *current = Arc::new(new);
+    }
+}
+
+impl ConfigSource for Source {
+    fn current(&self) -> Arc<ConfigReply> {
+        Arc::clone(&self.current.lock().unwrap())
+    }
+
+    fn history(&self) -> &History {
+        &self.history
+    }
+}
+
+/// A configuration whose services each depend on the next one; `changed` has other limits.
+fn config(version: u64, changed: u16) -> ConfigReply {
+    let services = (0..SERVICES).map(|i| {
+        let slots = if i == changed { 9 } else { 8 };
+        let next = if i + 1 < SERVICES {
+            format!("\"service-{}\"", i + 1)
+        } else {
+            String::new()
+        };
+        format!(
+            "{{\"name\":\"service-{i}\",\"address\":\"10.1.{}.{}:{}\",\
+             \"limits\":{{\"slots\":{slots}}},\"dependencies\":[{next}]}}",
+            i / 250,
+            i % 250,
+            10_000 + i
+        )
+    });
+    let services: Vec<_> = services.collect();
+    let text = format!(
+        "{{\"zones\":[\"a\"],\"services\":[{}]}}",
+        services.join(",")
+    );
+    ConfigReply {
+        version: Version(version),
+        config: Config::parse(&text).unwrap(),
+    }
+}
+
+async fn serve(source: &Arc<Source>) -> (HttpServer, KeyRing) {
+    let keys = KeyRing::single(1, &[7; 32]);
+    let offered = Arc::clone(source) as Arc<dyn ConfigSource>;
+    let router = router(offered, Arc::new(keys.clone()));
+    let addr = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    (HttpServer::bind(addr, router).await.unwrap(), keys)
+}
+
+async fn body_bytes(server: &HttpServer, query: &str) -> u64 {
+    let url = format!("http://{}/config?{query}", server.addr());
+    let response = client().get(url).send().await.unwrap();
+    response.bytes().await.unwrap().len() as u64
+}
+
+#[tokio::test]
+async fn changes_bring_a_process_up_to_date() {
+    let source = Arc::new(Source::default());
+    let (server, keys) = serve(&source).await;
+    let http = client();
+    source.set(config(1, 7));
+    let first = fetch(&http, server.addr(), None, &ConfigReply::default(), &keys)
+        .await
+        .unwrap();
+    assert_eq!(first, config(1, 7));
+    source.set(config(2, 8));
+    source.set(config(3, 9));
+    let third = fetch(&http, server.addr(), None, &first, &keys)
+        .await
+        .unwrap();
+    assert_eq!(third, config(3, 9));
+}
+
+#[tokio::test]
+async fn an_agent_fetches_its_part() {
+    let source = Arc::new(Source::default());
+    let (server, keys) = serve(&source).await;
+    let http = client();
+    source.set(config(1, 7));
+    let none = ConfigReply::default();
+    let own = fetch(&http, server.addr(), Some("service-3"), &none, &keys)
+        .await
+        .unwrap();
+    assert_eq!(own.config.services.len(), 2);
+    for (version, changed) in [(2, 100), (3, 4), (4, 200)] {
+        source.set(config(version, changed));
+        let next = fetch(&http, server.addr(), Some("service-3"), &own, &keys)
+            .await
+            .unwrap();
+        let expected = config(version, changed).config.slice("service-3").unwrap();
+        assert_eq!((next.version, next.config), (Version(version), expected));
+    }
+}
+
+#[tokio::test]
+async fn one_change_fits_a_second_of_the_control_budget() {
+    let source = Arc::new(Source::default());
+    let (server, _) = serve(&source).await;
+    source.set(config(1, 7));
+    source.set(config(2, 8));
+    let balancer = body_bytes(&server, "have=1").await;
+    let spared = body_bytes(&server, "have=1&service=service-100").await;
+    let touched = body_bytes(&server, "have=1&service=service-8").await;
+    for bytes in [balancer, spared, touched] {
+        assert!(bytes <= BUDGET_BYTES, "{bytes} bytes");
+    }
+}
+
+#[tokio::test]
+async fn another_key_is_not_believed() {
+    let source = Arc::new(Source::default());
+    let (server, _) = serve(&source).await;
+    source.set(config(1, 7));
+    let foreign = KeyRing::single(1, &[8; 32]);
+    let none = ConfigReply::default();
+    assert!(
+        fetch(&client(), server.addr(), None, &none, &foreign)
+            .await
+            .is_err()
+    );
+}
--- a/buckthornlink-wire/src/lib.rs
+++ b/buckthornlink-wire/src/lib.rs
@@ -37,6 +37,8 @@
 pub use key::{Key, KeyRing, SECRET_BYTES};
 pub use quic::destination_id;
 
+/// IP and UDP headers of a datagram, in bytes.
+pub const DATAGRAM_HEADER_BYTES: usize = 28;
 /// Largest QUIC datagram that passes between caller and agent, in bytes. With the envelope it
 /// still fits an Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: u16 = 1_400;
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -22,7 +22,7 @@
 use buckthornlink_core::balancer::{Event, Setup};
 use buckthornlink_core::{Version, ZoneTag};
 use buckthornlink_node::clock::boot_id;
-use buckthornlink_node::link::{self, ConfigReply, ConfigSource};
+use buckthornlink_node::link::{self, ConfigReply, ConfigSource, History};
 use buckthornlink_node::metrics::{HttpServer, router};
 use buckthornlink_node::settings::key_ring;
 use buckthornlink_node::source::{Follower, Registration, Update};
@@ -134,6 +134,10 @@
     fn current(&self) -> Arc<ConfigReply> {
         self.config.load_full()
     }
+
+    fn history(&self) -> &History {
+        &self.history
+    }
 }
 
 fn setup(settings: &BalancerSettings, link: SocketAddrV4) -> Setup {
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -16,7 +16,7 @@
 use buckthornlink_node::link::{self, ConfigReply};
 use buckthornlink_node::source::Follower;
 use buckthornlink_node::trace::Recorder;
-use buckthornlink_wire::{Header, control};
+use buckthornlink_wire::{DATAGRAM_HEADER_BYTES, Header, control};
 
 use super::forward::{Shared, receive_service};
 use super::metrics::Drop;
@@ -177,12 +177,10 @@
     fn send(&mut self, to: SocketAddrV4, message: &Message) {
         match control::encode(message) {
             Ok(bytes) => {
-                self.shared
-                    .metrics
-                    .control_bytes
-                    .inc_by(message.size() as u64);
                 self.shared
                     .send(to, &Header::Control, &bytes, &mut self.out);
+                let sent = self.out.len() + DATAGRAM_HEADER_BYTES;
+                self.shared.metrics.control_bytes.inc_by(sent as u64);
             }
             Err(err) => log::error!(err:% = err; "control message cannot be encoded"),
         }
@@ -200,8 +198,9 @@
         let http = self.http.clone();
         let keys = Arc::clone(&self.shared.keys);
         let jobs = self.jobs.clone();
+        let have = self.shared.config.load_full();
         self.tasks.spawn(async move {
-            match link::fetch(&http, from, None, &keys).await {
+            match link::fetch(&http, from, None, &have, &keys).await {
                 Ok(ConfigReply { version, config }) => {
                     let event = Event::Config { version, config };
                     let _ = jobs.send_async(Job::event(event)).await;
@@ -231,6 +230,10 @@
             version: self.state.version(),
             config: self.state.config().clone(),
         };
+        let old = self.shared.config.load_full();
+        if old.version != config.version {
+            self.shared.history.note(&old, &config);
+        }
         self.shared.sockets.store(Arc::new(sockets));
         self.shared.config.store(Arc::new(config));
         self.shared.snapshot.store(Arc::new(snapshot));
--- a/buckthornlink/src/balancer/forward.rs
+++ b/buckthornlink/src/balancer/forward.rs
@@ -16,15 +16,15 @@
 use buckthornlink_core::FlowKey;
 use buckthornlink_core::balancer::{Event, Snapshot};
 use buckthornlink_core::member::{Load, Phase};
-use buckthornlink_node::link::ConfigReply;
+use buckthornlink_node::link::{ConfigReply, History};
 use buckthornlink_wire::{ConnectionId, Header, KeyRing, Place, Return, control, destination_id};
 
 use super::executor::{Job, Opener};
 use super::metrics::{Drop, Metrics};
 use super::sockets::{ServiceSocket, SocketMap};
 
-/// Receive buffer, in bytes; the largest datagram that can come.
-const BUFFER_BYTES: usize = 65_536;
+/// Receive buffer, in bytes. Datagrams that fill it were cut short and are dropped.
+const BUFFER_BYTES: usize = 2_048;
 /// An unchanged load report is passed on to the reducer after this time.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -37,6 +37,7 @@
     pub(super) keys: Arc<KeyRing>,
     pub(super) snapshot: ArcSwap<Snapshot>,
     pub(super) config: ArcSwap<ConfigReply>,
+    pub(super) history: History,
     pub(super) sockets: ArcSwap<SocketMap>,
     pub(super) metrics: Metrics,
 }
@@ -55,6 +56,7 @@
             keys,
             snapshot: ArcSwap::default(),
             config: ArcSwap::default(),
+            history: History::default(),
             sockets: ArcSwap::default(),
             metrics: Metrics::new()?,
         })
@@ -96,6 +98,7 @@
         buffer.clear();
         buffer.reserve(BUFFER_BYTES);
         match lane.service.socket.recv_buf_from(&mut buffer).await {
+            Ok((BUFFER_BYTES.., _)) => lane.shared.metrics.dropped(Drop::Noise),
             Ok((_, SocketAddr::V4(caller))) => lane.receive(caller, &mut buffer),
             Ok((_, SocketAddr::V6(_))) => {}
             Err(err) => log::debug!(err:% = err; "receive from callers failed"),
@@ -182,6 +185,7 @@
         buffer.clear();
         buffer.reserve(BUFFER_BYTES);
         match lane.shared.link_socket.recv_buf_from(&mut buffer).await {
+            Ok((BUFFER_BYTES.., _)) => lane.shared.metrics.dropped(Drop::Envelope),
             Ok((_, SocketAddr::V4(from))) => lane.receive(from, &buffer),
             Ok((_, SocketAddr::V6(_))) => {}
             Err(err) => log::debug!(err:% = err; "receive from the link failed"),
