fix(agent): open flows to a dependency in the background

Each call took one slot of the pool and opened its flow under the slot's lock. A lost first datagram costs a second, so calls of a cold agent, which run one after another, waited for one handshake each; the slow answers looked like a cold backend server and kept its limit at one. Ruled out: overload of the dependency (its own answers took 9 ms), the rebalancing of flows, lost connection closes. Change: a pool opens missing flows in the background and calls take any open one; the first round trip is assumed as 50 ms, not 333 ms; time spent in dependencies is left out of the limiter's measure.

--- a/buckthornlink-agent/src/agent.rs
+++ b/buckthornlink-agent/src/agent.rs
@@ -221,6 +221,7 @@
         keys,
         returns: Arc::default(),
         answers: Arc::<Answers>::default(),
+        waits: Arc::default(),
         metrics: Arc::new(Metrics::new()?),
         config: watch::Sender::default(),
         drained,
--- a/buckthornlink-agent/src/dependency.rs
+++ b/buckthornlink-agent/src/dependency.rs
@@ -4,8 +4,9 @@
 //! dependency is declared, carries deadline and class onward over QUIC, and retries within a
 //! budget what did not run.
 
+mod pool;
+
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,18 +21,21 @@
 use tokio::time::{sleep, timeout};
 
 use buckthornlink_core::Verdict;
+use buckthornlink_core::agent::Ticket;
 use buckthornlink_core::config::Service;
-use buckthornlink_core::retry::RetryBudget;
 use buckthornlink_core::verdict::{
-    DEADLINE_HEADER, DEPENDANT_HEADER, REASON_HEADER, REQUEST_ID_HEADER, Refusal, VERDICT_HEADER,
+    CALL_HEADER, DEADLINE_HEADER, DEPENDANT_HEADER, REASON_HEADER, REQUEST_ID_HEADER, Refusal,
+    VERDICT_HEADER,
 };
 use buckthornlink_wire::dependant;
 
-use crate::client::{CallError, Flow};
+use crate::client::CallError;
 use crate::executor::Shared;
+use pool::Pool;
 
 const MAX_BODY_BYTES: usize = 1 << 20;
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a call waits for a flow if none is open.
+const FLOW_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause before a retry, growing with each.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 const MAX_RETRIES: u32 = 3;
@@ -45,13 +49,6 @@
     pools: Mutex<HashMap<SocketAddrV4, Arc<Pool>>>,
 }
 
-/// Flows to one dependency and the budget for retries on them.
-struct Pool {
-    slots: Vec<tokio::sync::Mutex<Option<Arc<Flow>>>>,
-    turn: AtomicUsize,
-    budget: Mutex<RetryBudget>,
-}
-
 /// A call that has been checked.
 struct Call {
     method: Method,
@@ -102,11 +99,11 @@
             .target(name)
             .ok_or(Refused::not_run(Refusal::Undeclared))?;
         let call = self.prepare(&target, request).await?;
-        let pool = self.pool(target.address);
+        let pool = self.pool(&target);
         pool.earn();
         let mut retries = 0;
         loop {
-            let ended = self.attempt(&pool, &target, &call).await;
+            let ended = self.attempt(&pool, &call).await;
             let Some(refused) = retryable(&ended, &call.method) else {
                 return ended;
             };
@@ -139,6 +136,7 @@
             .await
             .map_err(|_| malformed)?;
         let mut headers = parts.headers;
+        headers.remove(CALL_HEADER);
         headers.remove(http::header::HOST);
         headers.remove(http::header::CONNECTION);
         headers.remove(http::header::TRANSFER_ENCODING);
@@ -163,21 +161,13 @@
         })
     }
 
-    async fn attempt(
-        &self,
-        pool: &Pool,
-        target: &Service,
-        call: &Call,
-    ) -> Result<Answered, Refused> {
+    async fn attempt(&self, pool: &Arc<Pool>, call: &Call) -> Result<Answered, Refused> {
         let left = call.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(Refused::not_run(Refusal::Deadline));
         }
-        let opened = timeout(left.min(CONNECT_TIMEOUT), pool.flow(&self.endpoint, target)).await;
-        let flow = opened
-            .ok()
-            .flatten()
-            .ok_or(Refused::not_run(Refusal::DependencyDown))?;
+        let opened = timeout(left.min(FLOW_TIMEOUT), pool.flow()).await;
+        let flow = opened.map_err(|_| Refused::not_run(Refusal::DependencyDown))?;
         let left = call.deadline.saturating_duration_since(Instant::now());
         let request = call.request(left);
         match timeout(left, flow.call(request, call.body.clone())).await {
@@ -190,57 +180,18 @@
         }
     }
 
-    fn pool(&self, addr: SocketAddrV4) -> Arc<Pool> {
+    fn pool(&self, target: &Service) -> Arc<Pool> {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(
-            pools
-                .entry(addr)
-                .or_insert_with(|| Arc::new(Pool::new(self.flows))),
-        )
-    }
-}
-
-impl Pool {
-    fn new(flows: usize) -> Self {
-        Self {
-            slots: (0..flows).map(|_| tokio::sync::Mutex::default()).collect(),
-            turn: AtomicUsize::new(0),
-            budget: Mutex::default(),
-        }
-    }
-
-    /// The next flow in turn, opened anew if it takes no more requests.
-    async fn flow(&self, endpoint: &Endpoint, target: &Service) -> Option<Arc<Flow>> {
-        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        let mut slot = self.slots[turn % self.slots.len()].lock().await;
-        if let Some(flow) = slot.as_ref().filter(|f| !f.is_closing()) {
-            return Some(Arc::clone(flow));
-        }
-        match Flow::open(endpoint, target.address, &target.name).await {
-            Ok(flow) => {
-                let flow = Arc::new(flow);
-                *slot = Some(Arc::clone(&flow));
-                Some(flow)
-            }
-            Err(err) => {
-                log::debug!(service = target.name, err:% = err; "dependency cannot be reached");
-                None
-            }
-        }
-    }
-
-    fn earn(&self) {
-        self.budget
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .earn();
-    }
-
-    fn spend(&self) -> bool {
-        self.budget
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .spend()
+        let pool = pools.entry(target.address).or_insert_with(|| {
+            let name = target.name.clone();
+            Arc::new(Pool::new(
+                self.endpoint.clone(),
+                target.address,
+                name,
+                self.flows,
+            ))
+        });
+        Arc::clone(pool)
     }
 }
 
@@ -263,7 +214,17 @@
     Path((service, _)): Path<(String, String)>,
     request: Request<Body>,
 ) -> Response<Body> {
-    match dependencies.call(&service, request).await {
+    let started = Instant::now();
+    let ticket = request
+        .headers()
+        .get(CALL_HEADER)
+        .and_then(|v| v.to_str().ok());
+    let ticket = ticket.and_then(|v| v.parse().ok()).map(Ticket);
+    let ended = dependencies.call(&service, request).await;
+    if let Some(ticket) = ticket {
+        dependencies.shared.waits.add(ticket, started.elapsed());
+    }
+    match ended {
         Ok((mut head, body)) => {
             *head.version_mut() = Version::HTTP_11;
             head.map(|()| Body::from(body))
--- /dev/null
+++ b/buckthornlink-agent/src/dependency/pool.rs
@@ -0,0 +1,118 @@
+//! Open flows to one dependency.
+//!
+//! Flows are opened in the background; a call waits only if none is open.
+
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use quinn::Endpoint;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use buckthornlink_core::retry::RetryBudget;
+
+use crate::client::Flow;
+
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a flow could not be opened.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Flows to one dependency, and the budget for retries on them.
+pub(super) struct Pool {
+    endpoint: Endpoint,
+    addr: SocketAddrV4,
+    name: String,
+    size: usize,
+    state: Mutex<State>,
+    changed: Notify,
+    budget: Mutex<RetryBudget>,
+}
+
+#[derive(Default)]
+struct State {
+    open: Vec<Arc<Flow>>,
+    opening: usize,
+    turn: usize,
+}
+
+impl Pool {
+    pub(super) fn new(endpoint: Endpoint, addr: SocketAddrV4, name: String, size: usize) -> Self {
+        Self {
+            endpoint,
+            addr,
+            name,
+            size,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            budget: Mutex::default(),
+        }
+    }
+
+    /// The next open flow in turn. Missing flows are opened in the background.
+    pub(super) async fn flow(self: &Arc<Self>) -> Arc<Flow> {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(flow) = self.take_turn() {
+                return flow;
+            }
+            changed.await;
+        }
+    }
+
+    /// Counts a first attempt.
+    pub(super) fn earn(&self) {
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .earn();
+    }
+
+    /// Takes a retry out of the budget, if there is one.
+    pub(super) fn spend(&self) -> bool {
+        self.budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .spend()
+    }
+
+    fn take_turn(self: &Arc<Self>) -> Option<Arc<Flow>> {
+        let mut state = self.state();
+        state.open.retain(|flow| !flow.is_closing());
+        let missing = self.size.saturating_sub(state.open.len() + state.opening);
+        state.opening += missing;
+        for _ in 0..missing {
+            tokio::spawn(Arc::clone(self).open_one());
+        }
+        state.turn = state.turn.wrapping_add(1);
+        let count = state.open.len().max(1);
+        state.open.get(state.turn % count).cloned()
+    }
+
+    async fn open_one(self: Arc<Self>) {
+        let opening = Flow::open(&self.endpoint, self.addr, &self.name);
+        let opened = match timeout(OPEN_TIMEOUT, opening).await {
+            Ok(Ok(flow)) => Some(Arc::new(flow)),
+            Ok(Err(err)) => {
+                log::debug!(service = self.name, err:% = err; "dependency cannot be reached");
+                None
+            }
+            Err(_) => {
+                log::debug!(service = self.name; "dependency does not answer");
+                None
+            }
+        };
+        if opened.is_none() {
+            sleep(FAILURE_PAUSE).await;
+        }
+        let mut state = self.state();
+        state.opening -= 1;
+        state.open.extend(opened);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/buckthornlink-agent/src/executor.rs
+++ b/buckthornlink-agent/src/executor.rs
@@ -23,6 +23,7 @@
 use crate::answer::{Answer, Answers};
 use crate::metrics::{Dropped, Metrics};
 use crate::socket::{Incoming, Returns};
+use crate::waits::Waits;
 
 /// A fetch that has not ended after this time may be started again.
 const FETCH_PATIENCE: Duration = Duration::from_secs(1);
@@ -79,6 +80,7 @@
     pub(crate) keys: Arc<KeyRing>,
     pub(crate) returns: Arc<Returns>,
     pub(crate) answers: Arc<Answers>,
+    pub(crate) waits: Arc<Waits>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) config: watch::Sender<Arc<ConfigReply>>,
     pub(crate) drained: watch::Sender<bool>,
--- a/buckthornlink-agent/src/lib.rs
+++ b/buckthornlink-agent/src/lib.rs
@@ -34,6 +34,7 @@
 mod request;
 mod settings;
 mod socket;
+mod waits;
 
 pub use agent::{Agent, Draining, Serving, Stats};
 pub use flow::ZONE_OUT_CODE;
--- a/buckthornlink-agent/src/quic.rs
+++ b/buckthornlink-agent/src/quic.rs
@@ -29,6 +29,8 @@
 /// Shortest interval between two stateless resets.
 const RESET_INTERVAL: Duration = Duration::from_millis(1);
 const INITIAL_MTU: u16 = 1_200;
+/// Round trip assumed before one is measured; a lost first datagram is sent again after three.
+const INITIAL_RTT: Duration = Duration::from_millis(50);
 
 /// The endpoint that callers reach.
 pub(crate) fn serve(
@@ -98,6 +100,7 @@
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(IdleTimeout::try_from(idle)?));
     transport.keep_alive_interval(keep_alive);
+    transport.initial_rtt(INITIAL_RTT);
     transport.initial_mtu(INITIAL_MTU);
     transport.mtu_discovery_config(None);
     Ok(transport)
--- a/buckthornlink-agent/src/request.rs
+++ b/buckthornlink-agent/src/request.rs
@@ -11,7 +11,7 @@
 use buckthornlink_core::agent::{Event, Outcome, Priority, Request, RequestId, Ticket};
 use buckthornlink_core::id::stable_hash;
 use buckthornlink_core::verdict::{
-    ATTEMPT_HEADER, CLASS_HEADER, DEADLINE_HEADER, DEPENDANT_HEADER, REASON_HEADER,
+    ATTEMPT_HEADER, CALL_HEADER, CLASS_HEADER, DEADLINE_HEADER, DEPENDANT_HEADER, REASON_HEADER,
     REQUEST_ID_HEADER, Refusal, VERDICT_HEADER,
 };
 use buckthornlink_core::{Millis, Verdict};
@@ -21,6 +21,7 @@
 use crate::backend::Backend;
 use crate::executor::{Decision, Job, Shared};
 use crate::metrics::Metrics;
+use crate::waits::Waits;
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -71,6 +72,29 @@
     }
 }
 
+/// Counts the time that a request waits for dependencies; ends with the request.
+struct WaitGuard<'a> {
+    waits: &'a Waits,
+    ticket: Ticket,
+}
+
+impl<'a> WaitGuard<'a> {
+    fn open(waits: &'a Waits, ticket: Ticket) -> Self {
+        waits.open(ticket);
+        Self { waits, ticket }
+    }
+
+    fn close(&mut self) -> Duration {
+        self.waits.close(self.ticket)
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
 /// Reads a request, has it decided, and answers it.
 pub(crate) async fn serve(resolver: Resolver, server: Arc<Server>) {
     let arrived = Instant::now();
@@ -169,6 +193,10 @@
         parts
             .headers
             .insert(DEADLINE_HEADER, HeaderValue::from(left.0));
+        parts
+            .headers
+            .insert(CALL_HEADER, HeaderValue::from(request.ticket.0));
+        let mut guard = WaitGuard::open(&self.shared.waits, request.ticket);
         let started = Instant::now();
         let (outcome, answer) = tokio::select! {
             ended = self.backend.run(&parts, body, Duration::from_millis(left.0)) => ended,
@@ -179,7 +207,8 @@
         if let Some(answer) = answer.as_ref().filter(|_| !request.idempotent) {
             self.shared.answers.keep(request.ticket, Arc::clone(answer));
         }
-        let took = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let took = started.elapsed().saturating_sub(guard.close());
+        let took = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
         let event = Event::Finished {
             ticket: request.ticket,
             outcome,
--- /dev/null
+++ b/buckthornlink-agent/src/waits.rs
@@ -0,0 +1,41 @@
+//! Time that running requests have spent waiting for dependencies.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use buckthornlink_core::agent::Ticket;
+
+/// Waiting time by request. Only requests that run have an entry.
+#[derive(Debug, Default)]
+pub(crate) struct Waits {
+    by_ticket: Mutex<HashMap<Ticket, Duration>>,
+}
+
+impl Waits {
+    /// Starts to count for a request.
+    pub(crate) fn open(&self, ticket: Ticket) {
+        self.with(|waits| waits.insert(ticket, Duration::ZERO));
+    }
+
+    /// Adds the time of one call, if the request still runs.
+    pub(crate) fn add(&self, ticket: Ticket, time: Duration) {
+        self.with(|waits| {
+            if let Some(wait) = waits.get_mut(&ticket) {
+                *wait += time;
+            }
+        });
+    }
+
+    /// Stops counting; returns the time waited.
+    pub(crate) fn close(&self, ticket: Ticket) -> Duration {
+        self.with(|waits| waits.remove(&ticket)).unwrap_or_default()
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut HashMap<Ticket, Duration>) -> T) -> T {
+        f(&mut self
+            .by_ticket
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/buckthornlink-core/src/verdict.rs
+++ b/buckthornlink-core/src/verdict.rs
@@ -21,6 +21,11 @@
 pub const CLASS_HEADER: &str = "buckthornlink-class";
 /// Request header on calls that already admitted work makes; names the calling service.
 pub const DEPENDANT_HEADER: &str = "buckthornlink-dependant";
+/// Request header that names a running request to its backend server.
+///
+/// The backend server repeats it on the calls to dependencies that it makes for the request, so
+/// that the agent does not take a slow dependency for a slow backend server.
+pub const CALL_HEADER: &str = "buckthornlink-call";
 /// Response header by which a backend server declares that it did not run a request.
 ///
 /// The value [`SHED_FOR_DEPENDENCY`] says that a dependency refused; any other value says that the
--- /dev/null
+++ b/buckthornlink-fakes/examples/slopes/agent.rs
@@ -0,0 +1,166 @@
+//! An agent as a process of its own, with many open flows.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::process::{Child, Command};
+use std::time::Duration;
+
+use anyhow::Context;
+use buckthornlink::balancer::{Balancer, BalancerSettings, StoreSettings};
+use buckthornlink_agent::TlsSettings;
+use buckthornlink_core::balancer::Policy;
+use buckthornlink_fakes::{
+    Authority, BackendServer, BackendSetup, Callers, CallersSetup, Fabric, FakeStore, Preset,
+    Record,
+};
+use buckthornlink_node::settings::{KeySettings, LogSettings};
+use buckthornlink_platform::{Catalog, EtcdStore};
+use tokio::time::{Instant, sleep};
+
+use crate::process::{TICKS_PER_SECOND, processor_ticks, resident_bytes};
+use crate::series::Series;
+
+const LINK_PORT: u16 = 4_400;
+const SETTLE: Duration = Duration::from_secs(2);
+const WATCHED: Duration = Duration::from_secs(5);
+/// Pause between two requests on a flow: flows are long and mostly idle.
+const THINK: Duration = Duration::from_secs(5);
+
+pub async fn measure(sizes: &[u32], program: &Path) -> anyhow::Result<Vec<Series>> {
+    let mut memory = Series::new("agent-memory", "flows", "MB");
+    let mut processor = Series::new("agent-processor", "flows", "% of a core");
+    for (index, &flows) in sizes.iter().enumerate() {
+        let net = Net(u8::try_from(index)?);
+        let (bytes, share) = run(flows, program, net).await?;
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "memory stays far below 2^52 bytes"
+        )]
+        memory.push(flows, bytes as f64 / 1e6);
+        processor.push(flows, share * 100.0);
+    }
+    Ok(vec![memory, processor])
+}
+
+/// A loopback network of its own for each size.
+#[derive(Clone, Copy)]
+struct Net(u8);
+
+impl Net {
+    const fn front(self) -> Ipv4Addr {
+        Ipv4Addr::new(127, 9, self.0, 1)
+    }
+
+    const fn balancer(self) -> Ipv4Addr {
+        Ipv4Addr::new(127, 9, self.0, 2)
+    }
+
+    const fn agent(self) -> Ipv4Addr {
+        Ipv4Addr::new(127, 9, self.0, 3)
+    }
+}
+
+/// Memory and share of a core of one agent process.
+async fn run(flows: u32, program: &Path, net: Net) -> anyhow::Result<(u64, f64)> {
+    let service = Preset::Carpatia.services()[1];
+    let fabric = Fabric::open(net.front(), 1, Duration::ZERO);
+    fabric.serve(LINK_PORT).await?;
+    fabric.serve(service.port).await?;
+    let store = FakeStore::spawn(SocketAddrV4::new(net.front(), 0)).await?;
+    let catalog = Catalog::open(EtcdStore::open(store.url()));
+    let text = Preset::Carpatia.config_at(net.front());
+    catalog
+        .apply(&text, None, "slopes", "slopes", SETTLE)
+        .await?;
+    let _balancer = balancer(&fabric, &store, net).await?;
+    fabric.add(net.balancer());
+    let record = Record::default();
+    let setup = BackendSetup {
+        name: "ledger-0@brasov-1".to_owned(),
+        service,
+        record: record.clone(),
+        seed: 1,
+    };
+    let backend = BackendServer::spawn(SocketAddrV4::new(net.agent(), 0), setup).await?;
+    let authority = Authority::open([service.name.to_owned()])?;
+    let mut child = start(program, &fabric, backend.addr(), authority.settings(), net)?;
+    sleep(SETTLE).await;
+    let setup = CallersSetup {
+        ip: net.front(),
+        addr: fabric.addr(service.port),
+        service: service.name,
+        flows: usize::try_from(flows)?,
+        think: THINK,
+        deadline: Duration::from_secs(2),
+        seed: 1,
+        record,
+    };
+    let callers = Callers::spawn(&setup, &authority)?;
+    sleep(THINK * 2).await;
+    let id = child.id().to_string();
+    let before = processor_ticks(&id)?;
+    let start = Instant::now();
+    sleep(WATCHED).await;
+    let used = (processor_ticks(&id)? - before) / TICKS_PER_SECOND;
+    let share = used / start.elapsed().as_secs_f64();
+    let bytes = resident_bytes(&id)?;
+    let counts = callers.counts();
+    anyhow::ensure!(counts.opened_flows >= u64::from(flows), "only {counts:?}");
+    drop(callers);
+    child.kill()?;
+    child.wait()?;
+    Ok((bytes, share))
+}
+
+async fn balancer(fabric: &Fabric, store: &FakeStore, net: Net) -> anyhow::Result<Balancer> {
+    Balancer::spawn(BalancerSettings {
+        zone: "brasov-1".to_owned(),
+        ip: net.balancer(),
+        link_port: LINK_PORT,
+        http: SocketAddrV4::new(net.balancer(), 0),
+        entry: fabric.addr(LINK_PORT),
+        store: StoreSettings { url: store.url() },
+        keys: vec![key()],
+        policy: Policy::Adaptive,
+        control_bytes_per_second: 4_000,
+        seed: Some(1),
+        record: None,
+        log: LogSettings::default(),
+    })
+    .await
+}
+
+fn start(
+    program: &Path,
+    fabric: &Fabric,
+    backend: SocketAddrV4,
+    tls: &TlsSettings,
+    net: Net,
+) -> anyhow::Result<Child> {
+    let service = Preset::Carpatia.services()[1];
+    let any = SocketAddrV4::new(net.agent(), 0);
+    let settings = serde_json::json!({
+        "service": service.name,
+        "service_port": service.port,
+        "zone": "brasov-1",
+        "link": any,
+        "http": any,
+        "dependencies": any,
+        "entry": fabric.addr(LINK_PORT),
+        "backend": { "addr": backend },
+        "tls": tls,
+        "keys": [key()],
+        "log": { "level": "error" },
+    });
+    let file = std::env::temp_dir().join(format!("slopes-agent-{}.json", std::process::id()));
+    std::fs::write(&file, settings.to_string())?;
+    let child = Command::new(program).arg(&file).spawn();
+    child.with_context(|| program.display().to_string())
+}
+
+fn key() -> KeySettings {
+    KeySettings {
+        id: 1,
+        secret: vec![1; 32],
+    }
+}
--- a/buckthornlink-fakes/examples/slopes/main.rs
+++ b/buckthornlink-fakes/examples/slopes/main.rs
@@ -3,6 +3,7 @@
 //! Each subcommand measures at several sizes, prints a table and the least-squares slope, and
 //! draws a plot if a folder is given.
 
+mod agent;
 mod process;
 mod reducer;
 mod series;
@@ -49,6 +50,24 @@
         #[arg(long, default_value = "target/release/buckthornlink")]
         program: PathBuf,
     },
+    /// Memory of a balancer process, by services configured
+    Services {
+        /// Services
+        #[arg(long, value_delimiter = ',', default_value = "2,500,1000,1900")]
+        sizes: Vec<u32>,
+        /// The `buckthornlink` program
+        #[arg(long, default_value = "target/release/buckthornlink")]
+        program: PathBuf,
+    },
+    /// Memory and processor time of an agent process, by flows open
+    Agent {
+        /// Flows
+        #[arg(long, value_delimiter = ',', default_value = "0,200,400,800")]
+        sizes: Vec<u32>,
+        /// The `buckthornlink-agent` program
+        #[arg(long, default_value = "target/release/buckthornlink-agent")]
+        program: PathBuf,
+    },
 }
 
 #[tokio::main]
@@ -58,6 +77,8 @@
         What::Reducer { sizes } => reducer::measure(sizes)?,
         What::Spread { sizes } => spread::measure(sizes).await?,
         What::Process { sizes, program } => process::measure(sizes, program).await?,
+        What::Services { sizes, program } => process::measure_services(sizes, program).await?,
+        What::Agent { sizes, program } => agent::measure(sizes, program).await?,
     };
     println!("{}", series::table(&found));
     for series in &found {
--- a/buckthornlink-fakes/src/backend.rs
+++ b/buckthornlink-fakes/src/backend.rs
@@ -17,8 +17,8 @@
 
 use buckthornlink_core::Verdict;
 use buckthornlink_core::verdict::{
-    BACKEND_BOOT_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER, SHED_FOR_DEPENDENCY, SHED_HEADER,
-    VERDICT_HEADER,
+    BACKEND_BOOT_HEADER, CALL_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER, SHED_FOR_DEPENDENCY,
+    SHED_HEADER, VERDICT_HEADER,
 };
 use buckthornlink_node::metrics::HttpServer;
 
@@ -159,6 +159,17 @@
         self.shared.note_warmth();
     }
 
+    /// Forgets the work counted so far.
+    pub fn reset_work(&self) {
+        let mut warm = lock(&self.shared.warm);
+        let is_counting = warm.since.is_some();
+        *warm = Warm {
+            since: is_counting.then(Instant::now),
+            is_out: warm.is_out,
+            ..Warm::default()
+        };
+    }
+
     /// Requests answered per second while warm and in service, if that lasted long enough to
     /// say.
     #[must_use]
@@ -314,6 +325,7 @@
         .http
         .post(format!("http://{addr}/{dependency}/{dependency}/entry"))
         .header(REQUEST_ID_HEADER, format!("{id}.{dependency}"))
+        .header(CALL_HEADER, text(headers, CALL_HEADER))
         .header(DEADLINE_HEADER, text(headers, DEADLINE_HEADER));
     let Ok(response) = request.send().await else {
         return Called::Unknown;
--- a/buckthornlink-fakes/src/caller/flow.rs
+++ b/buckthornlink-fakes/src/caller/flow.rs
@@ -22,6 +22,8 @@
 use super::CallersSetup;
 use super::counts::Tally;
 
+/// Server of a flow that has had no answer yet.
+const UNKNOWN_SERVER: &str = "a server that had not answered";
 /// Tries of one request, first and repeated.
 const MAX_TRIES: u32 = 6;
 /// Share of requests that only read, in percent.
@@ -85,7 +87,7 @@
             stop,
             rng,
             flow: None,
-            server: "unknown".to_owned(),
+            server: UNKNOWN_SERVER.to_owned(),
             next: 0,
         }
     }
@@ -242,6 +244,7 @@
                 Ok(Ok(flow)) => {
                     self.tally.count(|c| c.opened_flows += 1);
                     self.flow = Some(flow);
+                    UNKNOWN_SERVER.clone_into(&mut self.server);
                 }
                 Ok(Err(_)) | Err(_) => sleep(OPEN_PAUSE).await,
             }
--- a/buckthornlink-fakes/src/lib.rs
+++ b/buckthornlink-fakes/src/lib.rs
@@ -30,7 +30,7 @@
 pub use backend::{BackendHandle, BackendServer, BackendSetup};
 pub use caller::{Callers, CallersSetup, Counts};
 pub use fabric::Fabric;
-pub use fleet::{Fleet, Site};
+pub use fleet::{Fleet, FleetSetup, Site};
 pub use preset::{Preset, ServicePreset};
 pub use record::{Record, Work};
 pub use store::FakeStore;
--- /dev/null
+++ b/buckthornlink-fakes/tests/replay.rs
@@ -0,0 +1,129 @@
+//! Recorded traces against stated outcomes.
+//!
+//! `tests/traces` holds event logs of real runs with planned changes, failures and outages. The
+//! reducers see the same events again; what must always hold is checked after each one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+
+use buckthornlink_core::agent::{self, Ticket};
+use buckthornlink_core::balancer::{self, Snapshot};
+use buckthornlink_core::{Verdict, Version};
+use buckthornlink_node::trace::{TraceReader, TraceRole, effects_hash};
+
+/// What a replay found, by name.
+type Outcomes = BTreeMap<String, u64>;
+
+fn traces() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/traces");
+    let entries = std::fs::read_dir(folder).unwrap();
+    let mut paths: Vec<_> = entries.map(|e| e.unwrap().path()).collect();
+    paths.sort();
+    paths
+}
+
+fn count(outcomes: &mut Outcomes, name: impl Into<String>) {
+    *outcomes.entry(name.into()).or_default() += 1;
+}
+
+/// Name of an enum's variant, from its debug form.
+fn variant(value: &impl std::fmt::Debug) -> String {
+    let text = format!("{value:?}");
+    let end = text
+        .find(|c: char| !c.is_alphanumeric())
+        .unwrap_or(text.len());
+    text[..end].to_owned()
+}
+
+fn replay_agent(reader: &mut TraceReader, setup: agent::Setup) -> Outcomes {
+    let mut state = agent::Agent::new(setup);
+    let mut outcomes = Outcomes::new();
+    let mut ran = BTreeSet::<Ticket>::new();
+    let mut version = Version::default();
+    while let Some(record) = reader.read::<agent::Event>().unwrap() {
+        if let agent::Event::Finished {
+            ticket, outcome, ..
+        } = &record.event
+        {
+            use agent::Outcome::{Declined, Shed, Unreachable};
+            if matches!(outcome, Shed | Declined | Unreachable) {
+                ran.remove(ticket);
+            }
+        }
+        let effects = state.reduce(record.event, record.at);
+        if effects_hash(&effects) != record.effects {
+            count(&mut outcomes, "differing");
+        }
+        for effect in &effects {
+            count(&mut outcomes, variant(effect));
+            match effect {
+                agent::Effect::Run(ticket) => {
+                    assert!(ran.insert(*ticket), "{ticket:?} ran twice");
+                    assert!(!state.is_out(), "{ticket:?} ran in a zone that is out");
+                }
+                agent::Effect::Refuse {
+                    ticket,
+                    verdict,
+                    refusal,
+                } => {
+                    let is_true = *verdict != Verdict::NotRun || !ran.contains(ticket);
+                    assert!(is_true, "{ticket:?} ran, but was refused as not run");
+                    count(&mut outcomes, format!("{verdict}: {}", refusal.as_str()));
+                }
+                _ => {}
+            }
+        }
+        assert!(state.version() >= version, "the version fell");
+        version = state.version();
+    }
+    outcomes
+}
+
+fn replay_balancer(reader: &mut TraceReader, setup: balancer::Setup) -> Outcomes {
+    let mut state = balancer::Balancer::new(setup);
+    let mut outcomes = Outcomes::new();
+    let mut snapshot = Snapshot::default();
+    while let Some(record) = reader.read::<balancer::Event>().unwrap() {
+        let effects = state.reduce(record.event, record.at);
+        if effects_hash(&effects) != record.effects {
+            count(&mut outcomes, "differing");
+        }
+        for effect in effects {
+            count(&mut outcomes, variant(&effect));
+            match effect {
+                balancer::Effect::Forward(candidates) => {
+                    for candidate in candidates {
+                        let member = state.members().at(candidate.addr).unwrap();
+                        assert!(member.is_open(), "an opener went to a closed instance");
+                        assert!(
+                            !snapshot.is_out(member.fact.zone),
+                            "an opener went to a zone out"
+                        );
+                    }
+                }
+                balancer::Effect::Publish(next) => {
+                    assert!(next.version >= snapshot.version, "the version fell");
+                    snapshot = next;
+                }
+                _ => {}
+            }
+        }
+    }
+    outcomes
+}
+
+#[test]
+fn recorded_traces_keep_their_outcomes() {
+    let mut found = BTreeMap::new();
+    for path in traces() {
+        let mut reader = TraceReader::open(&path).unwrap();
+        let outcomes = match reader.header().role.clone() {
+            TraceRole::Agent(setup) => replay_agent(&mut reader, setup),
+            TraceRole::Balancer(setup) => replay_balancer(&mut reader, setup),
+        };
+        let name = path.file_name().unwrap().to_string_lossy().into_owned();
+        found.insert(name, outcomes);
+    }
+    assert!(found.len() >= 8, "only {} traces", found.len());
+    insta::assert_json_snapshot!(found);
+}
