--- a/buckthornlink-agent/src/quic.rs
+++ b/buckthornlink-agent/src/quic.rs
@@ -28,6 +28,10 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 /// Shortest interval between two stateless resets.
 const RESET_INTERVAL: Duration = Duration::from_millis(1);
+/// Requests at the same time on one flow. State for each is made in advance.
+const MAX_REQUESTS: u8 = 32;
+/// Control streams that the other side may open: HTTP/3 needs three, and leaves room for others.
+const MAX_CONTROL_STREAMS: u8 = 8;
 const INITIAL_MTU: u16 = 1_200;
 /// Round trip assumed before one is measured; a lost first datagram is sent again after three.
 const INITIAL_RTT: Duration = Duration::from_millis(50);
@@ -103,6 +107,8 @@
     transport.initial_rtt(INITIAL_RTT);
     transport.initial_mtu(INITIAL_MTU);
     transport.mtu_discovery_config(None);
+    transport.max_concurrent_bidi_streams(MAX_REQUESTS.into());
+    transport.max_concurrent_uni_streams(MAX_CONTROL_STREAMS.into());
     Ok(transport)
 }
 
--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -29,7 +29,7 @@
 use spread::Spread;
 
 /// Interval of [`Event::Tick`].
-pub const TICK: Millis = Millis(250);
+pub const TICK: Millis = Millis(100);
 
 /// What a balancer is told at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/buckthornlink-core/src/balancer/spread.rs
+++ b/buckthornlink-core/src/balancer/spread.rs
@@ -23,7 +23,7 @@
 /// A peer that has not been heard for this long is marked silent.
 const PEER_SPAN: Millis = Millis(30_000);
 /// Interval of hellos while no peer is known.
-const HELLO_INTERVAL: Millis = Millis(500);
+const HELLO_INTERVAL: Millis = Millis(100);
 /// Interval of hellos once peers are known; joins groups that do not know each other.
 const HELLO_INTERVAL_JOINED: Millis = Millis(15_000);
 /// Balancers of each zone that watch the store.
--- a/buckthornlink-core/tests/agent.rs
+++ b/buckthornlink-core/tests/agent.rs
@@ -205,12 +205,12 @@
         hops,
         rest: rest.clone(),
     };
-    let handed = Effect::HandOn {
+    let handed = [Effect::HandOn {
         to: addr(9),
         rest: vec![],
-    };
-    assert_eq!(desk.state.reduce(opener(0), desk.now), [handed.clone()]);
-    assert_eq!(desk.state.reduce(opener(1), desk.now), [handed]);
+    }];
+    assert_eq!(desk.state.reduce(opener(0), desk.now), handed);
+    assert_eq!(desk.state.reduce(opener(1), desk.now), handed);
     assert_eq!(desk.state.reduce(opener(2), desk.now), [Effect::Accept]);
 }
 
--- a/buckthornlink-fakes/examples/slopes/agent.rs
+++ b/buckthornlink-fakes/examples/slopes/agent.rs
@@ -121,6 +121,7 @@
         entry: fabric.addr(LINK_PORT),
         store: StoreSettings { url: store.url() },
         keys: vec![key()],
+        ports: Vec::new(),
         policy: Policy::Adaptive,
         control_bytes_per_second: 4_000,
         seed: Some(1),
--- a/buckthornlink-fakes/examples/slopes/reducer.rs
+++ b/buckthornlink-fakes/examples/slopes/reducer.rs
@@ -51,7 +51,7 @@
 /// A fact of the member with this index: a balancer now and then, else an agent.
 pub fn fact(index: u32) -> Fact {
     let host = u32::from(Ipv4Addr::new(10, 0, 0, 0)) + index + 1;
-    let is_balancer = index % MEMBERS_PER_BALANCER == 0;
+    let is_balancer = index.is_multiple_of(MEMBERS_PER_BALANCER);
     Fact {
         addr: SocketAddrV4::new(Ipv4Addr::from_bits(host), 4_400),
         role: if is_balancer {
--- a/buckthornlink-fakes/examples/slopes/spread.rs
+++ b/buckthornlink-fakes/examples/slopes/spread.rs
@@ -101,6 +101,7 @@
             id: 1,
             secret: vec![1; 32],
         }],
+        ports: Vec::new(),
         policy: Policy::Adaptive,
         control_bytes_per_second: 4_000,
         seed: Some(u64::from(index)),
--- a/buckthornlink-fakes/src/fleet.rs
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -28,6 +28,7 @@
 const BALANCERS: usize = 3;
 const WAIT: Duration = Duration::from_secs(10);
 const WAIT_STEP: Duration = Duration::from_millis(20);
+const READY_PATIENCE: Duration = Duration::from_secs(2);
 const EDIT_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Numbers the fleets of one process, so that their addresses differ.
@@ -194,6 +195,7 @@
                 url: self.store.url(),
             },
             keys: keys(),
+            ports: Vec::new(),
             policy: self.policy,
             control_bytes_per_second: 4_000,
             seed: Some(self.seed + u64::from(self.next_ip)),
@@ -201,6 +203,9 @@
             log: LogSettings::default(),
         };
         let balancer = Balancer::spawn(settings).await?;
+        if self.edits.load(Ordering::Relaxed) > 0 {
+            wait_until_ready(&balancer).await;
+        }
         self.fabric.add(own);
         self.balancers.push((own, balancer));
         Ok(())
@@ -462,7 +467,7 @@
     fn trace(&self, name: &str) -> Option<PathBuf> {
         self.traces
             .as_ref()
-            .map(|folder| folder.join(format!("{name}.trace")))
+            .map(|folder| folder.join(format!("{name}.trace.zst")))
     }
 
     fn edit_id(&self) -> String {
@@ -470,6 +475,14 @@
     }
 }
 
+/// Waits as a fabric's health check would, but not for ever.
+async fn wait_until_ready(balancer: &Balancer) {
+    let start = Instant::now();
+    while balancer.version() == Version::default() && start.elapsed() < READY_PATIENCE {
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
+
 fn keys() -> Vec<KeySettings> {
     vec![KeySettings {
         id: 1,
--- a/buckthornlink-fakes/tests/edits.rs
+++ b/buckthornlink-fakes/tests/edits.rs
@@ -5,7 +5,7 @@
 
 use buckthornlink_core::{Verdict, Version};
 use buckthornlink_fakes::{FakeStore, Preset};
-use buckthornlink_platform::{Catalog, EditError, EtcdStore, Store, StoreError, Swap};
+use buckthornlink_platform::{Catalog, EditError, EtcdStore, Revision, Store, StoreError, Swap};
 
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -171,10 +171,10 @@
     let (_store, catalog) = open().await;
     let store = catalog.store();
     assert_eq!(
-        store.swap("/k", b"1", Default::default()).await?,
+        store.swap("/k", b"1", Revision::default()).await?,
         Swap::Done
     );
-    let Swap::Conflict(Some(entry)) = store.swap("/k", b"2", Default::default()).await? else {
+    let Swap::Conflict(Some(entry)) = store.swap("/k", b"2", Revision::default()).await? else {
         panic!("a second creation conflicts");
     };
     assert_eq!(entry.value, b"1");
--- a/buckthornlink-fakes/tests/path.rs
+++ b/buckthornlink-fakes/tests/path.rs
@@ -150,7 +150,11 @@
     let mut fleet = fleet(Preset::Chalkline, 6).await;
     let callers = fleet.call(20, THINK).unwrap();
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let pack = fleet.sites().iter().position(|s| s.service() == "pack").unwrap();
+    let pack = fleet
+        .sites()
+        .iter()
+        .position(|s| s.service() == "pack")
+        .unwrap();
     fleet.kill_site(pack);
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.start_site(pack).await.unwrap();
--- a/buckthornlink-node/src/trace.rs
+++ b/buckthornlink-node/src/trace.rs
@@ -4,10 +4,10 @@
 //! caused. Replay feeds the events to a new reducer and compares.
 
 use std::fs::File;
-use std::io::{BufRead, BufReader, BufWriter, Read, Write};
+use std::io::{BufRead, BufReader, BufWriter, ErrorKind, Read, Write};
 use std::path::Path;
-use std::thread;
-use std::time::Duration;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,7 @@
 /// Version of the trace format.
 pub const FORMAT: u32 = 1;
 
+const COMPRESSION_LEVEL: i32 = 9;
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
 const ZSTD_MAGIC: [u8; 4] = [0x28, 0xb5, 0x2f, 0xfd];
 
@@ -64,31 +65,44 @@
     Format(u32),
 }
 
-/// Writes a trace on a thread of its own.
-#[derive(Clone, Debug)]
+/// Writes a trace on a thread of its own. Dropping it finishes the file.
+#[derive(Debug)]
 pub struct Recorder {
-    sender: flume::Sender<Vec<u8>>,
+    sender: Option<flume::Sender<Vec<u8>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Recorder {
+    fn drop(&mut self) {
+        self.sender.take();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
 }
 
 impl Recorder {
-    /// Starts a trace in a new file.
+    /// Starts a trace in a new file; one whose name ends in `.zst` is compressed.
     ///
     /// # Errors
     ///
     /// Returns an error if the file cannot be written.
     pub fn open(path: &Path, role: TraceRole) -> anyhow::Result<Self> {
-        let mut file = BufWriter::new(File::create(path)?);
+        let mut output = create(path)?;
         let header = TraceHeader {
             format: FORMAT,
             role,
         };
-        file.write_all(&rmp_serde::to_vec(&header)?)?;
-        file.flush()?;
+        output.write_all(&rmp_serde::to_vec(&header)?)?;
+        output.flush()?;
         let (sender, receiver) = flume::unbounded();
-        thread::Builder::new()
+        let thread = thread::Builder::new()
             .name("recorder".to_owned())
-            .spawn(move || write_all(file, &receiver))?;
-        Ok(Self { sender })
+            .spawn(move || write_all(output, &receiver))?;
+        Ok(Self {
+            sender: Some(sender),
+            thread: Some(thread),
+        })
     }
 
     /// Appends one event.
@@ -98,8 +112,11 @@
             event: event.clone(),
             effects: effects_hash(effects),
         };
+        let Some(sender) = &self.sender else {
+            return;
+        };
         match rmp_serde::to_vec(&record) {
-            Ok(bytes) => drop(self.sender.send(bytes)),
+            Ok(bytes) => drop(sender.send(bytes)),
             Err(err) => log::error!(err:% = err; "event cannot be recorded"),
         }
     }
@@ -144,8 +161,11 @@
     ///
     /// Returns an error if the content is not a trace of `E`.
     pub fn read<E: DeserializeOwned>(&mut self) -> Result<Option<TraceRecord<E>>, TraceError> {
-        if self.input.fill_buf()?.is_empty() {
-            return Ok(None);
+        match self.input.fill_buf() {
+            Ok([]) => return Ok(None),
+            Ok(_) => {}
+            Err(err) if err.kind() == ErrorKind::UnexpectedEof => return Ok(None),
+            Err(err) => return Err(err.into()),
         }
         match read_item(&mut self.input) {
             Ok(record) => Ok(Some(record)),
@@ -155,6 +175,17 @@
     }
 }
 
+type Output = Box<dyn Write + Send>;
+
+fn create(path: &Path) -> std::io::Result<Output> {
+    let file = BufWriter::new(File::create(path)?);
+    if path.extension().is_some_and(|e| e == "zst") {
+        let encoder = zstd::Encoder::new(file, COMPRESSION_LEVEL)?;
+        return Ok(Box::new(encoder.auto_finish()));
+    }
+    Ok(Box::new(file))
+}
+
 /// Hash of the effects of one event.
 ///
 /// ```
@@ -168,14 +199,22 @@
     stable_hash(&bytes)
 }
 
-fn write_all(mut file: BufWriter<File>, receiver: &flume::Receiver<Vec<u8>>) {
+fn write_all(mut file: Output, receiver: &flume::Receiver<Vec<u8>>) {
+    let mut flushed = Instant::now();
     loop {
         let written = match receiver.recv_timeout(FLUSH_INTERVAL) {
             Ok(bytes) => file.write_all(&bytes),
-            Err(flume::RecvTimeoutError::Timeout) => file.flush(),
+            Err(flume::RecvTimeoutError::Timeout) => Ok(()),
             Err(flume::RecvTimeoutError::Disconnected) => break,
         };
-        if let Err(err) = written {
+        let is_due = flushed.elapsed() >= FLUSH_INTERVAL;
+        let result = if is_due {
+            flushed = Instant::now();
+            written.and_then(|()| file.flush())
+        } else {
+            written
+        };
+        if let Err(err) = result {
             log::error!(err:% = err; "trace cannot be written");
             return;
         }
@@ -193,7 +232,7 @@
     use rmp_serde::decode::Error;
     match err {
         Error::InvalidMarkerRead(io) | Error::InvalidDataRead(io) => {
-            io.kind() == std::io::ErrorKind::UnexpectedEof
+            io.kind() == ErrorKind::UnexpectedEof
         }
         _ => false,
     }
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -76,7 +76,8 @@
         let setup = setup(&settings, link);
         let recorder = open_recorder(&settings, setup)?;
         let (jobs, queue) = flume::bounded(JOB_QUEUE);
-        let operators = router(shared.metrics.registry.clone()).merge(status::router(jobs.clone()));
+        let operators = router(shared.metrics.registry.clone())
+            .merge(status::router(jobs.clone(), Arc::clone(&shared)));
         let http = HttpServer::bind(settings.http, operators)
             .await
             .with_context(|| format!("http {}", settings.http))?;
@@ -85,7 +86,9 @@
         let registration = Registration::spawn(store, entry(&settings, link, http.addr()));
         let mut tasks = JoinSet::new();
         tasks.spawn(forward::receive_link(Arc::clone(&shared), jobs.clone()));
-        let executor = Executor::new(setup, Arc::clone(&shared), jobs.clone(), follower, recorder);
+        let mut executor =
+            Executor::new(setup, Arc::clone(&shared), jobs.clone(), follower, recorder);
+        executor.open_services(&settings.ports);
         tasks.spawn(executor.run(queue));
         log::info!(link:% = link, http:% = http.addr(), zone = settings.zone; "balancer started");
         Ok(Self {
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -20,7 +20,7 @@
 
 use super::forward::{Shared, receive_service};
 use super::metrics::Drop;
-use super::sockets::{self, Loops, ServiceSocket};
+use super::sockets::{self, Loops, ServiceSocket, SocketMap};
 use super::status::Status;
 
 /// Work for the reducer's task.
@@ -94,6 +94,17 @@
         }
     }
 
+    /// Opens the sockets of services that are known before any configuration is.
+    pub(super) fn open_services(&mut self, ports: &[u16]) {
+        let mut sockets = SocketMap::new();
+        for service in ports.iter().copied().map(ServicePort) {
+            if let Some(socket) = self.open_service(service) {
+                sockets.insert(service, socket);
+            }
+        }
+        self.shared.sockets.store(Arc::new(sockets));
+    }
+
     /// Runs until the last sender of jobs is gone.
     pub(super) async fn run(mut self, queue: flume::Receiver<Job>) {
         let mut ticks = interval(Duration::from_millis(TICK.0));
--- a/buckthornlink/src/balancer/settings.rs
+++ b/buckthornlink/src/balancer/settings.rs
@@ -29,6 +29,10 @@
     pub store: StoreSettings,
     /// Keys shared by all processes, the signing one first.
     pub keys: Vec<KeySettings>,
+    /// Ports of services that are served from the start, so that established flows are forwarded
+    /// before any configuration is known.
+    #[serde(default)]
+    pub ports: Vec<u16>,
     /// How openers are placed.
     #[serde(default)]
     pub policy: Policy,
--- a/buckthornlink/src/balancer/status.rs
+++ b/buckthornlink/src/balancer/status.rs
@@ -1,6 +1,7 @@
 //! What a balancer tells operators about itself.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -14,6 +15,7 @@
 use buckthornlink_core::{Millis, ServicePort, Version};
 
 use super::executor::Job;
+use super::forward::Shared;
 
 /// State of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,9 +63,20 @@
     }
 }
 
-/// A router that serves the status at `/status`.
-pub(super) fn router(jobs: flume::Sender<Job>) -> Router {
-    Router::new().route("/status", get(serve)).with_state(jobs)
+/// A router that serves the status at `/status`, and at `/ready` whether the fabric may deliver.
+pub(super) fn router(jobs: flume::Sender<Job>, shared: Arc<Shared>) -> Router {
+    let status = Router::new().route("/status", get(serve)).with_state(jobs);
+    let ready = Router::new().route("/ready", get(ready)).with_state(shared);
+    status.merge(ready)
+}
+
+/// A balancer is ready once it has a configuration in force.
+async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
+    if shared.snapshot.load().version > Version::default() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
 }
 
 fn member(state: &Balancer, member: &Member, now: Millis) -> MemberStatus {
