fix(core): answer every waiting request, and none late

Cause: read while adding a virtual-time test. When a zone went out or a backend server became unreachable, requests that had passed their deadline since the last tick were taken from the queue and never answered. Change: the queue is drained as a whole; a request needs the usual time with a margin of a half left to run, unless nothing runs.

--- a/buckthornlink-core/src/agent.rs
+++ b/buckthornlink-core/src/agent.rs
@@ -247,7 +247,7 @@
             Event::Cancelled(ticket) => self.cancel(ticket, now),
             Event::Health { is_up } => self.health(is_up),
             Event::Config { version, config } => self.configure(version, config),
-            Event::Control { message, .. } => self.control(message, now),
+            Event::Control { message, .. } => self.control(message),
             Event::Drain => self.drain(now),
             Event::Tick => self.tick(now),
         }
@@ -323,7 +323,7 @@
         Vec::new()
     }
 
-    fn zone(&mut self, record: ZoneRecord, now: Millis) -> Vec<Effect> {
+    fn zone(&mut self, record: ZoneRecord) -> Vec<Effect> {
         let was_out = self.is_out();
         if !self.zones.merge(record) || was_out == self.is_out() {
             return Vec::new();
@@ -332,7 +332,7 @@
         if !self.is_out() {
             return Vec::new();
         }
-        let mut effects = self.refuse_waiting(Refusal::ZoneOut, now);
+        let mut effects = self.refuse_waiting(Refusal::ZoneOut);
         effects.extend(self.abort_running());
         effects.push(Effect::GiveUpFlows);
         effects
--- a/buckthornlink-core/src/agent/limiter.rs
+++ b/buckthornlink-core/src/agent/limiter.rs
@@ -22,6 +22,8 @@
 const SLOW_FACTOR: f64 = 4.0;
 /// Usual times below this are not compared, in milliseconds.
 const SLOW_FLOOR_MS: f64 = 10.0;
+/// Factor on the usual time that a request is allowed for.
+const TIME_MARGIN: f64 = 1.5;
 /// Weight of the newest sample in the smoothed service time.
 const TIME_WEIGHT: f64 = 0.1;
 /// Weight of the newest sample in the smoothed pressure.
@@ -170,6 +172,21 @@
         Millis((rounds * self.usual_ms) as u64)
     }
 
+    /// Time that must be left for a request to be worth running: the usual time with a margin, or
+    /// nothing while no request runs, so that a usual time which is out of date gets corrected.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "service times are positive and far below 2^52 ms"
+    )]
+    pub fn needed_time(&self) -> Millis {
+        if self.running == 0 {
+            return Millis(0);
+        }
+        Millis((self.usual_ms * TIME_MARGIN).ceil() as u64)
+    }
+
     /// Share of the full limits that the backend server bears, in 1/255.
     #[must_use]
     pub fn weight(&self) -> u8 {
--- a/buckthornlink-core/src/agent/queue.rs
+++ b/buckthornlink-core/src/agent/queue.rs
@@ -69,12 +69,12 @@
         lane.push(waiting);
     }
 
-    /// The next request that can still meet its deadline. Those that cannot go to `expired`.
-    pub fn pop(&mut self, now: Millis, expired: &mut Vec<Waiting>) -> Option<Waiting> {
+    /// The next request whose deadline is after `latest`. Those that end before go to `expired`.
+    pub fn pop(&mut self, latest: Millis, expired: &mut Vec<Waiting>) -> Option<Waiting> {
         for lane in self.lanes.values_mut() {
             while let Some(waiting) = lane.pop() {
                 self.len -= 1;
-                if waiting.deadline > now {
+                if waiting.deadline > latest {
                     return Some(waiting);
                 }
                 expired.push(waiting);
@@ -96,6 +96,14 @@
         None
     }
 
+    /// Takes out all requests.
+    pub fn drain(&mut self) -> Vec<Waiting> {
+        self.len = 0;
+        let lanes = std::mem::take(&mut self.lanes).into_values();
+        let queues = lanes.flat_map(|lane| lane.classes.into_values());
+        queues.flatten().collect()
+    }
+
     /// Takes out all requests whose deadline has passed.
     pub fn expired(&mut self, now: Millis) -> Vec<Waiting> {
         let mut expired = Vec::new();
--- a/buckthornlink-core/src/agent/report.rs
+++ b/buckthornlink-core/src/agent/report.rs
@@ -112,7 +112,7 @@
 
 impl Agent {
     /// Takes a balancer's answer.
-    pub(super) fn control(&mut self, message: Message, now: Millis) -> Vec<Effect> {
+    pub(super) fn control(&mut self, message: Message) -> Vec<Effect> {
         let Message::Ack(ack) = message else {
             return Vec::new();
         };
@@ -123,7 +123,7 @@
         }
         self.contacts.interval = ack.interval;
         self.flows.set_even(ack.flows);
-        self.refute(&ack, now)
+        self.refute(&ack)
     }
 
     /// Reports to all balancers if something has changed, or else to the next one in turn.
@@ -178,13 +178,13 @@
         effects.extend(targets.into_iter().map(send));
     }
 
-    fn refute(&mut self, ack: &Ack, now: Millis) -> Vec<Effect> {
+    fn refute(&mut self, ack: &Ack) -> Vec<Effect> {
         let mut effects = Vec::new();
         if let Some(known) = ack.silenced.filter(|k| k.supersedes(&self.own)) {
             self.own.seq = known.seq + 1;
         }
         for &record in &ack.zones {
-            effects.extend(self.zone(record, now));
+            effects.extend(self.zone(record));
         }
         if ack.version > self.version {
             effects.push(Effect::Fetch {
--- a/buckthornlink-core/src/agent/request.rs
+++ b/buckthornlink-core/src/agent/request.rs
@@ -107,7 +107,7 @@
         }
         let mut effects = outcome_effect(ticket, outcome);
         if !self.is_reachable {
-            effects.extend(self.refuse_waiting(Refusal::Unreachable, now));
+            effects.extend(self.refuse_waiting(Refusal::Unreachable));
             effects.push(Effect::MoveFlows(self.flows.all()));
         }
         self.start_next(now, &mut effects);
@@ -133,12 +133,9 @@
     }
 
     /// Refuses every waiting request.
-    pub(super) fn refuse_waiting(&mut self, refusal: Refusal, now: Millis) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        while let Some(waiting) = self.queue.pop(now, &mut Vec::new()) {
-            effects.push(self.reject(&waiting, refusal));
-        }
-        effects
+    pub(super) fn refuse_waiting(&mut self, refusal: Refusal) -> Vec<Effect> {
+        let waiting = self.queue.drain();
+        waiting.iter().map(|w| self.reject(w, refusal)).collect()
     }
 
     /// Refuses waiting requests whose deadline has passed.
@@ -158,7 +155,7 @@
             Some(Refusal::Malformed)
         } else if !self.is_reachable {
             Some(Refusal::Unreachable)
-        } else if request.deadline <= now {
+        } else if request.deadline <= now + self.limiter.needed_time() {
             Some(Refusal::Deadline)
         } else {
             None
@@ -179,7 +176,8 @@
     fn start_next(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let mut expired = Vec::new();
         while self.limiter.has_room() {
-            let Some(waiting) = self.queue.pop(now, &mut expired) else {
+            let latest = now + self.limiter.needed_time();
+            let Some(waiting) = self.queue.pop(latest, &mut expired) else {
                 break;
             };
             effects.push(self.run(waiting));
--- a/buckthornlink-core/tests/agent_properties.rs
+++ b/buckthornlink-core/tests/agent_properties.rs
@@ -37,6 +37,9 @@
     Wait {
         millis: u64,
     },
+    Pass {
+        millis: u64,
+    },
 }
 
 fn any_outcome() -> impl Strategy<Value = Outcome> {
@@ -63,6 +66,7 @@
         1 => Just(Step::OpenFlow),
         1 => prop::bool::weighted(0.05).prop_map(|d| if d { Step::Drain } else { Step::OpenFlow }),
         3 => (0_u64..300).prop_map(|millis| Step::Wait { millis }),
+        2 => (0_u64..100).prop_map(|millis| Step::Pass { millis }),
     ]
 }
 
@@ -74,11 +78,18 @@
     ran: BTreeSet<Ticket>,
     excused: BTreeSet<Ticket>,
     runs: BTreeMap<u8, u32>,
+    waiting: BTreeSet<Ticket>,
 }
 
 impl Ledger {
     fn note(&mut self, effects: &[Effect], limit: u32, is_out: bool) {
         for effect in effects {
+            if let Effect::Run(ticket)
+            | Effect::Refuse { ticket, .. }
+            | Effect::Replay { ticket, .. } = effect
+            {
+                self.waiting.remove(ticket);
+            }
             match effect {
                 Effect::Run(ticket) => {
                     assert!(!is_out, "work was started in a zone that is out");
@@ -146,6 +157,7 @@
                 if !idempotent {
                     ledger.ids.insert(ticket, id);
                 }
+                ledger.waiting.insert(ticket);
                 desk.ask(asked)
             }
             Step::Finish { pick, outcome } => {
@@ -177,6 +189,10 @@
                 .state
                 .reduce(Event::FlowAsked(FlowId(ticket.0)), desk.now),
             Step::Drain => desk.state.reduce(Event::Drain, desk.now),
+            Step::Pass { millis } => {
+                desk.now = desk.now + Millis(millis);
+                Vec::new()
+            }
             Step::Wait { millis } => {
                 desk.now = desk.now + Millis(millis);
                 desk.state.reduce(Event::Tick, desk.now)
@@ -188,6 +204,11 @@
         let is_out = desk.state.is_out();
         ledger.note(&effects, desk.state.limit(), is_out);
         assert_eq!(desk.state.running(), ledger.running.len());
+        assert_eq!(
+            desk.state.queued(),
+            ledger.waiting.len(),
+            "a request was forgotten"
+        );
     }
 }
 
