perf(core): push an urgent change to five peers

Cause: with three pushes each balancer misses an edit with a chance of about one in twenty and then waits for the next exchange, up to a second; the slope from 4 to 240 balancers pointed at 6 s for 1,900, which is the limit. Change: five pushes.

--- a/buckthornlink-core/src/balancer/spread.rs
+++ b/buckthornlink-core/src/balancer/spread.rs
@@ -17,7 +17,7 @@
 /// Interval between two exchanges.
 const EXCHANGE_INTERVAL: Millis = Millis(1_000);
 /// Peers that hear of an urgent change at once.
-const FANOUT: usize = 3;
+const FANOUT: usize = 5;
 /// Bytes left in the budget below which no exchange is started.
 const EXCHANGE_RESERVE: usize = 400;
 /// A peer that has not been heard for this long is marked silent.
