feat(balancer): ask peers for agents of an unknown service

Cause: a balancer that has just joined learns 20 members per exchange, so at 22,900 members its first openers for most services found no agent for many minutes, and were dropped. Change: such an opener is held while up to three peers are asked for agents of its service; at most 256 openers per service wait. Tests cover the question, its pace, and the answer. A misrouted connection id and noise are now shown to be counted.

--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -12,6 +12,7 @@
 mod opener;
 mod spread;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 use rand_core::SeedableRng;
@@ -60,6 +61,13 @@
         /// The flow that it opens.
         flow: FlowKey,
     },
+    /// Agents of a service were fetched from a peer.
+    Contacts {
+        /// The service.
+        service: ServicePort,
+        /// Facts of its agents.
+        facts: Vec<Fact>,
+    },
     /// A returning datagram carried a new load report.
     Report {
         /// The agent that sent it.
@@ -112,6 +120,13 @@
         /// Version to expect at least.
         version: Version,
     },
+    /// Ask peers, in turn, for agents of a service without known ones.
+    FetchContacts {
+        /// The service.
+        service: ServicePort,
+        /// Link addresses of the peers.
+        from: Vec<SocketAddrV4>,
+    },
     /// Route from this snapshot from now on.
     Publish(Snapshot),
     /// Start or stop watching the store.
@@ -158,6 +173,7 @@
     turn: u64,
     watching: bool,
     contacted: Option<Millis>,
+    asked: BTreeMap<ServicePort, Millis>,
 }
 
 impl Balancer {
@@ -187,13 +203,15 @@
             turn: 0,
             watching: false,
             contacted: None,
+            asked: BTreeMap::new(),
         }
     }
 
     /// Applies one event and returns what is to be done, in order.
     pub fn reduce(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         match event {
-            Event::Opener { service, flow } => vec![self.place(service, flow, now)],
+            Event::Opener { service, flow } => self.place(service, flow, now),
+            Event::Contacts { service, facts } => self.meet(service, &facts),
             Event::Report { agent, phase, load } => self.report(agent, phase, load, now),
             Event::Control { from, message } => self.control(from, message, now),
             Event::Config { version, config } => self.configure(version, config, now),
--- a/buckthornlink-core/src/balancer/opener.rs
+++ b/buckthornlink-core/src/balancer/opener.rs
@@ -11,13 +11,19 @@
 
 use super::{Balancer, Effect};
 use crate::id::{FlowKey, ServicePort, stable_hash};
-use crate::member::{Member, MemberKey};
+use crate::member::{Fact, Member, MemberKey};
 use crate::time::Millis;
 
 /// Most candidates that an opener carries.
 pub const MAX_CANDIDATES: usize = 3;
 /// Members looked at for one opener; bounds the cost of a decision in large services.
 const SAMPLE: usize = 16;
+/// Peers that are asked for agents of a service without known ones.
+const CONTACT_PEERS: usize = 3;
+/// Interval between two such questions about one service.
+const ASK_INTERVAL: Millis = Millis(500);
+/// Agents named in an answer.
+const MAX_CONTACTS: usize = 32;
 /// Load reports older than this count as unknown.
 const REPORT_LIFETIME: Millis = Millis(10_000);
 /// An agent that left this many openers unanswered...
@@ -65,7 +71,12 @@
 
 impl Balancer {
     /// Chooses candidates for an opener.
-    pub(super) fn place(&mut self, service: ServicePort, flow: FlowKey, now: Millis) -> Effect {
+    pub(super) fn place(
+        &mut self,
+        service: ServicePort,
+        flow: FlowKey,
+        now: Millis,
+    ) -> Vec<Effect> {
         let sample = self.sample(service, now);
         let ranked = match self.setup.policy {
             Policy::Adaptive => self.rank(&sample, |m| self.expected_rank(m, flow, now)),
@@ -75,13 +86,51 @@
             Policy::Random => self.pick_random(&sample),
         };
         let Some(&first) = ranked.first() else {
-            return Effect::Drop;
+            return self.ask_contacts(service, now);
         };
         self.members.note_opener(first, now);
         let hands_on = self.setup.policy == Policy::Adaptive;
         let count = if hands_on { MAX_CANDIDATES } else { 1 };
         let candidates = ranked.iter().take(count);
-        Effect::Forward(candidates.filter_map(|&key| self.candidate(key)).collect())
+        let candidates = candidates.filter_map(|&key| self.candidate(key));
+        vec![Effect::Forward(candidates.collect())]
+    }
+
+    /// Asks peers for agents of a service, now and then; the opener itself cannot be placed.
+    fn ask_contacts(&mut self, service: ServicePort, now: Millis) -> Vec<Effect> {
+        let is_due = self
+            .asked
+            .get(&service)
+            .is_none_or(|at| now.since(*at) >= ASK_INTERVAL);
+        let peers = self.pick_balancers(CONTACT_PEERS);
+        if !is_due || peers.is_empty() {
+            return vec![Effect::Drop];
+        }
+        self.asked.insert(service, now);
+        let from = peers.iter().map(|p| p.addr).collect();
+        vec![Effect::FetchContacts { service, from }]
+    }
+
+    /// Merges fetched agents. They are no news to others, so they are not spread.
+    pub(super) fn meet(&mut self, service: ServicePort, facts: &[Fact]) -> Vec<Effect> {
+        if !facts.is_empty() {
+            self.asked.remove(&service);
+        }
+        for fact in facts {
+            self.members.merge(*fact);
+        }
+        Vec::new()
+    }
+
+    /// Some open agents of a service, for a peer that knows none.
+    #[must_use]
+    pub fn contacts(&self, service: ServicePort) -> Vec<Fact> {
+        let keys = self.members.agents(service).iter();
+        let facts = keys.filter_map(|&key| Some(self.members.get(key)?.fact));
+        facts
+            .filter(|f| f.phase.is_open())
+            .take(MAX_CONTACTS)
+            .collect()
     }
 
     /// Open members of a service: all of them, or a random sample of a large service.
--- a/buckthornlink-core/tests/balancer.rs
+++ b/buckthornlink-core/tests/balancer.rs
@@ -261,3 +261,36 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn an_opener_without_known_agents_asks_peers_first() {
+    let mut state = balancer(Policy::Adaptive);
+    let opener = Event::Opener {
+        service: SERVICE,
+        flow: FlowKey(1),
+    };
+    assert_eq!(state.reduce(opener.clone(), Millis(0)), [Effect::Drop]);
+    let peer = Fact {
+        role: Role::Balancer,
+        ..agent(2, 1, Phase::Warm)
+    };
+    let hello = Event::Control {
+        from: peer.addr,
+        message: Message::Hello(peer),
+    };
+    state.reduce(hello, Millis(10));
+    let asked = [Effect::FetchContacts {
+        service: SERVICE,
+        from: vec![addr(2)],
+    }];
+    assert_eq!(state.reduce(opener.clone(), Millis(10)), asked);
+    assert_eq!(state.reduce(opener.clone(), Millis(20)), [Effect::Drop]);
+    assert_eq!(state.reduce(opener, Millis(510)), asked);
+    let facts = vec![agent(11, 1, Phase::Warm)];
+    let contacts = Event::Contacts {
+        service: SERVICE,
+        facts,
+    };
+    state.reduce(contacts, Millis(520));
+    assert_eq!(first_choice(&mut state, 1, Millis(520)), Some(addr(11)));
+}
--- a/buckthornlink-fakes/tests/path.rs
+++ b/buckthornlink-fakes/tests/path.rs
@@ -115,12 +115,55 @@
         answered <= 1_200 + 60 + 61,
         "{answered} bytes were sent back"
     );
+    assert!(dropped(&fleet, "noise").await >= 2, "noise is counted");
+    assert!(
+        dropped(&fleet, "envelope").await >= 5,
+        "broken envelopes are counted"
+    );
     let callers = fleet.call(4, THINK).unwrap();
     tokio::time::sleep(Duration::from_millis(300)).await;
     let counts = callers.finish().await;
     assert_sound(&fleet, &counts);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flow_of_one_service_never_passes_at_another() {
+    let fleet = fleet(Preset::Carpatia, 8).await;
+    let (ip, _) = fleet.balancers()[0];
+    let agent = fleet.sites()[0].agent().unwrap();
+    let keys = KeyRing::single(1, &[0x42; 32]);
+    let place = Place {
+        agent: agent.link(),
+        service: ServicePort(4_433),
+        zone: ZoneTag::of("brasov-1"),
+        boot: 1,
+    };
+    let id = ConnectionId::seal(&place, 1, keys.current());
+    let mut datagram = vec![0x40];
+    datagram.extend_from_slice(&id);
+    datagram.extend_from_slice(&[0; 40]);
+    let caller = UdpSocket::bind((ip, 0)).unwrap();
+    caller
+        .set_read_timeout(Some(Duration::from_millis(300)))
+        .unwrap();
+    let before = agent.stats().datagrams;
+    caller.send_to(&datagram, (ip, 4_434)).unwrap();
+    let mut buffer = [0; 2_000];
+    assert!(caller.recv(&mut buffer).is_err(), "nothing is sent back");
+    assert_eq!(dropped(&fleet, "misrouted").await, 1);
+    assert_eq!(agent.stats().datagrams, before);
+}
+
+/// Datagrams that the first balancer dropped for a reason.
+async fn dropped(fleet: &Fleet, reason: &str) -> u64 {
+    let (_, balancer) = &fleet.balancers()[0];
+    let url = format!("http://{}/metrics", balancer.http());
+    let text = reqwest::get(url).await.unwrap().text().await.unwrap();
+    let name = format!("buckthornlink_dropped_total{{reason=\"{reason}\"}} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&name));
+    line.map_or(0, |count| count.parse().unwrap())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_balancer_learns_everything_while_the_store_is_down() {
     let mut fleet = fleet(Preset::Carpatia, 5).await;
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -4,6 +4,7 @@
 //! * `executor` runs the reducer and performs its effects.
 //! * `sockets` holds one socket for each service.
 
+mod contacts;
 mod executor;
 mod forward;
 mod metrics;
@@ -67,15 +68,15 @@
             .with_context(|| format!("link {bind}"))?;
         let link = v4(socket.local_addr()?)?;
         let shared = Arc::new(Shared::new(settings.ip, link, socket, Arc::clone(&keys))?);
-        let link_http = HttpServer::bind(
-            link,
-            link::router(Arc::clone(&shared) as Arc<dyn ConfigSource>, keys),
-        )
-        .await
-        .with_context(|| format!("link {link}"))?;
         let setup = setup(&settings, link);
         let recorder = open_recorder(&settings, setup)?;
         let (jobs, queue) = flume::bounded(JOB_QUEUE);
+        let offered = Arc::clone(&shared) as Arc<dyn ConfigSource>;
+        let peers =
+            link::router(offered, Arc::clone(&keys)).merge(contacts::router(jobs.clone(), keys));
+        let link_http = HttpServer::bind(link, peers)
+            .await
+            .with_context(|| format!("link {link}"))?;
         let operators = router(shared.metrics.registry.clone())
             .merge(status::router(jobs.clone(), Arc::clone(&shared)));
         let http = HttpServer::bind(settings.http, operators)
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -1,5 +1,6 @@
 //! Runs the reducer and performs its effects.
 
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use buckthornlink_core::balancer::{Balancer, Candidate, Effect, Event, Setup, Snapshot, TICK};
+use buckthornlink_core::member::Fact;
 use buckthornlink_core::message::Message;
 use buckthornlink_core::{ServicePort, Version};
 use buckthornlink_node::clock::Clock;
@@ -18,6 +20,7 @@
 use buckthornlink_node::trace::Recorder;
 use buckthornlink_wire::{DATAGRAM_HEADER_BYTES, Header, control};
 
+use super::contacts;
 use super::forward::{Shared, receive_service};
 use super::metrics::Drop;
 use super::sockets::{self, Loops, ServiceSocket, SocketMap};
@@ -29,6 +32,8 @@
     Event(Box<Event>),
     /// An opener with its datagram.
     Opener(Box<Event>, Opener),
+    /// A peer asks for agents of a service.
+    Contacts(ServicePort, oneshot::Sender<Vec<Fact>>),
     /// A question for the state as it is now.
     Status(oneshot::Sender<Status>),
 }
@@ -65,9 +70,12 @@
     loops: Loops,
     tasks: JoinSet<()>,
     fetching: Option<(Version, Instant)>,
+    held: HashMap<ServicePort, Vec<(Event, Opener)>>,
     out: BytesMut,
 }
 
+/// Openers kept for one service while its agents are being fetched.
+const MAX_HELD: usize = 256;
 /// A fetch that has not ended after this time may be started again.
 const FETCH_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -90,6 +98,7 @@
             loops: Loops::default(),
             tasks: JoinSet::new(),
             fetching: None,
+            held: HashMap::new(),
             out: BytesMut::new(),
         }
     }
@@ -123,12 +132,37 @@
 
     fn perform_job(&mut self, job: Job) {
         match job {
-            Job::Event(event) => self.reduce(*event, None),
-            Job::Opener(event, opener) => self.reduce(*event, Some(&opener)),
+            Job::Event(event) => match *event {
+                Event::Contacts { service, .. } => {
+                    self.reduce(*event, None);
+                    self.release(service);
+                }
+                event => self.reduce(event, None),
+            },
+            Job::Opener(event, opener) => self.open(*event, opener),
+            Job::Contacts(service, reply) => drop(reply.send(self.state.contacts(service))),
             Job::Status(reply) => drop(reply.send(Status::of(&self.state, self.clock.now()))),
         }
     }
 
+    /// Places an opener, or keeps it while agents of its service are being fetched.
+    fn open(&mut self, event: Event, opener: Opener) {
+        let service = opener.service;
+        self.reduce(event.clone(), Some(&opener));
+        if let Some(held) = self.held.get_mut(&service)
+            && held.len() < MAX_HELD
+        {
+            held.push((event, opener));
+        }
+    }
+
+    /// Places the openers that were kept for a service.
+    fn release(&mut self, service: ServicePort) {
+        for (event, opener) in self.held.remove(&service).unwrap_or_default() {
+            self.reduce(event, Some(&opener));
+        }
+    }
+
     fn reduce(&mut self, event: Event, opener: Option<&Opener>) {
         let now = self.clock.now();
         let is_tick = event == Event::Tick;
@@ -148,14 +182,23 @@
     fn perform(&mut self, effect: Effect, opener: Option<&Opener>) {
         match effect {
             Effect::Forward(candidates) => self.forward(&candidates, opener),
-            Effect::Drop => self.shared.metrics.dropped(Drop::Unroutable),
+            Effect::Drop => self.drop_opener(opener),
             Effect::Send { to, message } => self.send(to, &message),
             Effect::Fetch { from, version } => self.fetch(from, version),
+            Effect::FetchContacts { service, from } => self.fetch_contacts(service, from),
             Effect::Publish(snapshot) => self.publish(snapshot),
             Effect::Watch(watching) => self.follower.set_watching(watching),
         }
     }
 
+    /// Counts an opener that cannot be placed, unless it is kept.
+    fn drop_opener(&self, opener: Option<&Opener>) {
+        let is_held = opener.is_some_and(|o| self.held.contains_key(&o.service));
+        if !is_held {
+            self.shared.metrics.dropped(Drop::Unroutable);
+        }
+    }
+
     fn forward(&mut self, candidates: &[Candidate], opener: Option<&Opener>) {
         let (Some(first), Some(opener)) = (candidates.first(), opener) else {
             return;
@@ -221,6 +264,18 @@
         });
     }
 
+    fn fetch_contacts(&mut self, service: ServicePort, from: Vec<SocketAddrV4>) {
+        self.held.entry(service).or_default();
+        let http = self.http.clone();
+        let keys = Arc::clone(&self.shared.keys);
+        let jobs = self.jobs.clone();
+        self.tasks.spawn(async move {
+            let facts = contacts::fetch(&http, &from, service, &keys).await;
+            let event = Event::Contacts { service, facts };
+            let _ = jobs.send_async(Job::event(event)).await;
+        });
+    }
+
     /// Opens and closes service sockets, then routes from the new snapshot.
     fn publish(&mut self, snapshot: Snapshot) {
         log::info!(version:% = snapshot.version, zones_out = snapshot.zones_out.len();
