refactor: share the reducer's loop, sealed bodies and edit resolution

Change: node::drive, node::link::get_sealed and seal, one resolve; the fleet is split into setup and site.

--- a/buckthornlink-agent/src/executor.rs
+++ b/buckthornlink-agent/src/executor.rs
@@ -9,13 +9,13 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval};
 
 use buckthornlink_core::agent::{Agent, Effect, Event, FlowId, Request, Setup, TICK, Ticket};
 use buckthornlink_core::message::Message;
 use buckthornlink_core::verdict::Refusal;
 use buckthornlink_core::{Verdict, Version};
 use buckthornlink_node::clock::Clock;
+use buckthornlink_node::drive::drive;
 use buckthornlink_node::link::{self, ConfigReply};
 use buckthornlink_node::trace::Recorder;
 use buckthornlink_wire::{DATAGRAM_HEADER_BYTES, Header, KeyRing, control};
@@ -131,18 +131,8 @@
 
     /// Runs until the last sender of jobs is gone.
     pub(crate) async fn run(mut self, queue: flume::Receiver<Job>) {
-        let mut ticks = interval(Duration::from_millis(TICK.0));
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-        loop {
-            let job = tokio::select! {
-                _ = ticks.tick() => Job::Event(Event::Tick),
-                job = queue.recv_async() => match job {
-                    Ok(job) => job,
-                    Err(flume::RecvError::Disconnected) => return,
-                },
-            };
-            self.perform_job(job);
-        }
+        let tick = || Job::Event(Event::Tick);
+        drive(queue, TICK, tick, |job| self.perform_job(job)).await;
     }
 
     fn perform_job(&mut self, job: Job) {
--- a/buckthornlink-fakes/src/fleet.rs
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -1,5 +1,8 @@
 //! A whole fleet on loopback: real balancers and agents between the stand-ins.
 
+mod setup;
+mod site;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -14,13 +17,15 @@
 use buckthornlink_core::balancer::Policy;
 use buckthornlink_node::settings::{KeySettings, LogSettings};
 
-use crate::backend::{BackendHandle, BackendServer, BackendSetup};
+use crate::backend::{BackendServer, BackendSetup};
 use crate::caller::{Callers, CallersSetup};
 use crate::fabric::Fabric;
-use crate::preset::{Preset, ServicePreset};
+use crate::preset::Preset;
 use crate::record::Record;
 use crate::store::FakeStore;
 use crate::tls::Authority;
+pub use setup::FleetSetup;
+pub use site::Site;
 
 /// Port of the link of every balancer.
 const LINK_PORT: u16 = 4_400;
@@ -51,78 +56,6 @@
     edits: AtomicU8,
 }
 
-/// What a fleet is told at its start.
-#[derive(Clone, Debug)]
-pub struct FleetSetup {
-    /// Services and zones.
-    pub preset: Preset,
-    /// Seed of all random choices.
-    pub seed: u64,
-    /// How balancers place openers.
-    pub policy: Policy,
-    /// Delay between callers and balancers, one way.
-    pub delay: Duration,
-    /// Folder that all reducers' events are recorded to.
-    pub traces: Option<PathBuf>,
-}
-
-impl FleetSetup {
-    /// A fleet with the usual policy, without delay or traces.
-    #[must_use]
-    pub fn new(preset: Preset, seed: u64) -> Self {
-        Self {
-            preset,
-            seed,
-            policy: Policy::default(),
-            delay: Duration::ZERO,
-            traces: None,
-        }
-    }
-}
-
-/// The place of one backend server and its agent; both can be gone for a time.
-pub struct Site {
-    service: ServicePreset,
-    zone: &'static str,
-    name: String,
-    boots: u64,
-    backend: Option<BackendServer>,
-    handle: Option<BackendHandle>,
-    agent: Option<Agent>,
-}
-
-impl Site {
-    /// Name of the backend server, with its zone behind an `@`.
-    #[must_use]
-    pub fn name(&self) -> &str {
-        &self.name
-    }
-
-    /// Name of the availability zone.
-    #[must_use]
-    pub const fn zone(&self) -> &'static str {
-        self.zone
-    }
-
-    /// Name of the service.
-    #[must_use]
-    pub const fn service(&self) -> &'static str {
-        self.service.name
-    }
-
-    /// Control over the backend server.
-    #[must_use]
-    pub const fn backend(&self) -> Option<&BackendHandle> {
-        self.handle.as_ref()
-    }
-
-    /// The agent, unless it is gone.
-    #[must_use]
-    pub const fn agent(&self) -> Option<&Agent> {
-        self.agent.as_ref()
-    }
-}
-
 impl Fleet {
     /// Starts the store, the fabric, three balancers and all sites, without a configuration.
     ///
--- /dev/null
+++ b/buckthornlink-node/src/drive.rs
@@ -0,0 +1,41 @@
+//! The loop around a reducer.
+
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use buckthornlink_core::Millis;
+
+/// Performs jobs one at a time, and a tick each `period`, until the last sender is gone.
+///
+/// ```
+/// use buckthornlink_core::Millis;
+/// use buckthornlink_node::drive::drive;
+///
+/// let (sender, queue) = flume::unbounded();
+/// sender.send("job").unwrap();
+/// drop(sender);
+/// let mut seen = Vec::new();
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// runtime.block_on(drive(queue, Millis(60_000), || "tick", |job| seen.push(job)));
+/// assert!(seen.contains(&"job"));
+/// ```
+pub async fn drive<J>(
+    queue: flume::Receiver<J>,
+    period: Millis,
+    tick: impl Fn() -> J,
+    mut perform: impl FnMut(J),
+) {
+    let mut ticks = interval(Duration::from_millis(period.0));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        let job = tokio::select! {
+            _ = ticks.tick() => tick(),
+            job = queue.recv_async() => match job {
+                Ok(job) => job,
+                Err(flume::RecvError::Disconnected) => return,
+            },
+        };
+        perform(job);
+    }
+}
--- a/buckthornlink-node/src/lib.rs
+++ b/buckthornlink-node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`settings`] loads JSON settings and names every fault by field, line and column.
 //! * [`logs`] starts structured logging.
+//! * [`drive`] runs the loop around a reducer.
 //! * [`trace`] records the events of a reducer and reads them back.
 //! * [`link`] is the UDP socket between processes, and the HTTP server beside it.
 //! * [`source`] follows the operators' records in the store.
@@ -18,6 +19,7 @@
 //! ```
 
 pub mod clock;
+pub mod drive;
 pub mod link;
 pub mod logs;
 pub mod metrics;
--- a/buckthornlink-node/src/link.rs
+++ b/buckthornlink-node/src/link.rs
@@ -15,6 +15,7 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use bytes::BytesMut;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use buckthornlink_core::Version;
@@ -23,8 +24,8 @@
 
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 const COMPRESSION_LEVEL: i32 = 3;
-/// Bytes that a configuration may have after decompression.
-const MAX_CONFIG_BYTES: usize = 4_000_000;
+/// Bytes that a body may have after decompression.
+const MAX_BODY_BYTES: usize = 4_000_000;
 /// Changes that are remembered.
 const MAX_CHANGES: usize = 64;
 
@@ -139,16 +140,7 @@
         .map(|name| format!("&service={name}"))
         .unwrap_or_default();
     let url = format!("http://{from}/config?have={}{query}", have.version);
-    let response = http
-        .get(url)
-        .timeout(FETCH_TIMEOUT)
-        .send()
-        .await?
-        .error_for_status()?;
-    let body = response.bytes().await?;
-    let (_, start) = Header::decode(&body, keys)?;
-    let bytes = zstd::bulk::decompress(&body[start..], MAX_CONFIG_BYTES)?;
-    Ok(match rmp_serde::from_slice(&bytes)? {
+    Ok(match get_sealed(http, &url, FETCH_TIMEOUT, keys).await? {
         Answer::Whole(reply) => reply,
         Answer::Changes { version, deltas } => {
             let apply = |config: Config, delta: &ConfigDelta| delta.apply(&config);
@@ -158,6 +150,42 @@
     })
 }
 
+/// Gets what another process offers at `url`, as [`seal`] made it.
+///
+/// # Errors
+///
+/// Returns an error if the other process does not answer within `time`, or not authentically.
+pub async fn get_sealed<T: DeserializeOwned>(
+    http: &reqwest::Client,
+    url: &str,
+    time: Duration,
+    keys: &KeyRing,
+) -> Result<T, FetchError> {
+    let response = http
+        .get(url)
+        .timeout(time)
+        .send()
+        .await?
+        .error_for_status()?;
+    let body = response.bytes().await?;
+    let (_, start) = Header::decode(&body, keys)?;
+    let bytes = zstd::bulk::decompress(&body[start..], MAX_BODY_BYTES)?;
+    Ok(rmp_serde::from_slice(&bytes)?)
+}
+
+/// Encodes, compresses and authenticates what this process offers over HTTP.
+///
+/// # Errors
+///
+/// Returns an error if `content` cannot be encoded.
+pub fn seal<T: Serialize>(content: &T, keys: &KeyRing) -> anyhow::Result<Vec<u8>> {
+    let bytes = rmp_serde::to_vec(content)?;
+    let packed = zstd::bulk::compress(&bytes, COMPRESSION_LEVEL)?;
+    let mut out = BytesMut::new();
+    Header::Control.encode(keys.current(), &packed, &mut out);
+    Ok(out.to_vec())
+}
+
 /// An HTTP client for [`fetch`].
 #[must_use]
 pub fn client() -> reqwest::Client {
@@ -210,11 +238,3 @@
     }
     Some(Answer::Whole(ConfigReply { version, config }))
 }
-
-fn seal(answer: &Answer, keys: &KeyRing) -> anyhow::Result<Vec<u8>> {
-    let bytes = rmp_serde::to_vec(answer)?;
-    let packed = zstd::bulk::compress(&bytes, COMPRESSION_LEVEL)?;
-    let mut out = BytesMut::new();
-    Header::Control.encode(keys.current(), &packed, &mut out);
-    Ok(out.to_vec())
-}
--- a/buckthornlink-platform/src/catalog/edit.rs
+++ b/buckthornlink-platform/src/catalog/edit.rs
@@ -8,7 +8,7 @@
 use buckthornlink_core::config::{Config, ConfigDelta, ConfigError};
 use buckthornlink_core::{Verdict, Version};
 
-use super::{CONFIG_KEY, Catalog, ConfigRecord, Current, ZoneEntry, zone_key};
+use super::{CONFIG_KEY, Catalog, ConfigRecord, ZoneEntry, zone_key};
 use crate::store::{Revision, Store, StoreError, Swap};
 
 /// Pause between two tries of the same write.
@@ -117,7 +117,9 @@
             Write::Unknown(cause) => Err(unknown(edit, cause)),
             Write::Conflict => {
                 let now = self.config().await.map_err(|cause| unknown(edit, cause))?;
-                resolve_config(now, record, edit, &config)
+                let standing = now.map(|c| c.record);
+                resolve(record, standing.as_ref().map(|r| &r.edits), edit)
+                    .map_err(|_| conflict(standing.as_ref(), &config))
             }
         }
     }
@@ -156,7 +158,13 @@
                     .zone(name)
                     .await
                     .map_err(|cause| unknown(edit, cause))?;
-                resolve_zone(now, record, edit)
+                let standing = now.map(|c| c.record);
+                resolve(record, standing.as_ref().map(|r| &r.edits), edit).map_err(|refused| {
+                    EditError::ZoneConflict {
+                        editor: standing.map(|r| r.editor).unwrap_or_default(),
+                        zone: refused.name,
+                    }
+                })
             }
         }
     }
@@ -225,39 +233,14 @@
     }
 }
 
-fn resolve_config(
-    now: Option<Current<ConfigRecord>>,
-    record: ConfigRecord,
-    edit: &str,
-    config: &Config,
-) -> Result<Accepted<ConfigRecord>, EditError> {
-    let standing = now.map(|c| c.record);
-    let edits = standing.as_ref().map_or(&[][..], |r| &r.edits);
-    match edits.iter().position(|e| e == edit) {
+/// After a conflict: the edit as accepted, if its id is among those that stand.
+fn resolve<T>(record: T, edits: Option<&Vec<String>>, edit: &str) -> Result<Accepted<T>, T> {
+    match edits.and_then(|edits| edits.iter().position(|e| e == edit)) {
         Some(age) => Ok(Accepted {
             record,
             superseded: age > 0,
         }),
-        None => Err(conflict(standing.as_ref(), config)),
-    }
-}
-
-fn resolve_zone(
-    now: Option<Current<ZoneEntry>>,
-    record: ZoneEntry,
-    edit: &str,
-) -> Result<Accepted<ZoneEntry>, EditError> {
-    let standing = now.map(|c| c.record);
-    let edits = standing.as_ref().map_or(&[][..], |r| &r.edits);
-    match edits.iter().position(|e| e == edit) {
-        Some(age) => Ok(Accepted {
-            record,
-            superseded: age > 0,
-        }),
-        None => Err(EditError::ZoneConflict {
-            editor: standing.map(|r| r.editor).unwrap_or_default(),
-            zone: record.name,
-        }),
+        None => Err(record),
     }
 }
 
--- a/buckthornlink/src/balancer/contacts.rs
+++ b/buckthornlink/src/balancer/contacts.rs
@@ -6,18 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use axum::Router;
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
 use axum::routing::get;
-use bytes::BytesMut;
 use serde::Deserialize;
 use tokio::sync::oneshot;
 
 use buckthornlink_core::ServicePort;
 use buckthornlink_core::member::Fact;
-use buckthornlink_wire::{Header, KeyRing};
+use buckthornlink_node::link::{get_sealed, seal};
+use buckthornlink_wire::KeyRing;
 
 use super::executor::Job;
 
@@ -50,7 +49,8 @@
     keys: &KeyRing,
 ) -> Vec<Fact> {
     for peer in from {
-        match ask(http, *peer, service, keys).await {
+        let url = format!("http://{peer}/contacts?service={service}");
+        match get_sealed::<Vec<Fact>>(http, &url, FETCH_TIMEOUT, keys).await {
             Ok(facts) if !facts.is_empty() => return facts,
             Ok(_) => {}
             Err(err) => log::debug!(peer:% = peer, err:% = err; "contacts not fetched"),
@@ -59,24 +59,6 @@
     Vec::new()
 }
 
-async fn ask(
-    http: &reqwest::Client,
-    peer: SocketAddrV4,
-    service: ServicePort,
-    keys: &KeyRing,
-) -> anyhow::Result<Vec<Fact>> {
-    let url = format!("http://{peer}/contacts?service={service}");
-    let response = http
-        .get(url)
-        .timeout(FETCH_TIMEOUT)
-        .send()
-        .await?
-        .error_for_status()?;
-    let body = response.bytes().await?;
-    let (_, start) = Header::decode(&body, keys)?;
-    rmp_serde::from_slice(&body[start..]).context("contacts")
-}
-
 async fn serve(
     State(offer): State<Offer>,
     Query(query): Query<ContactsQuery>,
@@ -86,8 +68,5 @@
     let sent = offer.jobs.send_async(job).await;
     sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     let facts = facts.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    let bytes = rmp_serde::to_vec(&facts).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
-    let mut out = BytesMut::new();
-    Header::Control.encode(offer.keys.current(), &bytes, &mut out);
-    Ok(out.to_vec())
+    seal(&facts, &offer.keys).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -8,13 +8,13 @@
 use bytes::BytesMut;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval};
 
 use buckthornlink_core::balancer::{Balancer, Candidate, Effect, Event, Setup, Snapshot, TICK};
 use buckthornlink_core::member::Fact;
 use buckthornlink_core::message::Message;
 use buckthornlink_core::{ServicePort, Version};
 use buckthornlink_node::clock::Clock;
+use buckthornlink_node::drive::drive;
 use buckthornlink_node::link::{self, ConfigReply};
 use buckthornlink_node::source::Follower;
 use buckthornlink_node::trace::Recorder;
@@ -116,18 +116,8 @@
 
     /// Runs until the last sender of jobs is gone.
     pub(super) async fn run(mut self, queue: flume::Receiver<Job>) {
-        let mut ticks = interval(Duration::from_millis(TICK.0));
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-        loop {
-            let job = tokio::select! {
-                _ = ticks.tick() => Job::event(Event::Tick),
-                job = queue.recv_async() => match job {
-                    Ok(job) => job,
-                    Err(flume::RecvError::Disconnected) => return,
-                },
-            };
-            self.perform_job(job);
-        }
+        let tick = || Job::event(Event::Tick);
+        drive(queue, TICK, tick, |job| self.perform_job(job)).await;
     }
 
     fn perform_job(&mut self, job: Job) {
