--- a/buckthornlink-fakes/examples/slopes/main.rs
+++ b/buckthornlink-fakes/examples/slopes/main.rs
@@ -4,6 +4,7 @@
 //! draws a plot if a folder is given.
 
 mod agent;
+mod forward;
 mod process;
 mod reducer;
 mod series;
@@ -59,6 +60,15 @@
         #[arg(long, default_value = "target/release/buckthornlink")]
         program: PathBuf,
     },
+    /// Datagrams per second of processor time, beside a bare relay in the same run
+    Forward {
+        /// The `buckthornlink` program
+        #[arg(long, default_value = "target/release/buckthornlink")]
+        program: PathBuf,
+    },
+    /// The bare relay
+    #[command(hide = true)]
+    Relay,
     /// Memory and processor time of an agent process, by flows open
     Agent {
         /// Flows
@@ -70,10 +80,29 @@
     },
 }
 
+/// Compares the balancer with a bare relay.
+async fn compare(program: &std::path::Path) -> anyhow::Result<()> {
+    let [bare, balancer] = forward::measure(program).await?;
+    for found in [&bare, &balancer] {
+        println!(
+            "{}: {} datagrams in {:.2} s of processor time, {:.0} per second, {} bytes resident",
+            found.name,
+            found.datagrams,
+            found.seconds,
+            found.rate(),
+            found.memory,
+        );
+    }
+    println!("ratio: {:.3}", balancer.rate() / bare.rate());
+    Ok(())
+}
+
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let args = Arguments::parse();
     let found = match &args.what {
+        What::Relay => return forward::relay(),
+        What::Forward { program } => return compare(program).await,
         What::Reducer { sizes } => reducer::measure(sizes)?,
         What::Spread { sizes } => spread::measure(sizes).await?,
         What::Process { sizes, program } => process::measure(sizes, program).await?,
--- a/buckthornlink-fakes/examples/slopes/process.rs
+++ b/buckthornlink-fakes/examples/slopes/process.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use buckthornlink_core::Version;
 use buckthornlink_core::member::Load;
 use buckthornlink_core::message::{Heartbeat, Message};
+use buckthornlink_core::{ServicePort, Version};
 use buckthornlink_fakes::{FakeStore, Preset};
 use buckthornlink_node::settings::{KeySettings, key_ring};
 use buckthornlink_platform::{Catalog, EtcdStore};
@@ -65,6 +65,20 @@
     Ok(vec![memory])
 }
 
+/// A configuration of one service.
+pub fn config_at(service: ServicePort) -> String {
+    let service = serde_json::json!({
+        "name": "token",
+        "address": format!("127.0.0.1:{service}"),
+    });
+    serde_json::json!({ "zones": ["brasov-1"], "services": [service] }).to_string()
+}
+
+/// Address of the link of the balancer that is measured.
+pub const fn balancer_link() -> SocketAddrV4 {
+    SocketAddrV4::new(BALANCER, LINK_PORT)
+}
+
 /// A configuration of many services.
 fn config(services: u32) -> String {
     let services = (0..services).map(|i| {
@@ -77,7 +91,7 @@
     serde_json::json!({ "zones": ["brasov-1"], "services": services }).to_string()
 }
 
-async fn store_with(text: &str) -> anyhow::Result<FakeStore> {
+pub async fn store_with(text: &str) -> anyhow::Result<FakeStore> {
     let store = FakeStore::spawn(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0)).await?;
     let catalog = Catalog::open(EtcdStore::open(store.url()));
     catalog
@@ -121,7 +135,7 @@
     Ok((bytes, used / start.elapsed().as_secs_f64()))
 }
 
-fn start(program: &Path, store: &FakeStore, link: SocketAddrV4) -> anyhow::Result<Child> {
+pub fn start(program: &Path, store: &FakeStore, link: SocketAddrV4) -> anyhow::Result<Child> {
     let settings = serde_json::json!({
         "zone": "brasov-1",
         "ip": link.ip(),
