--- a/buckthornlink/src/balancer/batch.rs
+++ b/buckthornlink/src/balancer/batch.rs
@@ -66,6 +66,9 @@
                 let SocketAddr::V4(from) = meta.addr else {
                     continue;
                 };
+                if meta.len == 0 {
+                    receive(from, &[]);
+                }
                 for datagram in buffer[..meta.len].chunks(meta.stride.max(1)) {
                     receive(from, datagram);
                 }
