--- a/buckthornlink-agent/src/main.rs
+++ b/buckthornlink-agent/src/main.rs
@@ -50,8 +50,8 @@
 }
 
 async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
-    let agent = Agent::spawn(settings).await?;
     let mut terminate = signal(SignalKind::terminate())?;
+    let agent = Agent::spawn(settings).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         interrupted = tokio::signal::ctrl_c() => interrupted?,
--- a/buckthornlink/src/command/serve.rs
+++ b/buckthornlink/src/command/serve.rs
@@ -38,8 +38,8 @@
 }
 
 async fn serve(settings: BalancerSettings) -> anyhow::Result<()> {
-    let balancer = Balancer::spawn(settings).await?;
     let mut terminate = signal(SignalKind::terminate())?;
+    let balancer = Balancer::spawn(settings).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         interrupted = tokio::signal::ctrl_c() => interrupted?,
--- a/buckthornlink/tests/cli.rs
+++ b/buckthornlink/tests/cli.rs
@@ -1,10 +1,13 @@
 //! The operators' command line as a program: output and exit codes.
 
+use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
-use std::process::{Command, Output};
 
-use buckthornlink_fakes::{FakeStore, Preset};
+use std::process::{Command, Output, Stdio};
+
+use buckthornlink_fakes::{FakeStore, Fleet, Preset};
+use rustix::process::{Pid, Signal};
 
 /// A text file that is removed when dropped.
 struct File(PathBuf);
@@ -122,3 +125,55 @@
     ];
     assert_eq!(code(&args), Some(1));
 }
+
+#[test]
+fn operators_see_what_is_in_force() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let fleet = runtime.block_on(Fleet::spawn(Preset::Carpatia, 1)).unwrap();
+    let url = fleet.store().url();
+    let file = File::new("fleet.json", &fleet.config_text());
+    let on = |args: &[&str]| stdout(&[args, &["--store", &url]].concat());
+    let applied = on(&["apply", file.path(), "--wait"]);
+    assert!(
+        applied.starts_with("accepted as version 1, in force after"),
+        "{applied}"
+    );
+    assert!(on(&["zone", "out", "brasov-2"]).starts_with("accepted"));
+    let status = on(&["status", "--output", "json"]);
+    let balancers: serde_json::Value = serde_json::from_str(&status).unwrap();
+    let balancers = balancers.as_array().unwrap();
+    assert_eq!(balancers.len(), 3);
+    assert!(
+        balancers.iter().all(|b| b["status"]["version"] == 1),
+        "{status}"
+    );
+    assert!(on(&["status"]).contains("brasov"));
+}
+
+#[test]
+fn a_balancer_ends_cleanly_on_a_signal() {
+    let settings = serde_json::json!({
+        "zone": "a",
+        "ip": "127.0.0.1",
+        "link_port": 0,
+        "http": "127.0.0.1:0",
+        "entry": "127.0.0.1:9",
+        "store": { "url": "http://127.0.0.1:9" },
+        "keys": [{ "id": 1, "secret": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=" }],
+        "log": { "format": "json" },
+    });
+    let file = File::new("balancer.json", &settings.to_string());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornlink"));
+    let mut child = command
+        .args(["balancer", file.path()])
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let started = lines.next().unwrap().unwrap();
+    assert!(started.contains("balancer started"), "{started}");
+    let pid = Pid::from_child(&child);
+    rustix::process::kill_process(pid, Signal::TERM).unwrap();
+    assert!(child.wait().unwrap().success());
+    assert!(lines.any(|line| line.unwrap().contains("balancer stopped")));
+}
