refactor: use the field's names for hellos, cold resets and merges

Cause: a read of the whole code as a newcomer found greet, meet, chill, spares, a desk in the tests, and a closure that hid a role check. Change: send_hello, merge_contacts, reset_to_cold, leaves_unchanged, harness; the role check asks the fact for its service. No behaviour changes.

--- a/buckthornlink-core/src/agent.rs
+++ b/buckthornlink-core/src/agent.rs
@@ -328,7 +328,7 @@
         if !self.zones.merge(record) || was_out == self.is_out() {
             return Vec::new();
         }
-        self.limiter.chill();
+        self.limiter.reset_to_cold();
         if !self.is_out() {
             return Vec::new();
         }
@@ -381,7 +381,7 @@
         }
     }
 
-    /// Says farewell once every flow and request has ended.
+    /// Reports [`Phase::Left`] once every flow and request has ended.
     fn finish_drain(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let is_idle = self.flows.count() == 0 && self.running.is_empty() && self.queue.is_empty();
         if self.left_at.is_none() || !is_idle || self.is_drained {
@@ -398,7 +398,7 @@
         if is_up && !self.is_reachable {
             self.is_reachable = true;
             self.failures = 0;
-            self.limiter.chill();
+            self.limiter.reset_to_cold();
         }
         Vec::new()
     }
--- a/buckthornlink-core/src/agent/limiter.rs
+++ b/buckthornlink-core/src/agent/limiter.rs
@@ -104,7 +104,7 @@
     }
 
     /// Treats the backend server as new.
-    pub const fn chill(&mut self) {
+    pub const fn reset_to_cold(&mut self) {
         self.is_cold = true;
         self.limit = COLD_LIMIT;
         self.answers = 0;
@@ -125,7 +125,7 @@
             Outcome::Answered { boot } => self.answered(boot, took, was_full),
             Outcome::Shed => self.shed(),
             Outcome::Late => self.back_off(),
-            Outcome::Broken | Outcome::Unreachable => self.chill(),
+            Outcome::Broken | Outcome::Unreachable => self.reset_to_cold(),
             Outcome::Declined | Outcome::Aborted => {}
         }
     }
@@ -203,7 +203,7 @@
         let is_replaced = self.boot.is_some() && boot.is_some() && self.boot != boot;
         self.boot = boot.or(self.boot);
         if is_replaced {
-            self.chill();
+            self.reset_to_cold();
             return;
         }
         self.count_answer();
@@ -240,7 +240,7 @@
             self.usual_ms += weight * (took - self.usual_ms);
         }
         if self.slow >= SLOW_WHEN_COLD {
-            self.chill();
+            self.reset_to_cold();
             self.usual_ms = 0.0;
         }
         is_slow
@@ -250,7 +250,7 @@
         self.sheds += 1;
         self.count_answer();
         if self.sheds >= SHEDS_WHEN_COLD && !self.is_cold {
-            self.chill();
+            self.reset_to_cold();
         } else {
             self.back_off();
         }
--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -211,7 +211,7 @@
     pub fn reduce(&mut self, event: Event, now: Millis) -> Vec<Effect> {
         match event {
             Event::Opener { service, flow } => self.place(service, flow, now),
-            Event::Contacts { service, facts } => self.meet(service, &facts),
+            Event::Contacts { service, facts } => self.merge_contacts(service, &facts),
             Event::Report { agent, phase, load } => self.report(agent, phase, load, now),
             Event::Control { from, message } => self.control(from, message, now),
             Event::Config { version, config } => self.configure(version, config, now),
--- a/buckthornlink-core/src/balancer/observe.rs
+++ b/buckthornlink-core/src/balancer/observe.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddrV4;
 
 use super::{Balancer, Effect};
-use crate::id::ServicePort;
-use crate::member::{Fact, Load, MemberKey, Merge, Phase, Role};
+use crate::member::{Fact, Load, MemberKey, Merge, Phase};
 use crate::message::{Ack, Heartbeat, Message};
 use crate::time::Millis;
 
@@ -137,9 +136,8 @@
 
     /// Agents that report to this balancer and are not marked as gone.
     fn observed(&self, now: Millis) -> Vec<MemberKey> {
-        let is_agent = |role: Role| matches!(role, Role::Agent(ServicePort(_)));
         let members = self.members.iter().filter(|(_, m)| {
-            is_agent(m.fact.role)
+            m.fact.service().is_some()
                 && !m.fact.phase.is_gone()
                 && m.is_heard_within(OBSERVED_SPAN, now)
         });
--- a/buckthornlink-core/src/balancer/opener.rs
+++ b/buckthornlink-core/src/balancer/opener.rs
@@ -112,7 +112,7 @@
     }
 
     /// Merges fetched agents. They are no news to others, so they are not spread.
-    pub(super) fn meet(&mut self, service: ServicePort, facts: &[Fact]) -> Vec<Effect> {
+    pub(super) fn merge_contacts(&mut self, service: ServicePort, facts: &[Fact]) -> Vec<Effect> {
         if !facts.is_empty() {
             self.asked.remove(&service);
         }
--- a/buckthornlink-core/src/balancer/spread.rs
+++ b/buckthornlink-core/src/balancer/spread.rs
@@ -113,7 +113,7 @@
 
     /// Starts an exchange, or says hello if no peer is known.
     pub(super) fn gossip(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        self.greet(now, effects);
+        self.send_hello(now, effects);
         if now.since(self.spread.exchanged) < EXCHANGE_INTERVAL {
             return;
         }
@@ -247,7 +247,7 @@
         }
     }
 
-    fn greet(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+    fn send_hello(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let is_alone = self.live_balancers().next().is_none();
         let interval = if is_alone {
             HELLO_INTERVAL
--- a/buckthornlink-core/src/config/delta.rs
+++ b/buckthornlink-core/src/config/delta.rs
@@ -60,7 +60,7 @@
 
     /// Whether the part of the configuration that concerns `slice` stays as it was.
     #[must_use]
-    pub fn spares(&self, slice: &Config) -> bool {
+    pub fn leaves_unchanged(&self, slice: &Config) -> bool {
         let is_in = |name: &str| slice.service_named(name).is_some();
         let is_touched = self.changed.iter().any(|s| is_in(&s.name));
         let is_cut = self.removed.iter().any(|name| is_in(name));
--- a/buckthornlink-core/tests/agent.rs
+++ b/buckthornlink-core/tests/agent.rs
@@ -8,29 +8,29 @@
 use buckthornlink_core::message::Message;
 use buckthornlink_core::verdict::Refusal;
 use buckthornlink_core::{Millis, Verdict, ZoneTag};
-use common::{ANSWERED, Desk, addr, request};
+use common::{ANSWERED, Harness, addr, request};
 
 #[test]
 fn a_first_attempt_runs_once_and_its_repeat_is_replayed() {
-    let mut desk = Desk::warm();
-    assert_eq!(desk.ask(request(1, "r", 1)), [Effect::Run(Ticket(1))]);
-    let running = desk.ask(request(2, "r", 2));
-    desk.finish(1, ANSWERED);
-    let replayed = desk.ask(request(3, "r", 2));
+    let mut harness = Harness::warm();
+    assert_eq!(harness.ask(request(1, "r", 1)), [Effect::Run(Ticket(1))]);
+    let running = harness.ask(request(2, "r", 2));
+    harness.finish(1, ANSWERED);
+    let replayed = harness.ask(request(3, "r", 2));
     let mut changed = request(4, "r", 2);
     changed.fingerprint += 1;
-    let reused = desk.ask(changed);
-    let elsewhere = desk.ask(request(5, "other", 2));
+    let reused = harness.ask(changed);
+    let elsewhere = harness.ask(request(5, "other", 2));
     insta::assert_debug_snapshot!((running, replayed, reused, elsewhere));
 }
 
 #[test]
 fn an_unknown_outcome_is_never_run_again() {
     for outcome in [Outcome::Broken, Outcome::Late, Outcome::Aborted] {
-        let mut desk = Desk::warm();
-        desk.ask(request(1, "r", 1));
-        desk.finish(1, outcome);
-        let effects = desk.ask(request(2, "r", 1));
+        let mut harness = Harness::warm();
+        harness.ask(request(1, "r", 1));
+        harness.finish(1, outcome);
+        let effects = harness.ask(request(2, "r", 1));
         let refused = Effect::Refuse {
             ticket: Ticket(2),
             verdict: Verdict::MayHaveRun,
@@ -43,21 +43,21 @@
 #[test]
 fn what_provably_did_not_run_may_be_sent_again() {
     for outcome in [Outcome::Shed, Outcome::Declined, Outcome::Unreachable] {
-        let mut desk = Desk::warm();
-        desk.ask(request(1, "r", 1));
-        desk.finish(1, outcome);
-        assert_eq!(desk.ask(request(2, "r", 1)), [Effect::Run(Ticket(2))]);
+        let mut harness = Harness::warm();
+        harness.ask(request(1, "r", 1));
+        harness.finish(1, outcome);
+        assert_eq!(harness.ask(request(2, "r", 1)), [Effect::Run(Ticket(2))]);
     }
 }
 
 #[test]
 fn a_cold_backend_server_gains_on_success_only() {
-    let mut desk = Desk::cold();
+    let mut harness = Harness::cold();
     let mut limits = Vec::new();
     for ticket in 1..=60 {
-        desk.ask(request(ticket, &format!("r{ticket}"), 1));
-        desk.finish(ticket, ANSWERED);
-        limits.push(desk.state.limit());
+        harness.ask(request(ticket, &format!("r{ticket}"), 1));
+        harness.finish(ticket, ANSWERED);
+        limits.push(harness.state.limit());
     }
     insta::assert_compact_debug_snapshot!(limits);
 }
@@ -66,42 +66,42 @@
 fn signs_of_a_restart_make_it_cold_at_once() {
     let replaced = Outcome::Answered { boot: Some(2) };
     for (outcome, times) in [(replaced, 1), (Outcome::Broken, 1), (Outcome::Shed, 2)] {
-        let mut desk = Desk::warm();
-        assert_eq!(desk.state.limit(), 8);
+        let mut harness = Harness::warm();
+        assert_eq!(harness.state.limit(), 8);
         for ticket in 1..=times {
-            desk.ask(request(ticket, &format!("r{ticket}"), 1));
-            desk.finish(ticket, outcome);
+            harness.ask(request(ticket, &format!("r{ticket}"), 1));
+            harness.finish(ticket, outcome);
         }
-        assert_eq!(desk.state.limit(), 1, "after {outcome:?}");
+        assert_eq!(harness.state.limit(), 1, "after {outcome:?}");
     }
 }
 
 #[test]
 fn sudden_slowness_makes_it_cold() {
-    let mut desk = Desk::warm();
+    let mut harness = Harness::warm();
     for ticket in 1..=3 {
-        desk.ask(request(ticket, &format!("r{ticket}"), 1));
-        desk.finish_after(ticket, ANSWERED, Millis(500));
+        harness.ask(request(ticket, &format!("r{ticket}"), 1));
+        harness.finish_after(ticket, ANSWERED, Millis(500));
     }
-    assert_eq!(desk.state.limit(), 1);
+    assert_eq!(harness.state.limit(), 1);
 }
 
 #[test]
 fn admitted_work_goes_first_and_classes_take_turns() {
-    let mut desk = Desk::cold();
-    desk.ask(request(1, "running", 1));
+    let mut harness = Harness::cold();
+    harness.ask(request(1, "running", 1));
     for (ticket, class) in [(2, "a"), (3, "a"), (4, "a"), (5, "b")] {
         let mut waiting = request(ticket, &format!("r{ticket}"), 1);
         waiting.class = class.into();
-        desk.ask(waiting);
+        harness.ask(waiting);
     }
     let mut admitted = request(6, "r6", 1);
     admitted.priority = Priority::Admitted;
-    desk.ask(admitted);
+    harness.ask(admitted);
     let mut order: Vec<Ticket> = Vec::new();
     let mut running = vec![Ticket(1)];
     while let Some(ticket) = running.pop() {
-        let effects = desk.finish(ticket.0, Outcome::Declined);
+        let effects = harness.finish(ticket.0, Outcome::Declined);
         let started = effects.iter().filter_map(|e| match e {
             Effect::Run(ticket) => Some(*ticket),
             _ => None,
@@ -115,13 +115,13 @@
 
 #[test]
 fn what_cannot_meet_its_deadline_is_refused_unrun() {
-    let mut desk = Desk::cold();
-    desk.ask(request(1, "running", 1));
+    let mut harness = Harness::cold();
+    harness.ask(request(1, "running", 1));
     let mut waiting = request(2, "r2", 1);
-    waiting.deadline = desk.now + Millis(50);
-    assert_eq!(desk.ask(waiting), []);
-    desk.now = desk.now + Millis(60);
-    let effects = desk.state.reduce(Event::Tick, desk.now);
+    waiting.deadline = harness.now + Millis(50);
+    assert_eq!(harness.ask(waiting), []);
+    harness.now = harness.now + Millis(60);
+    let effects = harness.state.reduce(Event::Tick, harness.now);
     let refused = Effect::Refuse {
         ticket: Ticket(2),
         verdict: Verdict::NotRun,
@@ -132,51 +132,55 @@
 
 #[test]
 fn a_zone_out_ends_everything_and_its_return_is_cold() {
-    let mut desk = Desk::warm();
-    desk.open_flows(3);
-    desk.ask(request(1, "running", 1));
+    let mut harness = Harness::warm();
+    harness.open_flows(3);
+    harness.ask(request(1, "running", 1));
     let record = ZoneRecord {
         zone: ZoneTag(1),
         seq: 1,
         out: true,
     };
-    let effects = desk.ack(|ack| ack.zones = vec![record]);
+    let effects = harness.ack(|ack| ack.zones = vec![record]);
     insta::assert_debug_snapshot!(effects);
-    desk.finish(1, Outcome::Aborted);
+    harness.finish(1, Outcome::Aborted);
     let refused = Effect::Refuse {
         ticket: Ticket(2),
         verdict: Verdict::NotRun,
         refusal: Refusal::ZoneOut,
     };
-    assert_eq!(desk.ask(request(2, "r2", 1)), [refused]);
+    assert_eq!(harness.ask(request(2, "r2", 1)), [refused]);
     assert_eq!(
-        desk.state.reduce(Event::FlowAsked(FlowId(9)), desk.now),
+        harness
+            .state
+            .reduce(Event::FlowAsked(FlowId(9)), harness.now),
         [Effect::RefuseFlow(FlowId(9))]
     );
-    desk.ack(|ack| {
+    harness.ack(|ack| {
         ack.zones = vec![ZoneRecord {
             seq: 2,
             out: false,
             ..record
         }];
     });
-    assert_eq!(desk.state.limit(), 1);
-    assert_eq!(desk.ask(request(3, "r3", 1)), [Effect::Run(Ticket(3))]);
+    assert_eq!(harness.state.limit(), 1);
+    assert_eq!(harness.ask(request(3, "r3", 1)), [Effect::Run(Ticket(3))]);
 }
 
 #[test]
 fn a_drain_moves_flows_and_ends_when_nothing_is_held() {
-    let mut desk = Desk::warm();
-    desk.open_flows(2);
-    desk.ask(request(1, "running", 1));
-    let effects = desk.state.reduce(Event::Drain, desk.now);
+    let mut harness = Harness::warm();
+    harness.open_flows(2);
+    harness.ask(request(1, "running", 1));
+    let effects = harness.state.reduce(Event::Drain, harness.now);
     assert!(effects.contains(&Effect::MoveFlows(vec![FlowId(0), FlowId(1)])));
     assert_eq!(
-        desk.state.reduce(Event::FlowAsked(FlowId(9)), desk.now),
+        harness
+            .state
+            .reduce(Event::FlowAsked(FlowId(9)), harness.now),
         [Effect::RefuseFlow(FlowId(9))]
     );
-    desk.now = desk.now + Millis(2_000);
-    let late = desk.ask(request(2, "r2", 1));
+    harness.now = harness.now + Millis(2_000);
+    let late = harness.ask(request(2, "r2", 1));
     assert!(matches!(
         late[0],
         Effect::Refuse {
@@ -184,19 +188,21 @@
             ..
         }
     ));
-    desk.finish(1, ANSWERED);
+    harness.finish(1, ANSWERED);
     for flow in 0..2 {
-        desk.state.reduce(Event::FlowClosed(FlowId(flow)), desk.now);
+        harness
+            .state
+            .reduce(Event::FlowClosed(FlowId(flow)), harness.now);
     }
-    let effects = desk.state.reduce(Event::Tick, desk.now);
+    let effects = harness.state.reduce(Event::Tick, harness.now);
     assert!(effects.contains(&Effect::Drained));
-    assert_eq!(desk.state.fact().phase, Phase::Left);
+    assert_eq!(harness.state.fact().phase, Phase::Left);
 }
 
 #[test]
 fn openers_are_handed_on_at_most_twice() {
-    let mut desk = Desk::warm();
-    desk.open_flows(10);
+    let mut harness = Harness::warm();
+    harness.open_flows(10);
     let rest = vec![Candidate {
         addr: addr(9),
         flows: 0,
@@ -209,18 +215,21 @@
         to: addr(9),
         rest: vec![],
     }];
-    assert_eq!(desk.state.reduce(opener(0), desk.now), handed);
-    assert_eq!(desk.state.reduce(opener(1), desk.now), handed);
-    assert_eq!(desk.state.reduce(opener(2), desk.now), [Effect::Accept]);
+    assert_eq!(harness.state.reduce(opener(0), harness.now), handed);
+    assert_eq!(harness.state.reduce(opener(1), harness.now), handed);
+    assert_eq!(
+        harness.state.reduce(opener(2), harness.now),
+        [Effect::Accept]
+    );
 }
 
 #[test]
 fn an_agent_with_too_many_flows_asks_some_to_move() {
-    let mut desk = Desk::warm();
-    desk.open_flows(40);
-    desk.ack(|ack| ack.flows = 30);
-    desk.now = desk.now + Millis(1_000);
-    let effects = desk.state.reduce(Event::Tick, desk.now);
+    let mut harness = Harness::warm();
+    harness.open_flows(40);
+    harness.ack(|ack| ack.flows = 30);
+    harness.now = harness.now + Millis(1_000);
+    let effects = harness.state.reduce(Event::Tick, harness.now);
     let moved = effects.iter().find_map(|e| match e {
         Effect::MoveFlows(flows) => Some(flows.len()),
         _ => None,
@@ -230,15 +239,17 @@
 
 #[test]
 fn the_health_endpoint_is_a_hint_only() {
-    let mut desk = Desk::warm();
-    desk.state.reduce(Event::Health { is_up: false }, desk.now);
-    assert_eq!(desk.ask(request(1, "r1", 1)), [Effect::Run(Ticket(1))]);
+    let mut harness = Harness::warm();
+    harness
+        .state
+        .reduce(Event::Health { is_up: false }, harness.now);
+    assert_eq!(harness.ask(request(1, "r1", 1)), [Effect::Run(Ticket(1))]);
 }
 
 #[test]
 fn an_agent_alone_says_hello_to_any_balancer() {
-    let mut desk = Desk::cold();
-    let effects = desk.state.reduce(Event::Tick, desk.now);
+    let mut harness = Harness::cold();
+    let effects = harness.state.reduce(Event::Tick, harness.now);
     let is_hello = |e: &Effect| matches!(e, Effect::Send { to, message: Message::Hello(_) } if *to == addr(250));
     assert!(effects.iter().any(is_hello), "{effects:?}");
 }
--- a/buckthornlink-core/tests/agent_properties.rs
+++ b/buckthornlink-core/tests/agent_properties.rs
@@ -7,7 +7,7 @@
 use buckthornlink_core::agent::{Effect, Event, FlowId, Outcome, Ticket};
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_core::{Millis, Verdict, ZoneTag};
-use common::{ANSWERED, Desk, request};
+use common::{ANSWERED, Harness, request};
 use proptest::prelude::*;
 
 /// One step of a test; tickets are given out by the test itself.
@@ -139,7 +139,7 @@
 }
 
 fn play(steps: Vec<Step>) {
-    let mut desk = Desk::cold();
+    let mut harness = Harness::cold();
     let mut ledger = Ledger::default();
     let mut seq = 0;
     for (index, step) in steps.into_iter().enumerate() {
@@ -153,30 +153,30 @@
             } => {
                 let mut asked = request(ticket.0, &format!("r{id}"), attempt);
                 asked.idempotent = idempotent;
-                asked.deadline = desk.now + Millis(patience);
+                asked.deadline = harness.now + Millis(patience);
                 if !idempotent {
                     ledger.ids.insert(ticket, id);
                 }
                 ledger.waiting.insert(ticket);
-                desk.ask(asked)
+                harness.ask(asked)
             }
             Step::Finish { pick, outcome } => {
                 let Some(ticket) = ledger.pick(pick) else {
                     continue;
                 };
                 ledger.finish(ticket, outcome);
-                desk.finish(ticket.0, outcome)
+                harness.finish(ticket.0, outcome)
             }
             Step::Cancel { pick } => {
                 let Some(ticket) = ledger.pick(pick) else {
                     continue;
                 };
                 ledger.running.remove(&ticket);
-                desk.state.reduce(Event::Cancelled(ticket), desk.now)
+                harness.state.reduce(Event::Cancelled(ticket), harness.now)
             }
             Step::Zone { out } => {
                 seq += 1;
-                desk.ack(|ack| {
+                harness.ack(|ack| {
                     ack.zones = vec![ZoneRecord {
                         zone: ZoneTag(1),
                         seq,
@@ -184,28 +184,28 @@
                     }];
                 })
             }
-            Step::Health { is_up } => desk.state.reduce(Event::Health { is_up }, desk.now),
-            Step::OpenFlow => desk
+            Step::Health { is_up } => harness.state.reduce(Event::Health { is_up }, harness.now),
+            Step::OpenFlow => harness
                 .state
-                .reduce(Event::FlowAsked(FlowId(ticket.0)), desk.now),
-            Step::Drain => desk.state.reduce(Event::Drain, desk.now),
+                .reduce(Event::FlowAsked(FlowId(ticket.0)), harness.now),
+            Step::Drain => harness.state.reduce(Event::Drain, harness.now),
             Step::Pass { millis } => {
-                desk.now = desk.now + Millis(millis);
+                harness.now = harness.now + Millis(millis);
                 Vec::new()
             }
             Step::Wait { millis } => {
-                desk.now = desk.now + Millis(millis);
-                desk.state.reduce(Event::Tick, desk.now)
+                harness.now = harness.now + Millis(millis);
+                harness.state.reduce(Event::Tick, harness.now)
             }
         };
         // A limit that falls does not stop what runs already.
-        let over = ledger.running.iter().skip(desk.state.limit() as usize);
+        let over = ledger.running.iter().skip(harness.state.limit() as usize);
         ledger.excused = over.copied().collect();
-        let is_out = desk.state.is_out();
-        ledger.note(&effects, desk.state.limit(), is_out);
-        assert_eq!(desk.state.running(), ledger.running.len());
+        let is_out = harness.state.is_out();
+        ledger.note(&effects, harness.state.limit(), is_out);
+        assert_eq!(harness.state.running(), ledger.running.len());
         assert_eq!(
-            desk.state.queued(),
+            harness.state.queued(),
             ledger.waiting.len(),
             "a request was forgotten"
         );
--- a/buckthornlink-core/tests/common/mod.rs
+++ b/buckthornlink-core/tests/common/mod.rs
@@ -13,31 +13,33 @@
 pub const ANSWERED: Outcome = Outcome::Answered { boot: Some(1) };
 
 /// A reducer and its time.
-pub struct Desk {
+pub struct Harness {
     pub state: Agent,
     pub now: Millis,
 }
 
-impl Desk {
+impl Harness {
     /// An agent whose backend server is reachable and cold.
     pub fn cold() -> Self {
-        let mut desk = Self {
+        let mut harness = Self {
             state: Agent::new(setup()),
             now: Millis(10_000),
         };
-        desk.state.reduce(Event::Health { is_up: true }, desk.now);
-        desk
+        harness
+            .state
+            .reduce(Event::Health { is_up: true }, harness.now);
+        harness
     }
 
     /// An agent whose backend server has warmed up.
     pub fn warm() -> Self {
-        let mut desk = Self::cold();
+        let mut harness = Self::cold();
         for ticket in 1_000..1_200 {
-            desk.ask(request(ticket, &format!("warm-{ticket}"), 1));
-            desk.finish(ticket, ANSWERED);
+            harness.ask(request(ticket, &format!("warm-{ticket}"), 1));
+            harness.finish(ticket, ANSWERED);
         }
-        desk.state.reduce(Event::Tick, desk.now);
-        desk
+        harness.state.reduce(Event::Tick, harness.now);
+        harness
     }
 
     pub fn ask(&mut self, request: Request) -> Vec<Effect> {
--- a/buckthornlink-core/tests/overload.rs
+++ b/buckthornlink-core/tests/overload.rs
@@ -8,7 +8,7 @@
 use buckthornlink_core::agent::{Effect, Event, Outcome, Ticket};
 use buckthornlink_core::id::stable_hash;
 use buckthornlink_core::{Millis, Verdict};
-use common::{Desk, request};
+use common::{Harness, request};
 
 const SLOTS: u32 = 8;
 /// Slots that a cold server bears, and the answers that add one.
@@ -63,16 +63,16 @@
 
 /// Offers `percent` of the capacity; the server turns cold at `restarts`.
 fn run(percent: u64, restarts: &[Millis]) -> Found {
-    let mut desk = Desk::cold();
-    let start = desk.now;
+    let mut harness = Harness::cold();
+    let start = harness.now;
     let mut server = Server::default();
     let mut found = Found::default();
     let mut ends = BinaryHeap::<Reverse<End>>::new();
     let mut arrived = BTreeMap::new();
     let mut offered = 0;
-    while desk.now.since(start) < LENGTH {
-        desk.now = desk.now + Millis(1);
-        let elapsed = desk.now.since(start);
+    while harness.now.since(start) < LENGTH {
+        harness.now = harness.now + Millis(1);
+        let elapsed = harness.now.since(start);
         if restarts.contains(&elapsed) {
             server.boot += 1;
             server.answered = 0;
@@ -80,7 +80,7 @@
         }
         let mut effects = Vec::new();
         while let Some(Reverse((at, ticket, boot, began))) = ends.pop() {
-            if at > desk.now {
+            if at > harness.now {
                 ends.push(Reverse((at, ticket, boot, began)));
                 break;
             }
@@ -88,34 +88,34 @@
             server.answered += 1;
             let answer = Outcome::Answered { boot: Some(boot) };
             let asked: Millis = arrived[&ticket];
-            if desk.now.since(asked) <= DEADLINE {
+            if harness.now.since(asked) <= DEADLINE {
                 found.useful += 1;
             } else {
                 found.late += 1;
             }
-            effects.extend(desk.finish_after(ticket.0, answer, desk.now.since(began)));
+            effects.extend(harness.finish_after(ticket.0, answer, harness.now.since(began)));
         }
         let due = elapsed.0 * u64::from(SLOTS) * percent / (MEAN_WORK_MS * 100);
         while offered < due {
             offered += 1;
-            arrived.insert(Ticket(offered), desk.now);
+            arrived.insert(Ticket(offered), harness.now);
             let mut asked = request(offered, &format!("r{offered}"), 1);
-            asked.deadline = desk.now + DEADLINE;
-            effects.extend(desk.ask(asked));
+            asked.deadline = harness.now + DEADLINE;
+            effects.extend(harness.ask(asked));
         }
         if elapsed.0.is_multiple_of(100) {
-            effects.extend(desk.state.reduce(Event::Tick, desk.now));
+            effects.extend(harness.state.reduce(Event::Tick, harness.now));
         }
         while let Some(effect) = effects.pop() {
             match effect {
                 Effect::Run(ticket) if server.running >= server.bears() => {
                     server.overloads += 1;
-                    effects.extend(desk.finish(ticket.0, Outcome::Shed));
+                    effects.extend(harness.finish(ticket.0, Outcome::Shed));
                 }
                 Effect::Run(ticket) => {
                     server.running += 1;
-                    let end = desk.now + server.work(ticket);
-                    ends.push(Reverse((end, ticket, server.boot, desk.now)));
+                    let end = harness.now + server.work(ticket);
+                    ends.push(Reverse((end, ticket, server.boot, harness.now)));
                 }
                 Effect::Refuse { verdict, .. } => {
                     found.refused += 1;
@@ -124,7 +124,7 @@
                 _ => {}
             }
         }
-        if found.warm_at.is_none() && desk.state.limit() == SLOTS {
+        if found.warm_at.is_none() && harness.state.limit() == SLOTS {
             found.warm_at = Some(elapsed);
         }
     }
--- a/buckthornlink-node/src/link.rs
+++ b/buckthornlink-node/src/link.rs
@@ -231,8 +231,9 @@
         });
     };
     let config = current.config.slice(name)?;
-    let is_spared = changes.is_some_and(|deltas| deltas.iter().all(|d| d.spares(&config)));
-    if is_spared {
+    let is_unchanged =
+        changes.is_some_and(|deltas| deltas.iter().all(|d| d.leaves_unchanged(&config)));
+    if is_unchanged {
         let deltas = Vec::new();
         return Some(Answer::Changes { version, deltas });
     }
