fix(agent): refuse headers that do not parse, and bound the classes

Cause: found by reading. An attempt that was not a number counted as the first, so a repeat could run again; each class that a caller made up got queues and histograms of its own, without end. Change: such headers are refused as malformed; an agent keeps 32 classes apart, and further ones count as the service's own. Measured: two tests on the real path: a request with attempt "second" is refused and has not run by the backend servers' record; 60 made-up classes leave at most 33 histograms at any agent.

--- a/buckthornlink-agent/src/agent.rs
+++ b/buckthornlink-agent/src/agent.rs
@@ -5,8 +5,8 @@
 
 use std::marker::PhantomData;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -99,6 +99,7 @@
             metrics: Arc::clone(&shared.metrics),
             shared: shared.clone(),
             tickets: AtomicU64::new(1),
+            classes: Mutex::default(),
         });
         let lane = LinkLane {
             socket: Arc::clone(&shared.link),
--- a/buckthornlink-agent/src/request.rs
+++ b/buckthornlink-agent/src/request.rs
@@ -1,7 +1,9 @@
 //! One HTTP/3 request.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::str::FromStr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -25,8 +27,10 @@
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
-/// Longest class name, in bytes; longer ones count as the service's own class.
+/// Longest class name, in bytes. Longer ones count as the service's own class.
 const MAX_CLASS_BYTES: usize = 32;
+/// Classes kept apart; callers name them.
+const MAX_CLASSES: usize = 32;
 /// Seconds after which a caller may repeat a refused request.
 const RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
 
@@ -41,8 +45,12 @@
     pub(crate) shared: Shared,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) tickets: AtomicU64,
+    pub(crate) classes: Mutex<BTreeSet<Arc<str>>>,
 }
 
+/// A header of ours does not parse.
+struct HeaderError;
+
 /// A request that has been read whole.
 struct Call {
     parts: http::request::Parts,
@@ -107,31 +115,43 @@
         respond(&mut stream, &reply).await;
         return;
     };
-    let call = server.call(parts, body, arrived);
-    let class = Arc::clone(&call.request.class);
-    let reply = server.decide(call).await;
-    server.observe(&class, &reply, arrived);
+    let reply = match server.call(parts, body, arrived) {
+        Ok(call) => {
+            let class = Arc::clone(&call.request.class);
+            let reply = server.decide(call).await;
+            server.observe(&class, &reply, arrived);
+            reply
+        }
+        Err(HeaderError) => Reply::Refusal(Verdict::MayHaveRun, Refusal::Malformed),
+    };
     respond(&mut stream, &reply).await;
 }
 
 impl Server {
     /// Fills in what the headers leave out.
-    fn call(&self, mut parts: http::request::Parts, body: Bytes, arrived: Instant) -> Call {
+    ///
+    /// A header that does not parse is an error: an attempt taken for the first could run twice.
+    fn call(
+        &self,
+        mut parts: http::request::Parts,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Call, HeaderError> {
         let config = self.shared.config.borrow().clone();
         let own = config.config.service_named(&self.service);
         let default_class = own.map_or("default", |s| s.class.as_str());
         let default_deadline = own.map_or(2_000, |s| u64::from(s.deadline_ms));
         let id = text(&parts.headers, REQUEST_ID_HEADER).unwrap_or("");
-        let class = text(&parts.headers, CLASS_HEADER).filter(|c| c.len() <= MAX_CLASS_BYTES);
+        let class = text(&parts.headers, CLASS_HEADER).unwrap_or(default_class);
         let mark = text(&parts.headers, DEPENDANT_HEADER);
         let dependant = mark.and_then(|m| dependant::open(m, id, &self.shared.keys));
-        let deadline = number(&parts.headers, DEADLINE_HEADER).unwrap_or(default_deadline);
+        let deadline = number(&parts.headers, DEADLINE_HEADER)?.unwrap_or(default_deadline);
         let request = Request {
             ticket: Ticket(self.tickets.fetch_add(1, Ordering::Relaxed)),
             id: RequestId::new(id),
-            attempt: number(&parts.headers, ATTEMPT_HEADER).unwrap_or(1),
+            attempt: number(&parts.headers, ATTEMPT_HEADER)?.unwrap_or(1),
             fingerprint: fingerprint(&parts, &body),
-            class: class.unwrap_or(default_class).into(),
+            class: self.known_class(class, default_class),
             deadline: self.shared.clock.now() + Millis(deadline),
             idempotent: is_idempotent(&parts.method),
             priority: if dependant.is_some() {
@@ -141,12 +161,26 @@
             },
         };
         parts.headers.remove(DEPENDANT_HEADER);
-        Call {
+        Ok(Call {
             parts,
             body,
             request,
             arrived,
+        })
+    }
+
+    /// The class, or the default one if there are too many. Each class costs memory for its queue
+    /// and histograms, and callers name them.
+    fn known_class(&self, class: &str, default_class: &str) -> Arc<str> {
+        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = classes.get(class) {
+            return Arc::clone(known);
         }
+        let is_taken = classes.len() < MAX_CLASSES && class.len() <= MAX_CLASS_BYTES;
+        let class = if is_taken { class } else { default_class };
+        let class: Arc<str> = class.into();
+        classes.insert(Arc::clone(&class));
+        class
     }
 
     /// Follows the reducer's decisions about a request until it has a reply.
@@ -327,8 +361,13 @@
     headers.get(name).and_then(|v| v.to_str().ok())
 }
 
-fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
-    text(headers, name).and_then(|v| v.parse().ok())
+/// The number in a header, or `None` if the header is left out.
+fn number<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, HeaderError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| HeaderError)?;
+    text.parse().map(Some).map_err(|_| HeaderError)
 }
 
 fn is_idempotent(method: &Method) -> bool {
--- a/buckthornlink-fakes/src/caller.rs
+++ b/buckthornlink-fakes/src/caller.rs
@@ -63,16 +63,13 @@
     ///
     /// Returns an error if a socket cannot be bound or the certificate does not parse.
     pub fn spawn(setup: &CallersSetup, authority: &Authority) -> anyhow::Result<Self> {
-        let config = client_config(authority)?;
         let tally = Arc::new(Tally::default());
         let stop = Arc::new(AtomicBool::new(false));
         let mut tasks = JoinSet::new();
         let mut endpoint = None;
         for index in 0..setup.flows {
             if index % FLOWS_PER_SOCKET == 0 {
-                let mut opened = Endpoint::client((setup.ip, 0).into())?;
-                opened.set_default_client_config(config.clone());
-                endpoint = Some(opened);
+                endpoint = Some(caller_endpoint(setup.ip, authority)?);
             }
             let endpoint = endpoint.clone().context("no endpoint")?;
             let caller = Caller::new(
@@ -111,6 +108,17 @@
     }
 }
 
+/// A QUIC endpoint that trusts `authority`, as a caller has it.
+///
+/// # Errors
+///
+/// Returns an error if a socket cannot be bound or the certificate does not parse.
+pub fn caller_endpoint(ip: Ipv4Addr, authority: &Authority) -> anyhow::Result<Endpoint> {
+    let mut endpoint = Endpoint::client((ip, 0).into())?;
+    endpoint.set_default_client_config(client_config(authority)?);
+    Ok(endpoint)
+}
+
 fn client_config(authority: &Authority) -> anyhow::Result<ClientConfig> {
     let mut roots = rustls::RootCertStore::empty();
     roots.add(CertificateDer::from_pem_slice(
--- a/buckthornlink-fakes/src/fleet.rs
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -12,13 +12,14 @@
 
 use buckthornlink::balancer::{Balancer, BalancerSettings, StoreSettings};
 use buckthornlink::platform::{Catalog, EtcdStore};
+use buckthornlink_agent::client::Flow;
 use buckthornlink_agent::{Agent, AgentSettings, BackendSettings};
 use buckthornlink_core::Version;
 use buckthornlink_core::balancer::Policy;
 use buckthornlink_node::settings::{KeySettings, LogSettings};
 
 use crate::backend::{BackendServer, BackendSetup};
-use crate::caller::{Callers, CallersSetup};
+use crate::caller::{Callers, CallersSetup, caller_endpoint};
 use crate::fabric::Fabric;
 use crate::preset::Preset;
 use crate::record::Record;
@@ -303,6 +304,17 @@
         Callers::spawn(&setup, &self.authority)
     }
 
+    /// Opens one flow to the first service, for a test to use as it likes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the flow cannot be opened.
+    pub async fn open_flow(&self) -> anyhow::Result<Flow> {
+        let service = self.preset.services()[0];
+        let endpoint = caller_endpoint(ip(self.net, 250), &self.authority)?;
+        Ok(Flow::open(&endpoint, self.fabric.addr(service.port), service.name).await?)
+    }
+
     /// The sites.
     #[must_use]
     pub fn sites(&self) -> &[Site] {
--- a/buckthornlink-fakes/src/lib.rs
+++ b/buckthornlink-fakes/src/lib.rs
@@ -28,7 +28,7 @@
 mod tls;
 
 pub use backend::{BackendHandle, BackendServer, BackendSetup};
-pub use caller::{Callers, CallersSetup, Counts};
+pub use caller::{Callers, CallersSetup, Counts, caller_endpoint};
 pub use fabric::Fabric;
 pub use fleet::{Fleet, FleetSetup, Site};
 pub use preset::{Preset, ServicePreset};
--- a/buckthornlink-fakes/tests/path.rs
+++ b/buckthornlink-fakes/tests/path.rs
@@ -3,9 +3,14 @@
 use std::net::UdpSocket;
 use std::time::Duration;
 
+use buckthornlink_agent::client::Flow;
+use buckthornlink_core::verdict::{
+    ATTEMPT_HEADER, CLASS_HEADER, DEADLINE_HEADER, REASON_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER,
+};
 use buckthornlink_core::{ServicePort, ZoneTag};
 use buckthornlink_fakes::{Counts, Fleet, Preset};
 use buckthornlink_wire::{ConnectionId, KeyRing, Place};
+use http::Request;
 
 const THINK: Duration = Duration::from_millis(40);
 
@@ -206,3 +211,61 @@
     assert_sound(&fleet, &counts);
     assert_eq!(counts.broken_flows, 0, "{counts:?}");
 }
+
+/// Status, verdict and reason of one POST with these headers.
+async fn post(flow: &Flow, headers: &[(&'static str, &str)]) -> String {
+    let mut request = Request::post("https://token/token/redeem")
+        .body(())
+        .unwrap();
+    for (name, value) in headers {
+        request.headers_mut().insert(*name, value.parse().unwrap());
+    }
+    let (head, _) = flow.call(request, "body".into()).await.unwrap();
+    let text = |name| head.headers().get(name).map_or("", |v| v.to_str().unwrap());
+    format!(
+        "{} {} {}",
+        head.status().as_u16(),
+        text(VERDICT_HEADER),
+        text(REASON_HEADER)
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_that_do_not_parse_never_run_a_request() {
+    let fleet = fleet(Preset::Carpatia, 9).await;
+    let flow = fleet.open_flow().await.unwrap();
+    let id = (REQUEST_ID_HEADER, "r-1");
+    assert_eq!(post(&flow, &[]).await, "400 not-run malformed");
+    let second = post(&flow, &[id, (ATTEMPT_HEADER, "second")]).await;
+    assert_eq!(second, "400 may-have-run malformed");
+    let soon = post(&flow, &[id, (DEADLINE_HEADER, "soon")]).await;
+    assert_eq!(soon, "400 may-have-run malformed");
+    assert!(!fleet.record().has_run("r-1"));
+    assert_eq!(post(&flow, &[id]).await, "200 ran ");
+    assert_eq!(post(&flow, &[id, (ATTEMPT_HEADER, "2")]).await, "200 ran ");
+    let other = post(&flow, &[(REQUEST_ID_HEADER, "r-2"), (ATTEMPT_HEADER, "2")]).await;
+    assert_eq!(other, "502 may-have-run no-record");
+    assert_eq!(fleet.record().run_twice(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_cannot_make_classes_without_end() {
+    let fleet = fleet(Preset::Carpatia, 10).await;
+    let flow = fleet.open_flow().await.unwrap();
+    for i in 0..60 {
+        let (id, class) = (format!("r-{i}"), format!("class-{i}"));
+        let headers = [
+            (REQUEST_ID_HEADER, id.as_str()),
+            (CLASS_HEADER, class.as_str()),
+        ];
+        assert_eq!(post(&flow, &headers).await, "200 ran ");
+    }
+    let mut classes = 0;
+    for agent in fleet.sites().iter().filter_map(|s| s.agent()) {
+        let url = format!("http://{}/metrics", agent.http());
+        let text = reqwest::get(url).await.unwrap().text().await.unwrap();
+        let is_class = |l: &&str| l.starts_with("buckthornlink_request_seconds_count");
+        classes = classes.max(text.lines().filter(is_class).count());
+    }
+    assert!((2..=33).contains(&classes), "{classes} classes");
+}
