fix(core): recover at once when all known balancers are gone

A balancer that had joined less than a second ago had not exchanged with anyone yet; when all others were killed it knew no agents, and the agents reported to the dead ones for up to 4 s before they asked for others. The test kills them 0.3 s apart, so it depended on which peer the first exchange picked. Change: a balancer exchanges with the first peer that answers its hello; an agent whose every balancer owes an answer also says hello through the fabric.

--- a/buckthornlink-core/src/agent/report.rs
+++ b/buckthornlink-core/src/agent/report.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether balancers are known, and each of them has left a report unanswered.
+    fn is_cut_off(&self) -> bool {
+        !self.known.is_empty() && self.known.values().all(|c| c.unanswered > 0)
+    }
+
     /// The balancers to report to: by rendezvous, the own zone first, with one elsewhere.
     fn choose(&self, own: &Fact) -> Vec<SocketAddrV4> {
         let mut near = self.ranked(own, |zone| zone == own.zone);
@@ -136,8 +141,10 @@
             return;
         }
         let targets = self.contacts.choose(&self.own);
+        let is_cut_off = self.contacts.is_cut_off();
         let spacing = match targets.len() {
             0 => HELLO_INTERVAL,
+            _ if is_cut_off => HELLO_INTERVAL,
             count => Millis(self.contacts.interval.0 / count as u64),
         };
         let beaten = self.contacts.beaten;
@@ -146,6 +153,9 @@
             let turn = self.contacts.turn % targets.len().max(1);
             let next = targets.get(turn).copied();
             self.report(next.into_iter().collect(), now, effects);
+            if is_cut_off {
+                self.say_hello(effects);
+            }
         }
     }
 
@@ -155,14 +165,20 @@
         self.report(targets, now, effects);
     }
 
+    /// Asks whichever balancer the fabric picks.
+    fn say_hello(&self, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Send {
+            to: self.setup.entry,
+            message: Message::Hello(self.own),
+        });
+    }
+
     /// Reports to `targets`, or says hello if there is none.
     fn report(&mut self, targets: Vec<SocketAddrV4>, now: Millis, effects: &mut Vec<Effect>) {
         self.contacts.beaten = Some(now);
         self.contacts.reported = Some(self.own);
         if targets.is_empty() {
-            let message = Message::Hello(self.own);
-            let to = self.setup.entry;
-            effects.push(Effect::Send { to, message });
+            self.say_hello(effects);
             return;
         }
         self.contacts.note_reports(&targets);
--- a/buckthornlink-core/src/balancer/spread.rs
+++ b/buckthornlink-core/src/balancer/spread.rs
@@ -83,6 +83,7 @@
             }
             Message::Heartbeat(beat) => self.heartbeat(from, beat, now, &mut effects),
             Message::Ack(ack) => {
+                self.join(ack.from, now, &mut effects);
                 self.contact(ack.from, now);
                 self.learn_all(&ack.peers);
                 self.learn_zones(&ack.zones, now, &mut effects);
@@ -219,6 +220,16 @@
         })
     }
 
+    /// Asks the first balancer that answers for its members at once, not at the next exchange.
+    fn join(&mut self, peer: Fact, now: Millis, effects: &mut Vec<Effect>) {
+        if self.live_balancers().next().is_some() {
+            return;
+        }
+        self.spread.exchanged = now;
+        let message = self.exchange(Vec::new(), true);
+        self.send(peer.addr, message, effects);
+    }
+
     fn contact(&mut self, fact: Fact, now: Millis) {
         self.learn(fact);
         self.members.hear(fact.addr, now);
--- a/buckthornlink-core/tests/agent.rs
+++ b/buckthornlink-core/tests/agent.rs
@@ -253,3 +253,28 @@
     let is_hello = |e: &Effect| matches!(e, Effect::Send { to, message: Message::Hello(_) } if *to == addr(250));
     assert!(effects.iter().any(is_hello), "{effects:?}");
 }
+
+#[test]
+fn an_agent_whose_balancers_are_gone_asks_any_other() {
+    let mut harness = Harness::warm();
+    harness.ack(|_| {});
+    let mut hellos = Vec::new();
+    for step in 0..30 {
+        harness.now = harness.now + Millis(100);
+        let effects = harness.state.reduce(Event::Tick, harness.now);
+        let is_hello = |e: &Effect| {
+            matches!(
+                e,
+                Effect::Send {
+                    message: Message::Hello(_),
+                    ..
+                }
+            )
+        };
+        if effects.iter().any(is_hello) {
+            hellos.push(step);
+        }
+    }
+    assert!(hellos.first().is_some_and(|step| *step <= 15), "{hellos:?}");
+    assert!(hellos.len() >= 4, "{hellos:?}");
+}
--- a/buckthornlink-core/tests/balancer.rs
+++ b/buckthornlink-core/tests/balancer.rs
@@ -5,7 +5,7 @@
 use buckthornlink_core::balancer::{Balancer, Effect, Event, Policy, Setup};
 use buckthornlink_core::config::Config;
 use buckthornlink_core::member::{Fact, Load, Phase, Role, ZoneRecord};
-use buckthornlink_core::message::{Heartbeat, Message};
+use buckthornlink_core::message::{Ack, Heartbeat, Message};
 use buckthornlink_core::{BootId, FlowKey, Millis, ServicePort, Version, ZoneTag};
 
 const SERVICE: ServicePort = ServicePort(4433);
@@ -294,3 +294,32 @@
     state.reduce(contacts, Millis(520));
     assert_eq!(first_choice(&mut state, 1, Millis(520)), Some(addr(11)));
 }
+
+#[test]
+fn the_first_answer_is_followed_by_an_exchange() {
+    let mut state = balancer(Policy::Adaptive);
+    let peer = Fact {
+        role: Role::Balancer,
+        ..agent(2, 1, Phase::Warm)
+    };
+    let ack = Ack {
+        from: peer,
+        version: Version(0),
+        zones: Vec::new(),
+        peers: Vec::new(),
+        interval: Millis(1_000),
+        flows: 0,
+        silenced: None,
+    };
+    let answered = |state: &mut Balancer, now| {
+        let event = Event::Control {
+            from: peer.addr,
+            message: Message::Ack(ack.clone()),
+        };
+        state.reduce(event, now)
+    };
+    let first = answered(&mut state, Millis(100));
+    let is_asking = |e: &Effect| matches!(e, Effect::Send { to, message: Message::Exchange(x) } if *to == peer.addr && x.ask);
+    assert!(first.iter().any(is_asking), "{first:?}");
+    assert!(answered(&mut state, Millis(200)).is_empty());
+}
