fix(balancer): find a link port that is free for UDP and TCP

Change: both sockets are bound first, and other ports are tried up to 16 times. A fixed port that is taken is still named as an error.

--- a/buckthornlink-node/src/metrics.rs
+++ b/buckthornlink-node/src/metrics.rs
@@ -31,7 +31,15 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn bind(addr: SocketAddrV4, router: Router) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(addr).await?;
+        Self::spawn(TcpListener::bind(addr).await?, router)
+    }
+
+    /// Serves `router` on a listener that is bound already.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener has no IPv4 address.
+    pub fn spawn(listener: TcpListener, router: Router) -> std::io::Result<Self> {
         let SocketAddr::V4(addr) = listener.local_addr()? else {
             return Err(std::io::Error::other("listener is not IPv4"));
         };
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
 use buckthornlink_core::balancer::{Event, Setup};
@@ -39,6 +39,8 @@
 
 /// Time for which a leaving balancer keeps forwarding, until the fabric has noticed.
 const LINGER: Duration = Duration::from_millis(500);
+/// Free ports tried until one is free for UDP and TCP.
+const FREE_PORT_TRIES: u32 = 16;
 /// Jobs that wait for the reducer before openers are dropped.
 const JOB_QUEUE: usize = 4_096;
 
@@ -65,7 +67,7 @@
     pub async fn spawn(settings: BalancerSettings) -> anyhow::Result<Self> {
         let keys = Arc::new(key_ring(&settings.keys)?);
         let bind = SocketAddrV4::new(settings.ip, settings.link_port);
-        let socket = UdpSocket::bind(bind)
+        let (socket, listener) = bind_link(bind)
             .await
             .with_context(|| format!("link {bind}"))?;
         let link = v4(socket.local_addr()?)?;
@@ -81,9 +83,7 @@
         let offered = Arc::clone(&shared) as Arc<dyn ConfigSource>;
         let peers =
             link::router(offered, Arc::clone(&keys)).merge(contacts::router(jobs.clone(), keys));
-        let link_http = HttpServer::bind(link, peers)
-            .await
-            .with_context(|| format!("link {link}"))?;
+        let link_http = HttpServer::spawn(listener, peers)?;
         let operators = router(shared.metrics.registry.clone())
             .merge(status::router(jobs.clone(), Arc::clone(&shared)));
         let http = HttpServer::bind(settings.http, operators)
@@ -196,6 +196,21 @@
     })
 }
 
+/// Binds the link's UDP and TCP sockets to one port. A free port that is asked for must be free
+/// for both, so other ones are tried if it is not.
+async fn bind_link(addr: SocketAddrV4) -> std::io::Result<(UdpSocket, TcpListener)> {
+    let tries = if addr.port() == 0 { FREE_PORT_TRIES } else { 1 };
+    let mut result = Err(std::io::ErrorKind::AddrInUse.into());
+    for _ in 0..tries {
+        let socket = UdpSocket::bind(addr).await?;
+        match TcpListener::bind(socket.local_addr()?).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(err) => result = Err(err),
+        }
+    }
+    result
+}
+
 fn v4(addr: SocketAddr) -> anyhow::Result<SocketAddrV4> {
     match addr {
         SocketAddr::V4(addr) => Ok(addr),
--- /dev/null
+++ b/buckthornlink/tests/link.rs
@@ -0,0 +1,44 @@
+//! The link takes one port for UDP and TCP.
+
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+
+use buckthornlink::balancer::{Balancer, BalancerSettings};
+use buckthornlink::node::settings;
+
+/// Ports taken for TCP only; a free UDP port hits one of them in about one of fifty tries.
+const TAKEN: usize = 600;
+const BALANCERS: usize = 100;
+
+fn settings(ip: Ipv4Addr, port: u16) -> BalancerSettings {
+    let text = format!(
+        r#"{{
+            "zone": "a", "ip": "{ip}", "link_port": {port}, "http": "{ip}:0",
+            "entry": "127.0.0.1:9", "store": {{ "url": "http://127.0.0.1:9" }},
+            "keys": [{{ "id": 1, "secret": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=" }}]
+        }}"#
+    );
+    settings::parse(&text).unwrap()
+}
+
+#[tokio::test]
+async fn a_free_port_is_free_for_both() {
+    let ip = Ipv4Addr::new(127, 0, 77, 1);
+    let taken: Vec<_> = (0..TAKEN)
+        .map(|_| TcpListener::bind((ip, 0)).unwrap())
+        .collect();
+    for _ in 0..BALANCERS {
+        let balancer = Balancer::spawn(settings(ip, 0)).await.unwrap();
+        assert_ne!(balancer.link().port(), 0);
+    }
+    assert_eq!(taken.len(), TAKEN);
+}
+
+#[tokio::test]
+async fn a_taken_port_is_named() {
+    let ip = Ipv4Addr::new(127, 0, 77, 2);
+    let taken = TcpListener::bind((ip, 0)).unwrap();
+    let port = taken.local_addr().unwrap().port();
+    let err = Balancer::spawn(settings(ip, port)).await.unwrap_err();
+    let link = SocketAddrV4::new(ip, port);
+    assert_eq!(err.to_string(), format!("link {link}"));
+}
