--- a/buckthornlink-agent/src/main.rs
+++ b/buckthornlink-agent/src/main.rs
@@ -6,7 +6,9 @@
 use clap::Parser;
 use tokio::signal::unix::{SignalKind, signal};
 
+use buckthornlink_adapter::Platform;
 use buckthornlink_agent::{Agent, AgentSettings};
+use buckthornlink_datagram::{Settings, run_agent};
 use buckthornlink_node::{logs, settings};
 
 /// The process beside a backend server.
@@ -18,8 +20,14 @@
 #[command(name = "buckthornlink-agent", version, about, long_about)]
 struct Arguments {
     /// Settings file in JSON
-    #[arg(required_unless_present = "print_schema")]
+    #[arg(
+        required_unless_present = "print_schema",
+        env = "BUCKTHORNLINK_SETTINGS"
+    )]
     settings: Option<PathBuf>,
+    /// Serve flows of datagrams that carry no connection id
+    #[arg(long)]
+    datagrams: bool,
     /// Print the JSON Schema of the settings and stop
     #[arg(long)]
     print_schema: bool,
@@ -40,15 +48,28 @@
 
 fn run(args: Arguments) -> anyhow::Result<()> {
     let Some(path) = args.settings.filter(|_| !args.print_schema) else {
-        println!("{}", settings::schema::<AgentSettings>());
+        println!("{}", schema(args.datagrams));
         return Ok(());
     };
+    if args.datagrams {
+        let settings: Settings = settings::load(&path)?;
+        logs::init(&settings.log);
+        return run_agent(Platform, &settings);
+    }
     let mut settings: AgentSettings = settings::load(&path)?;
     settings.record = args.record.or(settings.record);
     logs::init(&settings.log);
     tokio::runtime::Runtime::new()?.block_on(serve(settings))
 }
 
+fn schema(is_datagrams: bool) -> String {
+    if is_datagrams {
+        settings::schema::<Settings>()
+    } else {
+        settings::schema::<AgentSettings>()
+    }
+}
+
 async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let agent = Agent::spawn(settings).await?;
--- /dev/null
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -0,0 +1,82 @@
+//! Admission of new flows.
+
+use super::Agent;
+use crate::datagram::{Effect, Holding, Mode, Packet, Phase, Reason};
+use crate::time::Millis;
+
+/// New flows in one second beyond the rate that a backend server in cold start bears.
+const COLD_BURST: u32 = 2;
+
+impl Agent {
+    /// Offers an opening packet to the backend server, or gives it back to the balancer.
+    pub(super) fn open(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let holding = self.flows.get(&packet.flow).map(|s| s.holding);
+        let is_copy = matches!(
+            holding,
+            Some(Holding::Offered | Holding::Half { .. } | Holding::Open)
+        );
+        if !is_copy && let Some(reason) = self.refusal(packet, now) {
+            self.give_back(packet, reason, now, out);
+            return;
+        }
+        if !is_copy {
+            self.backend.admit(now);
+            self.flows.change(&packet.flow, |s| {
+                *s = crate::datagram::FlowState {
+                    holding: Holding::Offered,
+                    opened: now,
+                    ..Default::default()
+                };
+            });
+        }
+        self.flows.change(&packet.flow, |s| s.seen = now);
+        out.push(Effect::Deliver(packet.tag));
+    }
+
+    /// Gives an opening packet back to the balancer that placed it.
+    pub(super) fn give_back(
+        &mut self,
+        packet: &Packet,
+        reason: Reason,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let age = self.backend.age(now);
+        out.push(self.decision(reason, Some(packet.flow), age));
+        out.push(Effect::Relay {
+            to: packet.tag.origin,
+            tag: packet.tagged(Mode::Refused),
+        });
+    }
+
+    /// Why the backend server is not to be given a new flow.
+    fn refusal(&mut self, packet: &Packet, now: Millis) -> Option<Reason> {
+        if !self.has_table() {
+            return Some(Reason::RefusedUnready);
+        }
+        let phase = self.backend.phase(self.heartbeat, now);
+        if self.is_leaving || !phase.is_open() {
+            return Some(Reason::RefusedPhase);
+        }
+        let service = self.backend.service();
+        if !self.table.allows(&packet.flow, service) {
+            return Some(Reason::RefusedRoute);
+        }
+        if self.mesh.zones().is_out(self.mesh.own().zone) {
+            return Some(Reason::RefusedZone);
+        }
+        let limits = self.table.limits(service);
+        let connections = usize::try_from(limits.connections).unwrap_or(usize::MAX);
+        if connections > 0 && self.flows.open() >= connections {
+            return Some(Reason::RefusedFull);
+        }
+        if phase == Phase::Cold && limits.cold_rate > 0 {
+            let limit = limits.cold_rate / 1_000 + COLD_BURST;
+            let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+            if !self.backend.has_cold_room(limit, now) {
+                return Some(Reason::RefusedCold);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/agent/own.rs
@@ -0,0 +1,154 @@
+//! Packets of flows that the backend server holds, or may hold.
+
+use std::net::Ipv4Addr;
+
+use super::Agent;
+use crate::datagram::{Effect, FlowState, Holding, Message, Mode, Packet, Reason};
+use crate::time::Millis;
+
+/// A balancer is told at most this often that a flow lives here.
+const TELL_INTERVAL: Millis = Millis(200);
+
+impl Agent {
+    /// Handles a packet of a flow that is not new.
+    pub(super) fn established(
+        &mut self,
+        from: Ipv4Addr,
+        packet: &Packet,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let holding = self.flows.get(&packet.flow).map(|s| s.holding);
+        match holding.unwrap_or_default() {
+            Holding::Open => self.take(packet, now, out),
+            Holding::Half { seq } if packet.acknowledges(seq) => {
+                self.flows.change(&packet.flow, |s| {
+                    s.holding = Holding::Open;
+                    s.opened = now;
+                });
+                self.take(packet, now, out);
+            }
+            Holding::Tried { .. } => out.push(Effect::Deliver(packet.tag)),
+            Holding::Over => out.push(reset(packet)),
+            Holding::Foreign { owner: Some(owner) } if owner.0 != from => {
+                self.pass_on(owner, packet, out);
+            }
+            _ => self.find(from, packet, now, out),
+        }
+    }
+
+    /// Handles a packet that the backend server sent or gave back.
+    pub(super) fn outbound(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        if packet.flags.bounced {
+            self.bounced(packet, now, out);
+            return;
+        }
+        self.flows.change(&packet.flow, |s| s.answer(packet, now));
+        out.push(Effect::Answer);
+    }
+
+    /// Delivers a packet of an own flow.
+    fn take(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let tells = self.flows.change(&packet.flow, |s| {
+            s.request(packet, now);
+            let is_due = s.told.is_none_or(|at| now.since(at) >= TELL_INTERVAL);
+            let is_unsure = !matches!(packet.tag.mode, Mode::Known | Mode::Placed);
+            let tells = is_unsure && is_due;
+            if tells {
+                s.told = Some(now);
+            }
+            tells
+        });
+        out.push(Effect::Deliver(packet.tag));
+        if tells && !packet.tag.origin.is_unspecified() {
+            out.push(Effect::Send {
+                to: packet.tag.origin,
+                message: Message::Notes(vec![self.note(&packet.flow)]),
+            });
+        }
+    }
+
+    /// Handles a packet that the backend server did not take.
+    fn bounced(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        if packet.is_opening() {
+            self.flows.remove(&packet.flow);
+            if !packet.tag.origin.is_unspecified() {
+                self.give_back(packet, Reason::Bounced, now, out);
+            }
+            return;
+        }
+        let state = self.flows.get(&packet.flow);
+        let is_closed = state.is_some_and(FlowState::is_closed);
+        match state.map(|s| s.holding).unwrap_or_default() {
+            Holding::Half { .. } | Holding::Open if is_closed => {}
+            Holding::Half { .. } | Holding::Open | Holding::Over => {
+                self.flows
+                    .change(&packet.flow, |s| s.holding = Holding::Over);
+                let age = self.backend.age(now);
+                out.push(self.decision(Reason::FlowLost, Some(packet.flow), age));
+                out.push(reset(packet));
+            }
+            Holding::Tried { asker } => self.not_here(asker, packet, now, out),
+            _ => {}
+        }
+    }
+
+    /// A packet was tried at the backend server, which does not hold the flow.
+    fn not_here(
+        &mut self,
+        asker: Option<Ipv4Addr>,
+        packet: &Packet,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        self.flows.change(&packet.flow, |s| {
+            s.holding = Holding::Foreign { owner: None };
+        });
+        match asker {
+            Some(to) => out.push(Effect::Send {
+                to,
+                message: Message::Denied(packet.flow),
+            }),
+            None => self.search(packet, now, out),
+        }
+    }
+}
+
+impl FlowState {
+    /// Notes a packet of the caller.
+    fn request(&mut self, packet: &Packet, now: Millis) {
+        self.seen = now;
+        self.acked = packet.ack;
+        self.is_waiting |= packet.len > 0;
+        self.ended[0] |= packet.flags.fin;
+        if packet.flags.rst {
+            self.ended = [true; 2];
+        }
+    }
+
+    /// Notes a packet of the backend server, which shows that it holds the flow.
+    fn answer(&mut self, packet: &Packet, now: Millis) {
+        self.seen = now;
+        if packet.flags.syn {
+            self.holding = Holding::Half { seq: packet.seq };
+            return;
+        }
+        if self.holding != Holding::Open {
+            self.holding = Holding::Open;
+            self.opened = now;
+        }
+        self.is_waiting &= packet.len == 0;
+        self.ended[1] |= packet.flags.fin;
+        if packet.flags.rst {
+            self.ended = [true; 2];
+        }
+    }
+}
+
+/// Tells the caller that its flow is over.
+pub(super) const fn reset(packet: &Packet) -> Effect {
+    Effect::Reset {
+        flow: packet.flow,
+        seq: packet.ack,
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -0,0 +1,156 @@
+//! Finding the owner of a flow that is not the backend server's own.
+
+use std::net::Ipv4Addr;
+
+use super::Agent;
+use super::own::reset;
+use crate::datagram::{Effect, Flow, Holding, Member, Message, Mode, Note, Packet, Reason, Tag};
+use crate::id::BootId;
+use crate::time::Millis;
+
+/// A flow is searched for at most this often.
+const SEARCH_INTERVAL: Millis = Millis(150);
+/// Time after the start from which on the known agents are taken to be all.
+const SETTLE_SPAN: Millis = Millis(3_000);
+
+impl Agent {
+    /// Takes notes of other owners over.
+    pub(super) fn learn(&mut self, notes: &[Note], now: Millis) {
+        for note in notes {
+            self.flows.change(&note.flow, |s| {
+                let owner = Some((note.owner, note.backend));
+                if !matches!(s.holding, Holding::Open | Holding::Offered | Holding::Over) {
+                    s.holding = Holding::Foreign { owner };
+                    s.seen = now;
+                }
+            });
+        }
+    }
+
+    /// Sends a packet to the owner of its flow, or ends the flow if the owner's backend server has.
+    pub(super) fn pass_on(
+        &mut self,
+        owner: (Ipv4Addr, BootId),
+        packet: &Packet,
+        out: &mut Vec<Effect>,
+    ) {
+        let member = self.mesh.roster().get(owner.0);
+        if member.is_some_and(|m| m.is_over(owner.1)) {
+            out.push(self.decision(Reason::BackendOver, Some(packet.flow), Millis(0)));
+            out.push(reset(packet));
+        } else if packet.tag.hops < Tag::MAX_HOPS {
+            out.push(Effect::Relay {
+                to: owner.0,
+                tag: packet.tagged(Mode::Noted),
+            });
+        }
+    }
+
+    /// Handles a packet of a flow that is neither known here nor noted.
+    pub(super) fn find(
+        &mut self,
+        from: Ipv4Addr,
+        packet: &Packet,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_search = packet.tag.mode == Mode::Search;
+        if !self.denies(&packet.flow) {
+            let asker = is_search.then_some(from);
+            self.flows.change(&packet.flow, |s| {
+                s.holding = Holding::Tried { asker };
+                s.seen = now;
+            });
+            out.push(Effect::Deliver(packet.tag));
+        } else if is_search {
+            out.push(Effect::Send {
+                to: from,
+                message: Message::Denied(packet.flow),
+            });
+        } else {
+            self.search(packet, now, out);
+        }
+    }
+
+    /// Asks all agents that may own a flow.
+    pub(super) fn search(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let is_due = self.flows.change(&packet.flow, |s| {
+            let is_due = s.searched.is_none_or(|at| now.since(at) >= SEARCH_INTERVAL);
+            if is_due {
+                s.searched = Some(now);
+                s.seen = now;
+                s.acked = packet.ack;
+                s.denied.clear();
+            }
+            is_due
+        });
+        if !is_due || packet.tag.hops >= Tag::MAX_HOPS {
+            return;
+        }
+        out.push(self.decision(Reason::Searched, Some(packet.flow), Millis(0)));
+        let tag = packet.tagged(Mode::Search);
+        for to in self.suspects(&packet.flow) {
+            out.push(Effect::Relay { to, tag });
+        }
+        self.judge(&packet.flow, now, out);
+    }
+
+    /// Another agent denies a flow that was searched for.
+    pub(super) fn denied(
+        &mut self,
+        from: Ipv4Addr,
+        flow: &Flow,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_searched = self.flows.get(flow).is_some_and(|s| s.searched.is_some());
+        if !is_searched {
+            return;
+        }
+        self.flows.change(flow, |s| {
+            if !s.denied.contains(&from) {
+                s.denied.push(from);
+            }
+        });
+        self.judge(flow, now, out);
+    }
+
+    /// Ends a flow that every agent which might own it denies.
+    fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) {
+        let is_settled = now.since(self.started) >= SETTLE_SPAN;
+        if !is_settled || !self.denies(flow) || self.table.route(flow).is_none() {
+            return;
+        }
+        let Some(state) = self.flows.get(flow) else {
+            return;
+        };
+        let seq = state.acked;
+        let is_denied = self
+            .suspects(flow)
+            .iter()
+            .all(|ip| state.denied.contains(ip));
+        if is_denied {
+            out.push(self.decision(Reason::DeniedByAll, Some(*flow), Millis(0)));
+            out.push(Effect::Reset { flow: *flow, seq });
+        }
+    }
+
+    /// Whether the backend server is known not to hold a flow.
+    fn denies(&self, flow: &Flow) -> bool {
+        let state = self.flows.get(flow);
+        let holding = state.map(|s| s.holding).unwrap_or_default();
+        let is_unknown = holding == Holding::Unknown;
+        !is_unknown || self.backend.is_witnessed()
+    }
+
+    /// The other agents that may own a flow.
+    fn suspects(&self, flow: &Flow) -> Vec<Ipv4Addr> {
+        let own = self.mesh.own().ip;
+        let targets = self.table.route(flow).map(|r| r.targets.as_slice());
+        let services = targets.unwrap_or_default().iter().map(|t| t.service);
+        let roster = self.mesh.roster();
+        let agents = services.flat_map(|service| roster.agents(service));
+        let ips = agents.map(|m: &Member| m.fact.ip);
+        ips.filter(|&ip| ip != own).collect()
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -0,0 +1,247 @@
+//! The reducer of the process that takes packets from the fabric.
+
+mod place;
+mod seats;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::{
+    Decision, Effect, Event, Flow, FlowCounts, Mesh, Message, Mode, Packet, Phase, Reason, Reducer,
+    Setup, Source, Table, Tag,
+};
+use crate::id::BootId;
+use crate::time::Millis;
+use seats::{Seat, Seats};
+
+/// Time after the start at which a balancer without any agent calls itself ready.
+const LONELY_SPAN: Millis = Millis(1_500);
+/// Age of a fact from which on its instance is asked for its status.
+const STATUS_AGE: Millis = Millis(250);
+/// Time until an instance that has not answered is asked again.
+const ASK_INTERVAL: Millis = Millis(100);
+
+/// State of a balancer.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    mesh: Mesh,
+    table: Arc<Table>,
+    seats: Seats,
+    started: Millis,
+    is_leaving: bool,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet.
+    #[must_use]
+    pub fn new(setup: &Setup, now: Millis) -> Self {
+        Self {
+            mesh: Mesh::new(setup, now),
+            table: Arc::default(),
+            seats: Seats::default(),
+            started: now,
+            is_leaving: false,
+        }
+    }
+
+    fn has_open_agent(&self) -> bool {
+        let mut members = self.mesh.roster().iter();
+        members.any(|m| m.fact.service().is_some() && m.fact.phase.is_open())
+    }
+
+    fn packet(&mut self, source: Source, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        match source {
+            Source::Fabric => self.caller(packet, now, out),
+            Source::Peer(from) => self.refused(from, packet, now, out),
+            Source::Backend => {}
+        }
+    }
+
+    fn caller(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let seat = self.seats.touch(&packet.flow, now);
+        if !self.table.routes.contains_key(&packet.flow.route) {
+            self.no_route(packet, seat.is_some(), out);
+            return;
+        }
+        match seat {
+            Some(Seat::Lives { owner, backend }) if !packet.is_opening() => {
+                self.forward(owner, backend, packet, now, out);
+            }
+            _ if packet.is_opening() => self.place(packet, now, out),
+            _ => self.look_up(packet, now, out),
+        }
+    }
+
+    /// Sends a packet to the agent where its flow lives.
+    fn forward(
+        &mut self,
+        owner: Ipv4Addr,
+        backend: BootId,
+        packet: &Packet,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let member = self.mesh.roster().get(owner);
+        if member.is_some_and(|m| m.is_over(backend)) {
+            self.seats.remove(&packet.flow);
+            out.push(self.decision(Reason::BackendOver, packet, Some(owner), now));
+            out.push(reset(packet));
+            return;
+        }
+        let tag = self.tag(Mode::Known, owner, now);
+        out.push(Effect::Relay { to: owner, tag });
+    }
+
+    /// Sends a packet of an unknown flow to the agents that may have a note about it.
+    fn look_up(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let Some(route) = self.table.route(&packet.flow) else {
+            return;
+        };
+        let roster = self.mesh.roster();
+        let homes = route
+            .targets
+            .iter()
+            .filter_map(|t| roster.home(&packet.flow, t.service));
+        let homes: Vec<Ipv4Addr> = homes.collect();
+        out.push(self.decision(Reason::LookedUp, packet, homes.first().copied(), now));
+        for to in homes {
+            let tag = self.tag(Mode::Lookup, to, now);
+            out.push(Effect::Relay { to, tag });
+        }
+    }
+
+    /// A route that the version in force does not have: new flows and known ones end.
+    fn no_route(&mut self, packet: &Packet, is_known: bool, out: &mut Vec<Effect>) {
+        if self.table.version.0 == 0 || !(packet.is_opening() || is_known) {
+            return;
+        }
+        self.seats.remove(&packet.flow);
+        out.push(self.decision(Reason::NoRoute, packet, None, self.started));
+        out.push(reset(packet));
+    }
+
+    fn message(&mut self, from: Ipv4Addr, message: Message, now: Millis, out: &mut Vec<Effect>) {
+        match message {
+            Message::Status(status) => {
+                self.mesh.receive(&status, now, out);
+                if let Some(member) = self.mesh.roster_mut().get_mut(from) {
+                    member.asked = None;
+                    member.unanswered = 0;
+                }
+            }
+            Message::Notes(notes) => {
+                for note in notes {
+                    self.seats.learn(&note, now);
+                }
+            }
+            Message::Denied(_) => {}
+        }
+    }
+
+    fn configure(&mut self, table: Arc<Table>, now: Millis, out: &mut Vec<Effect>) {
+        if table.version > self.table.version {
+            self.mesh.set_version(table.version, now, out);
+            self.table = table;
+        }
+    }
+
+    fn leave(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.is_leaving = true;
+        let fact = super::Fact {
+            phase: Phase::Left,
+            ..*self.mesh.own()
+        };
+        self.mesh.set_own(fact, now, out);
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.mesh.own().phase == Phase::Starting && self.is_ready(now) {
+            let fact = super::Fact {
+                phase: Phase::Ready,
+                ..*self.mesh.own()
+            };
+            self.mesh.set_own(fact, now, out);
+        }
+        self.mesh.tick(now, out);
+        self.seats.sweep(self.table.idle, now);
+    }
+
+    /// The tag of a packet to an agent, which asks for its status if the known one is old.
+    fn tag(&mut self, mode: Mode, to: Ipv4Addr, now: Millis) -> Tag {
+        let origin = self.mesh.own().ip;
+        let mut tag = Tag::new(mode, origin);
+        let Some(member) = self.mesh.roster_mut().get_mut(to) else {
+            return tag;
+        };
+        let interval = Millis(ASK_INTERVAL.0 * u64::from(member.unanswered));
+        let is_due = member.asked.is_none_or(|at| now.since(at) >= interval);
+        if now.since(member.heard) >= STATUS_AGE && is_due {
+            tag.asks = true;
+            member.asked.get_or_insert(now);
+            member.unanswered = member.unanswered.saturating_add(1);
+        }
+        tag
+    }
+
+    fn decision(
+        &self,
+        reason: Reason,
+        packet: &Packet,
+        peer: Option<Ipv4Addr>,
+        now: Millis,
+    ) -> Effect {
+        let member = peer.and_then(|ip| self.mesh.roster().get(ip));
+        Effect::Log(Decision {
+            reason,
+            flow: Some(packet.flow),
+            peer,
+            version: self.table.version,
+            age: member.map_or(Millis(0), |m| now.since(m.heard)),
+            phase: member.map(|m| m.fact.phase),
+        })
+    }
+}
+
+impl Reducer for Balancer {
+    fn reduce(&mut self, event: Event, now: Millis, out: &mut Vec<Effect>) {
+        match event {
+            Event::Packet { source, packet } => self.packet(source, &packet, now, out),
+            Event::Message { from, message } => self.message(from, message, now, out),
+            Event::Table(table) => self.configure(table, now, out),
+            Event::Zone(record) => self.mesh.set_zone(record, now, out),
+            Event::Contacts(ips) => self.mesh.add_contacts(ips),
+            Event::Heartbeat(_) | Event::Ended(_) => {}
+            Event::Leave => self.leave(now, out),
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    fn mesh(&self) -> &Mesh {
+        &self.mesh
+    }
+
+    fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    fn is_ready(&self, now: Millis) -> bool {
+        let is_lonely = now.since(self.started) < LONELY_SPAN && !self.has_open_agent();
+        self.table.version.0 > 0 && !is_lonely && !self.is_leaving
+    }
+
+    fn flow_counts(&self) -> FlowCounts {
+        FlowCounts {
+            known: self.seats.len(),
+            ..FlowCounts::default()
+        }
+    }
+}
+
+/// Tells the caller that its flow is over.
+const fn reset(packet: &Packet) -> Effect {
+    let flow: Flow = packet.flow;
+    Effect::Reset {
+        flow,
+        seq: packet.ack,
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -0,0 +1,86 @@
+//! Decisions that are worth a line in the log.
+
+use std::net::Ipv4Addr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Flow, Phase};
+use crate::id::Version;
+use crate::time::Millis;
+
+/// A decision, with the inputs that it depended on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// What was decided and why.
+    pub reason: Reason,
+    /// The flow, if one is concerned.
+    pub flow: Option<Flow>,
+    /// The other instance that is concerned.
+    pub peer: Option<Ipv4Addr>,
+    /// Version of the configuration in force.
+    pub version: Version,
+    /// Age of the decisive input.
+    pub age: Millis,
+    /// Phase of the instance that is concerned.
+    pub phase: Option<Phase>,
+}
+
+/// What was decided, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// A flow was placed on the least loaded agent.
+    Placed,
+    /// The copy of an opening packet was placed on another agent, as the first did not answer.
+    PlacedAgain,
+    /// An agent refused the flow, so the next one is asked.
+    HandedOn,
+    /// No agent takes the flow; the caller is told at once.
+    NoAgent,
+    /// The route does not exist in the version in force.
+    NoRoute,
+    /// A packet of an unknown flow is sent to where a note may be.
+    LookedUp,
+    /// The owner of a flow was learnt.
+    OwnerLearnt,
+    /// The backend server that held the flow has ended.
+    BackendOver,
+    /// The agent of the flow has been silent for too long.
+    AgentLost,
+    /// Every agent of the service denies the flow.
+    DeniedByAll,
+    /// The backend server gave the opening packet back.
+    Bounced,
+    /// The backend server does not hold a flow that it held.
+    FlowLost,
+    /// The flow was admitted.
+    Admitted,
+    /// Refused: the service may not take flows of the route.
+    RefusedRoute,
+    /// Refused: the backend server drains, has ended or is silent.
+    RefusedPhase,
+    /// Refused: the zone is out of service.
+    RefusedZone,
+    /// Refused: the cold start's rate is used up.
+    RefusedCold,
+    /// Refused: the backend server holds as many flows as it bears.
+    RefusedFull,
+    /// Refused: no configuration is known yet.
+    RefusedUnready,
+    /// All agents of the service are asked for a flow.
+    Searched,
+    /// A packet passed too many instances.
+    HopsExceeded,
+    /// A new version of the configuration is in force.
+    Configured,
+    /// A zone was taken out of service.
+    ZoneOut,
+    /// A zone was brought back.
+    ZoneIn,
+    /// An instance changed its phase.
+    MemberChanged,
+    /// An instance is no longer heard.
+    MemberLost,
+    /// The backend server of this instance changed its phase.
+    BackendChanged,
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/effect.rs
@@ -0,0 +1,45 @@
+//! What an executor does for a reducer.
+
+use std::net::Ipv4Addr;
+
+use super::{Decision, Flow, Message, Tag};
+use crate::id::Version;
+
+/// One thing to do. Effects on a packet mean the packet of the event that is being reduced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send the packet to another instance.
+    Relay {
+        /// The instance.
+        to: Ipv4Addr,
+        /// What it is told about the packet.
+        tag: Tag,
+    },
+    /// Send the packet to the backend server on this instance.
+    Deliver(Tag),
+    /// Send the packet to the caller.
+    Answer,
+    /// Tell a caller that its flow is over.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number of the reset, near what the caller last acknowledged.
+        seq: u32,
+    },
+    /// Send a control message.
+    Send {
+        /// The instance.
+        to: Ipv4Addr,
+        /// The message.
+        message: Message,
+    },
+    /// Fetch the configuration from another instance.
+    Fetch {
+        /// The instance.
+        from: Ipv4Addr,
+        /// The version that it has, at least.
+        version: Version,
+    },
+    /// Write a line to the log.
+    Log(Decision),
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -0,0 +1,174 @@
+//! The flows that an agent knows.
+
+use std::net::Ipv4Addr;
+
+use super::{Flow, FlowMap};
+use crate::id::BootId;
+use crate::time::Millis;
+
+/// Most flows that an agent remembers, its backend server's and others'.
+const MAX_FLOWS: usize = 100_000;
+
+/// What an agent knows about one flow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Holding {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// The backend server was given the opening packet.
+    Offered,
+    /// The backend server answered the opening packet with this sequence number.
+    Half {
+        /// Sequence number of the answer.
+        seq: u32,
+    },
+    /// The backend server holds the flow.
+    Open,
+    /// The backend server was given a packet, to see whether it holds the flow.
+    Tried {
+        /// Who wants to know, if another agent does.
+        asker: Option<Ipv4Addr>,
+    },
+    /// The backend server does not hold the flow.
+    Foreign {
+        /// The agent that owns the flow, if it is known, and the start of its backend server.
+        owner: Option<(Ipv4Addr, BootId)>,
+    },
+    /// The backend server that held the flow has ended.
+    Over,
+}
+
+/// One flow of [`Flows`].
+#[derive(Clone, Debug, Default)]
+pub struct FlowState {
+    /// What is known about it.
+    pub holding: Holding,
+    /// When the backend server took it over.
+    pub opened: Millis,
+    /// When a packet of it last came.
+    pub seen: Millis,
+    /// Whether the backend server owes an answer.
+    pub is_waiting: bool,
+    /// Whether the caller, or the backend server, has sent its end.
+    pub ended: [bool; 2],
+    /// The agent that was told that the flow lives here.
+    pub noted: Option<(Ipv4Addr, BootId)>,
+    /// When a balancer was last told so.
+    pub told: Option<Millis>,
+    /// When all agents were last asked for the flow.
+    pub searched: Option<Millis>,
+    /// Agents that deny the flow.
+    pub denied: Vec<Ipv4Addr>,
+    /// What the caller last acknowledged.
+    pub acked: u32,
+}
+
+/// The flows that an agent knows, with counts of those that its backend server holds.
+#[derive(Clone, Debug, Default)]
+pub struct Flows {
+    flows: FlowMap<FlowState>,
+    open: usize,
+    waiting: usize,
+}
+
+impl Flows {
+    /// Flows that the backend server holds or was offered.
+    #[must_use]
+    pub const fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Open flows for which the backend server owes an answer.
+    #[must_use]
+    pub const fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Flows that are remembered, also those of others.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether no flow is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// What is known about a flow.
+    #[must_use]
+    pub fn get(&self, flow: &Flow) -> Option<&FlowState> {
+        self.flows.get(flow)
+    }
+
+    /// Changes a flow and keeps the counts.
+    pub fn change<R>(&mut self, flow: &Flow, f: impl FnOnce(&mut FlowState) -> R) -> R {
+        let state = self.flows.entry(*flow).or_default();
+        let before = state.counts();
+        let result = f(state);
+        let after = state.counts();
+        self.open = self.open + usize::from(after.0) - usize::from(before.0);
+        self.waiting = self.waiting + usize::from(after.1) - usize::from(before.1);
+        result
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, flow: &Flow) {
+        if self.flows.contains_key(flow) {
+            self.change(flow, |state| state.holding = Holding::Unknown);
+            self.flows.remove(flow);
+        }
+    }
+
+    /// Marks the flows that an ended backend server held.
+    pub fn end_all(&mut self) {
+        for state in self.flows.values_mut() {
+            if state.is_own() {
+                state.holding = Holding::Over;
+            }
+        }
+        self.open = 0;
+        self.waiting = 0;
+    }
+
+    /// Forgets flows without packets since `idle`, and all if there are too many.
+    pub fn expire(&mut self, idle: Millis, now: Millis) {
+        let is_full = self.flows.len() > MAX_FLOWS;
+        let span = if is_full { Millis(idle.0 / 8) } else { idle };
+        self.flows.retain(|_, s| now.since(s.seen) <= span);
+        self.open = self.flows.values().filter(|s| s.counts().0).count();
+        self.waiting = self.flows.values().filter(|s| s.counts().1).count();
+    }
+
+    /// The flows that the backend server holds.
+    pub fn own(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
+        self.flows
+            .iter()
+            .filter(|(_, s)| s.holding == Holding::Open && !s.is_closed())
+    }
+}
+
+impl FlowState {
+    /// Whether both ends have sent their end.
+    #[must_use]
+    pub const fn is_closed(&self) -> bool {
+        self.ended[0] && self.ended[1]
+    }
+
+    const fn is_own(&self) -> bool {
+        matches!(
+            self.holding,
+            Holding::Offered | Holding::Half { .. } | Holding::Open | Holding::Tried { .. }
+        )
+    }
+
+    /// Whether the flow counts as open, and as waiting.
+    const fn counts(&self) -> (bool, bool) {
+        let is_open = matches!(
+            self.holding,
+            Holding::Offered | Holding::Half { .. } | Holding::Open
+        ) && !self.is_closed();
+        (is_open, is_open && self.is_waiting)
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -0,0 +1,378 @@
+//! Spreads what instances say about themselves, zone records and the version in force.
+
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{Decision, Effect, Fact, Load, Merge, Message, Phase, Reason, Role, Roster, Status};
+use crate::id::{BootId, Version, ZoneTag};
+use crate::member::{ZoneBook, ZoneRecord};
+use crate::time::Millis;
+
+/// Interval of exchanges.
+const EXCHANGE_INTERVAL: Millis = Millis(400);
+/// Instances that hear of an urgent change at once.
+const FANOUT: usize = 5;
+/// Instances that each exchange goes to.
+const EXCHANGE_FANOUT: usize = 2;
+/// Most facts in one message, so that it fits a datagram.
+const MAX_FACTS: usize = 16;
+/// Times that a change is sent before it counts as spread.
+const RUMOR_SENDS: u8 = 8;
+/// Interval at which contacts are asked while no other instance is known.
+const CONTACT_INTERVAL: Millis = Millis(200);
+/// Contacts that are asked at once.
+const CONTACT_FANOUT: usize = 4;
+
+/// What an instance is told at its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Address of the instance.
+    pub ip: Ipv4Addr,
+    /// What it does.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: ZoneTag,
+    /// Start of the process.
+    pub boot: BootId,
+    /// Interval of the backend server's heartbeats.
+    pub heartbeat: Millis,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// The instance's own fact, all others that it knows, and how they spread.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    own: Fact,
+    roster: Roster,
+    zones: ZoneBook,
+    version: Version,
+    contacts: Vec<Ipv4Addr>,
+    rumors: VecDeque<Rumor>,
+    cursor: usize,
+    exchanged: Millis,
+    contacted: Option<Millis>,
+    fetched: Option<(Version, Millis)>,
+    rng: Pcg64Mcg,
+}
+
+/// One changed fact and how often it is still to be sent.
+#[derive(Clone, Copy, Debug)]
+struct Rumor {
+    ip: Ipv4Addr,
+    left: u8,
+}
+
+impl Mesh {
+    /// A mesh that knows only its own instance.
+    #[must_use]
+    pub fn new(setup: &Setup, now: Millis) -> Self {
+        let own = Fact {
+            ip: setup.ip,
+            role: setup.role,
+            zone: setup.zone,
+            boot: setup.boot,
+            seq: 1,
+            phase: Phase::Starting,
+            backend: BootId(0),
+            load: Load::default(),
+        };
+        let mut roster = Roster::default();
+        roster.merge(own, now);
+        Self {
+            own,
+            roster,
+            zones: ZoneBook::default(),
+            version: Version(0),
+            contacts: Vec::new(),
+            rumors: VecDeque::new(),
+            cursor: 0,
+            exchanged: now,
+            contacted: None,
+            fetched: None,
+            rng: Pcg64Mcg::seed_from_u64(setup.seed),
+        }
+    }
+
+    /// The instance's own fact.
+    #[must_use]
+    pub const fn own(&self) -> &Fact {
+        &self.own
+    }
+
+    /// The known instances.
+    #[must_use]
+    pub const fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The known instances, to be changed.
+    pub const fn roster_mut(&mut self) -> &mut Roster {
+        &mut self.roster
+    }
+
+    /// The known zone records.
+    #[must_use]
+    pub const fn zones(&self) -> &ZoneBook {
+        &self.zones
+    }
+
+    /// Version of the configuration in force.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Whether another instance is known.
+    #[must_use]
+    pub fn has_peers(&self) -> bool {
+        self.roster.len() > 1
+    }
+
+    /// Adds addresses that may be asked while no instance is known.
+    pub fn add_contacts(&mut self, ips: impl IntoIterator<Item = Ipv4Addr>) {
+        for ip in ips {
+            if ip != self.own.ip && !self.contacts.contains(&ip) {
+                self.contacts.push(ip);
+                self.contacted = None;
+            }
+        }
+    }
+
+    /// Puts a newer version in force and tells others at once.
+    pub fn set_version(&mut self, version: Version, now: Millis, effects: &mut Vec<Effect>) {
+        self.version = version;
+        effects.push(self.decision(Reason::Configured));
+        self.push(now, effects);
+    }
+
+    /// Takes a zone record over if it is newer, and tells others at once.
+    pub fn set_zone(&mut self, record: ZoneRecord, now: Millis, effects: &mut Vec<Effect>) {
+        let was_out = self.zones.is_out(record.zone);
+        if !self.zones.merge(record) || record.out == was_out {
+            return;
+        }
+        let reason = if record.out {
+            Reason::ZoneOut
+        } else {
+            Reason::ZoneIn
+        };
+        effects.push(self.decision(reason));
+        self.push(now, effects);
+    }
+
+    /// Changes the own fact; a change of phase, service or backend server is told at once.
+    pub fn set_own(&mut self, fact: Fact, now: Millis, effects: &mut Vec<Effect>) {
+        let old = self.own;
+        self.own = Fact {
+            seq: old.seq + 1,
+            ..fact
+        };
+        self.roster.merge(self.own, now);
+        let is_urgent = (old.phase, old.role, old.backend) != (fact.phase, fact.role, fact.backend);
+        if is_urgent {
+            self.push(now, effects);
+        }
+    }
+
+    /// The own fact with a new sequence number, for an instance that asked.
+    pub fn report(&mut self, to: Ipv4Addr, effects: &mut Vec<Effect>) {
+        self.advance();
+        let message = self.status(Vec::new(), false);
+        effects.push(Effect::Send { to, message });
+    }
+
+    /// Handles what another instance knows.
+    pub fn receive(&mut self, status: &Status, now: Millis, effects: &mut Vec<Effect>) {
+        let from = status.from.ip;
+        if from == self.own.ip {
+            return;
+        }
+        self.learn(status.from, now, effects);
+        for &fact in &status.facts {
+            self.learn(fact, now, effects);
+        }
+        for &record in &status.zones {
+            self.set_zone(record, now, effects);
+        }
+        if status.version > self.version {
+            self.fetch(from, status.version, now, effects);
+        }
+        if status.asks {
+            self.advance();
+            let facts = self.pick_facts();
+            let message = self.status(facts, false);
+            effects.push(Effect::Send { to: from, message });
+        }
+    }
+
+    /// Observes silent instances and exchanges with a few others.
+    pub fn tick(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        for fact in self.roster.observe(self.own.ip, now) {
+            let decision = self.member_decision(Reason::MemberLost, &fact, now);
+            effects.push(decision);
+        }
+        self.ask_contacts(now, effects);
+        if now.since(self.exchanged) >= EXCHANGE_INTERVAL {
+            self.exchange(now, EXCHANGE_FANOUT, true, effects);
+        }
+    }
+
+    /// Tells a few others at once.
+    pub fn push(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.exchange(now, FANOUT, false, effects);
+    }
+
+    /// A log line about this instance.
+    #[must_use]
+    pub const fn decision(&self, reason: Reason) -> Effect {
+        Effect::Log(Decision {
+            reason,
+            flow: None,
+            peer: None,
+            version: self.version,
+            age: Millis(0),
+            phase: Some(self.own.phase),
+        })
+    }
+
+    fn advance(&mut self) {
+        self.own.seq += 1;
+    }
+
+    fn learn(&mut self, fact: Fact, now: Millis, effects: &mut Vec<Effect>) {
+        if fact.ip == self.own.ip {
+            self.refute(&fact);
+            return;
+        }
+        let is_news = match self.roster.merge(fact, now) {
+            Merge::Stale => return,
+            Merge::New => true,
+            Merge::Replaced(old) => {
+                (old.phase, old.role, old.backend, old.boot)
+                    != (fact.phase, fact.role, fact.backend, fact.boot)
+            }
+        };
+        if is_news {
+            self.spread(fact.ip);
+            let decision = self.member_decision(Reason::MemberChanged, &fact, now);
+            effects.push(decision);
+        }
+    }
+
+    /// Takes a greater boot id if others know one, as after a step of the wall clock.
+    fn refute(&mut self, fact: &Fact) {
+        if fact.boot > self.own.boot {
+            self.own.boot = BootId(fact.boot.0 + 1);
+        }
+    }
+
+    fn spread(&mut self, ip: Ipv4Addr) {
+        self.rumors.retain(|r| r.ip != ip);
+        self.rumors.push_front(Rumor {
+            ip,
+            left: RUMOR_SENDS,
+        });
+    }
+
+    fn fetch(&mut self, from: Ipv4Addr, version: Version, now: Millis, effects: &mut Vec<Effect>) {
+        let is_pending = self
+            .fetched
+            .is_some_and(|(v, at)| v >= version && now.since(at) < EXCHANGE_INTERVAL);
+        if !is_pending {
+            self.fetched = Some((version, now));
+            effects.push(Effect::Fetch { from, version });
+        }
+    }
+
+    fn exchange(&mut self, now: Millis, fanout: usize, asks: bool, effects: &mut Vec<Effect>) {
+        self.exchanged = now;
+        self.advance();
+        for to in self.pick_peers(fanout) {
+            let facts = self.pick_facts();
+            let message = self.status(facts, asks);
+            effects.push(Effect::Send { to, message });
+        }
+    }
+
+    fn status(&self, facts: Vec<Fact>, asks: bool) -> Message {
+        Message::Status(Status {
+            from: self.own,
+            version: self.version,
+            zones: self.zones.iter().copied().collect(),
+            facts,
+            asks,
+        })
+    }
+
+    /// Changed facts first, then others in turn.
+    fn pick_facts(&mut self) -> Vec<Fact> {
+        let mut facts = Vec::with_capacity(MAX_FACTS);
+        for rumor in self.rumors.iter_mut().take(MAX_FACTS / 2) {
+            rumor.left -= 1;
+            facts.extend(self.roster.get(rumor.ip).map(|m| m.fact));
+        }
+        self.rumors.retain(|r| r.left > 0);
+        let total = self.roster.len();
+        let rest = (MAX_FACTS - facts.len()).min(total);
+        let start = self.cursor % total;
+        let others = self.roster.iter().skip(start).chain(self.roster.iter());
+        for member in others.take(rest) {
+            if member.fact.ip != self.own.ip && !facts.contains(&member.fact) {
+                facts.push(member.fact);
+            }
+        }
+        self.cursor = (self.cursor + rest) % total;
+        facts
+    }
+
+    /// Random running instances other than this one.
+    fn pick_peers(&mut self, count: usize) -> Vec<Ipv4Addr> {
+        let is_peer = |f: &Fact| f.ip != self.own.ip && f.phase.is_running();
+        let members = self.roster.iter().map(|m| m.fact);
+        let mut ips: Vec<Ipv4Addr> = members.filter(is_peer).map(|f| f.ip).collect();
+        shuffle(&mut ips, count, &mut self.rng);
+        ips
+    }
+
+    fn ask_contacts(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let is_recent = self
+            .contacted
+            .is_some_and(|at| now.since(at) < CONTACT_INTERVAL);
+        if self.has_peers() || is_recent {
+            return;
+        }
+        self.contacted = Some(now);
+        let mut ips = self.contacts.clone();
+        shuffle(&mut ips, CONTACT_FANOUT, &mut self.rng);
+        for to in ips {
+            let message = self.status(Vec::new(), true);
+            effects.push(Effect::Send { to, message });
+        }
+    }
+
+    fn member_decision(&self, reason: Reason, fact: &Fact, now: Millis) -> Effect {
+        let heard = self.roster.get(fact.ip).map_or(now, |m| m.heard);
+        Effect::Log(Decision {
+            reason,
+            flow: None,
+            peer: Some(fact.ip),
+            version: self.version,
+            age: now.since(heard),
+            phase: Some(fact.phase),
+        })
+    }
+}
+
+/// Moves `count` random items to the front and drops the rest.
+fn shuffle(ips: &mut Vec<Ipv4Addr>, count: usize, rng: &mut Pcg64Mcg) {
+    for i in 0..count.min(ips.len()) {
+        let rest = (ips.len() - i) as u64;
+        let offset = usize::try_from(rng.next_u64() % rest).unwrap_or(0);
+        ips.swap(i, i + offset);
+    }
+    ips.truncate(count);
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -0,0 +1,204 @@
+//! The known instances of the datagram path.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::{Fact, Flow, Phase, ServiceTag};
+use crate::time::Millis;
+
+/// An instance whose fact has not advanced for this long is suspected to be gone.
+const SUSPECT_SPAN: Millis = Millis(2_500);
+/// An instance that is suspected for this long is forgotten.
+const FORGET_SPAN: Millis = Millis(60_000);
+/// An instance that owes an answer for this long gets no new flows while others do.
+const MUTE_SPAN: Millis = Millis(400);
+
+/// One known instance and what this process has seen of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Member {
+    /// Its latest fact.
+    pub fact: Fact,
+    /// When its fact last advanced.
+    pub heard: Millis,
+    /// When this process first asked it for its status without an answer so far.
+    pub asked: Option<Millis>,
+    /// Unanswered requests for its status.
+    pub unanswered: u16,
+    /// Flows placed on it since its last fact.
+    pub sent: u16,
+    /// Whether it is suspected to be gone.
+    pub suspect: bool,
+}
+
+/// All known instances, by address and by service.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: BTreeMap<Ipv4Addr, Member>,
+    agents: BTreeMap<ServiceTag, Vec<Ipv4Addr>>,
+}
+
+impl Roster {
+    /// Takes a fact over if it is newer than what is known; returns the fact that it replaced.
+    pub fn merge(&mut self, fact: Fact, now: Millis) -> Merge {
+        let Some(member) = self.members.get_mut(&fact.ip) else {
+            self.insert(fact, now);
+            return Merge::New;
+        };
+        if !fact.supersedes(&member.fact) {
+            return Merge::Stale;
+        }
+        let old = member.fact;
+        *member = Member::new(fact, now);
+        if old.service() != fact.service() {
+            self.unlist(&old);
+            self.list(&fact);
+        }
+        Merge::Replaced(old)
+    }
+
+    /// The instance at `ip`.
+    #[must_use]
+    pub fn get(&self, ip: Ipv4Addr) -> Option<&Member> {
+        self.members.get(&ip)
+    }
+
+    /// The instance at `ip`, to be changed.
+    pub fn get_mut(&mut self, ip: Ipv4Addr) -> Option<&mut Member> {
+        self.members.get_mut(&ip)
+    }
+
+    /// All instances in the order of their addresses.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Number of known instances.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no instance is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// The running agents of a service.
+    pub fn agents(&self, service: ServiceTag) -> impl Iterator<Item = &Member> {
+        let ips = self.agents.get(&service).into_iter().flatten();
+        let members = ips.filter_map(|ip| self.members.get(ip));
+        members.filter(|m| m.fact.phase.is_running())
+    }
+
+    /// The agent that keeps the note of a flow: the first by rendezvous hashing.
+    #[must_use]
+    pub fn home(&self, flow: &Flow, service: ServiceTag) -> Option<Ipv4Addr> {
+        let agents = self.agents(service).filter(|m| !m.suspect);
+        let best = agents.max_by_key(|m| flow.rank(m.fact.ip));
+        best.map(|m| m.fact.ip)
+    }
+
+    /// Marks instances that have not been heard, and forgets those silent for long.
+    ///
+    /// If more than half of the others are silent at once, the fault is taken to be this
+    /// process's own and no instance is marked. Returns those newly marked.
+    pub fn observe(&mut self, own: Ipv4Addr, now: Millis) -> Vec<Fact> {
+        let is_stale = |m: &Member| m.fact.ip != own && now.since(m.heard) > SUSPECT_SPAN;
+        let running = self.members.values().filter(|m| m.fact.phase.is_running());
+        let total = running.clone().count();
+        let stale = running.filter(|m| is_stale(m)).count();
+        let is_isolated = stale * 2 > total;
+        let mut marked = Vec::new();
+        for member in self.members.values_mut() {
+            let suspect = !is_isolated && is_stale(member);
+            if suspect && !member.suspect && member.fact.phase.is_running() {
+                marked.push(member.fact);
+            }
+            member.suspect = suspect;
+        }
+        self.forget(own, now);
+        marked
+    }
+
+    fn forget(&mut self, own: Ipv4Addr, now: Millis) {
+        let is_old = |m: &&Member| m.fact.ip != own && now.since(m.heard) > FORGET_SPAN;
+        let old: Vec<Fact> = self
+            .members
+            .values()
+            .filter(is_old)
+            .map(|m| m.fact)
+            .collect();
+        for fact in old {
+            self.members.remove(&fact.ip);
+            self.unlist(&fact);
+        }
+    }
+
+    fn insert(&mut self, fact: Fact, now: Millis) {
+        self.members.insert(fact.ip, Member::new(fact, now));
+        self.list(&fact);
+    }
+
+    fn list(&mut self, fact: &Fact) {
+        if let Some(service) = fact.service() {
+            self.agents.entry(service).or_default().push(fact.ip);
+        }
+    }
+
+    fn unlist(&mut self, fact: &Fact) {
+        let Some(service) = fact.service() else {
+            return;
+        };
+        if let Some(ips) = self.agents.get_mut(&service) {
+            ips.retain(|&ip| ip != fact.ip);
+        }
+    }
+}
+
+/// Outcome of [`Roster::merge`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// The fact was known, or an older one.
+    Stale,
+    /// The instance was not known.
+    New,
+    /// The fact replaced this one.
+    Replaced(Fact),
+}
+
+impl Member {
+    const fn new(fact: Fact, now: Millis) -> Self {
+        Self {
+            fact,
+            heard: now,
+            asked: None,
+            unanswered: 0,
+            sent: 0,
+            suspect: false,
+        }
+    }
+
+    /// Whether the instance owes an answer for too long to be given new flows.
+    #[must_use]
+    pub fn is_mute(&self, now: Millis) -> bool {
+        self.asked.is_some_and(|at| now.since(at) > MUTE_SPAN) && self.unanswered > 1
+    }
+
+    /// Whether the flows that `backend` held there are known to be over.
+    #[must_use]
+    pub fn is_over(&self, backend: crate::BootId) -> bool {
+        self.fact.backend > backend
+            || self.fact.backend == backend && self.fact.phase == Phase::Over
+    }
+
+    /// Load for placing: the greater, the less suited. New flows count before they are reported.
+    #[must_use]
+    pub fn pressure(&self) -> u32 {
+        let load = &self.fact.load;
+        let flows = u32::from(load.flows) + u32::from(self.sent);
+        let waiting = u32::from(load.waiting);
+        let excess = waiting.saturating_sub(u32::from(load.slots));
+        flows + 2 * waiting + 4 * excess
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/src/datagram/table.rs
@@ -0,0 +1,99 @@
+//! Which services may take the flows of which route.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Flow, ServiceTag};
+use crate::id::Version;
+use crate::time::Millis;
+
+/// One version of the configuration, compiled for routing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// Version of the configuration.
+    pub version: Version,
+    /// A flow without packets for this long may be forgotten.
+    pub idle: Millis,
+    /// Routes by the address that callers connect to.
+    pub routes: BTreeMap<SocketAddrV4, Route>,
+    /// Limits of the services.
+    pub services: BTreeMap<ServiceTag, ServiceLimits>,
+}
+
+/// Where the flows of one route go.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Services with their weights.
+    pub targets: Vec<Target>,
+}
+
+/// One service that may take a share of a route's flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceTag,
+    /// Its share, relative to the other targets.
+    pub weight: u32,
+}
+
+/// What one backend server of a service bears.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLimits {
+    /// Flows open at once.
+    pub connections: u32,
+    /// Requests per thousand seconds that a backend server in cold start bears; zero is no limit.
+    pub cold_rate: u32,
+    /// Length of a cold start.
+    pub cold_span: Millis,
+}
+
+impl Table {
+    /// The route of a flow.
+    #[must_use]
+    pub fn route(&self, flow: &Flow) -> Option<&Route> {
+        self.routes.get(&flow.route)
+    }
+
+    /// Whether a service may take new flows of the flow's route.
+    #[must_use]
+    pub fn allows(&self, flow: &Flow, service: ServiceTag) -> bool {
+        let route = self.route(flow);
+        route.is_some_and(|r| {
+            r.targets
+                .iter()
+                .any(|t| t.service == service && t.weight > 0)
+        })
+    }
+
+    /// Limits of a service.
+    #[must_use]
+    pub fn limits(&self, service: ServiceTag) -> ServiceLimits {
+        self.services.get(&service).copied().unwrap_or_default()
+    }
+}
+
+impl Route {
+    /// The service that a flow goes to, by weight; copies of one opening packet agree.
+    ///
+    /// ```
+    /// # use buckthornlink_core::datagram::{Route, ServiceTag, Target};
+    /// let service = ServiceTag::of("token");
+    /// let route = Route { targets: vec![Target { service, weight: 1 }] };
+    /// assert_eq!(route.pick(42), Some(service));
+    /// ```
+    #[must_use]
+    pub fn pick(&self, hash: u64) -> Option<ServiceTag> {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let mut point = hash.checked_rem(total)?;
+        for target in &self.targets {
+            let weight = u64::from(target.weight);
+            if point < weight {
+                return Some(target.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
--- a/buckthornlink-core/src/lib.rs
+++ b/buckthornlink-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`member`] merges the single-writer facts that instances publish about themselves.
 //! * [`balancer`] decides where an opening flow goes and how facts spread.
 //! * [`retry`] bounds the retries of calls to dependencies.
+//! * [`datagram`] balances flows whose datagrams carry no routable id.
 //! * [`agent`] decides which request runs on its backend server, and when.
 //!
 //! # Example
@@ -27,6 +28,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod config;
+pub mod datagram;
 pub mod id;
 pub mod member;
 pub mod message;
--- /dev/null
+++ b/buckthornlink-datagram/src/follow.rs
@@ -0,0 +1,157 @@
+//! Follows the operators' records in the store.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use buckthornlink_core::ZoneTag;
+use buckthornlink_core::datagram::Event;
+use buckthornlink_core::member::ZoneRecord;
+use buckthornlink_platform::{
+    BALANCERS_PREFIX, BalancerEntry, Change, Entry, Revision, Store, StoreError, Watch,
+};
+
+use crate::{Adapter, Inbox, Record};
+
+/// Pauses between tries while the store does not answer.
+const RETRY_MIN: Duration = Duration::from_millis(150);
+const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Most records that are read at once.
+const MAX_RECORDS: u32 = 10_000;
+
+/// Reads and watches the operators' records for ever.
+pub(crate) async fn follow<A: Adapter>(adapter: A, store: A::Store, inbox: Inbox) {
+    let mut follower = Follower {
+        adapter,
+        store,
+        inbox,
+        out: BTreeSet::new(),
+        is_lost: false,
+    };
+    let mut pause = RETRY_MIN;
+    loop {
+        let err = follower.watch(&mut pause).await;
+        follower.lose(&err);
+        sleep(pause).await;
+        pause = (pause * 2).min(RETRY_MAX);
+    }
+}
+
+/// Reads the balancers that have an entry in the store, until that works once.
+pub(crate) async fn find_contacts<S: Store>(store: S, inbox: Inbox) {
+    let mut pause = RETRY_MIN;
+    loop {
+        if let Ok((entries, _)) = store.range(BALANCERS_PREFIX, MAX_RECORDS).await {
+            let entries = entries.iter();
+            let parsed =
+                entries.filter_map(|e| serde_json::from_slice::<BalancerEntry>(&e.value).ok());
+            inbox.send(Event::Contacts(parsed.map(|e| *e.link.ip()).collect()));
+            return;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(RETRY_MAX);
+    }
+}
+
+struct Follower<A: Adapter> {
+    adapter: A,
+    store: A::Store,
+    inbox: Inbox,
+    out: BTreeSet<ZoneTag>,
+    is_lost: bool,
+}
+
+impl<A: Adapter> Follower<A> {
+    /// Reads all records and watches for changes until that fails.
+    async fn watch(&mut self, pause: &mut Duration) -> StoreError {
+        let result = self.read_all().await;
+        let revision = match result {
+            Ok(revision) => revision,
+            Err(err) => return err,
+        };
+        self.regain();
+        *pause = RETRY_MIN;
+        let prefix = self.adapter.records_prefix();
+        let mut watch = match self.store.watch(prefix, revision).await {
+            Ok(watch) => watch,
+            Err(err) => return err,
+        };
+        loop {
+            match watch.next().await {
+                Ok(changes) => changes.iter().for_each(|change| self.report(change)),
+                Err(err) => return err,
+            }
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<Revision, StoreError> {
+        let prefix = self.adapter.records_prefix();
+        let (entries, revision) = self.store.range(prefix, MAX_RECORDS).await?;
+        let mut standing = BTreeSet::new();
+        for entry in &entries {
+            standing.extend(self.put(entry));
+        }
+        let returned: Vec<ZoneTag> = self.out.difference(&standing).copied().collect();
+        for zone in returned {
+            self.zone(zone, false, revision);
+        }
+        Ok(revision)
+    }
+
+    fn report(&mut self, change: &Change) {
+        match change {
+            Change::Put(entry) => {
+                self.put(entry);
+            }
+            Change::Delete { key, revision } => {
+                if let Some(zone) = self.adapter.zone_of(key) {
+                    self.zone(zone, false, *revision);
+                }
+            }
+        }
+    }
+
+    /// Reports a record; returns the zone that it takes out of service, if any.
+    fn put(&mut self, entry: &Entry) -> Option<ZoneTag> {
+        match self.adapter.read_record(&entry.key, &entry.value) {
+            Some(Record::Config(table)) => {
+                self.inbox.send(Event::Table(Arc::new(table)));
+                None
+            }
+            Some(Record::ZoneOut(zone)) => {
+                self.zone(zone, true, entry.revision);
+                Some(zone)
+            }
+            None => {
+                log::warn!(key = entry.key; "record in the store is malformed");
+                None
+            }
+        }
+    }
+
+    fn zone(&mut self, zone: ZoneTag, out: bool, revision: Revision) {
+        if out {
+            self.out.insert(zone);
+        } else {
+            self.out.remove(&zone);
+        }
+        let seq = u64::try_from(revision.0).unwrap_or(0);
+        self.inbox.send(Event::Zone(ZoneRecord { zone, seq, out }));
+    }
+
+    fn lose(&mut self, err: &StoreError) {
+        if !self.is_lost {
+            self.is_lost = true;
+            log::warn!(err:% = err; "store is lost");
+        }
+    }
+
+    fn regain(&mut self) {
+        if self.is_lost {
+            self.is_lost = false;
+            log::info!("store is regained");
+        }
+    }
+}
--- /dev/null
+++ b/buckthornlink-datagram/src/link.rs
@@ -0,0 +1,65 @@
+//! Configurations on their way between processes: HTTP with `MessagePack` bodies.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::get;
+
+use buckthornlink_core::Version;
+use buckthornlink_core::datagram::Table;
+
+/// Time allowed for one fetch.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The configuration that a process offers to others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Offer {
+    table: Arc<Mutex<Arc<Table>>>,
+}
+
+impl Offer {
+    /// Offers a newer configuration.
+    pub(crate) fn set(&self, table: Arc<Table>) {
+        *self.table.lock().unwrap_or_else(PoisonError::into_inner) = table;
+    }
+
+    /// Version of the configuration that is offered.
+    pub(crate) fn version(&self) -> Version {
+        self.get().version
+    }
+
+    /// A router that serves the configuration.
+    pub(crate) fn router(&self) -> Router {
+        let offer = self.clone();
+        Router::new().route("/table", get(move || async move { offer.body() }))
+    }
+
+    fn get(&self) -> Arc<Table> {
+        let table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&table)
+    }
+
+    fn body(&self) -> Result<Vec<u8>, StatusCode> {
+        let table = self.get();
+        if table.version == Version(0) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        rmp_serde::to_vec(&*table).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    }
+}
+
+/// Fetches the configuration of another process.
+pub(crate) async fn fetch(
+    http: &reqwest::Client,
+    from: Ipv4Addr,
+    port: u16,
+) -> anyhow::Result<Table> {
+    let addr = SocketAddrV4::new(from, port);
+    let request = http.get(format!("http://{addr}/table"));
+    let response = request.timeout(FETCH_TIMEOUT).send().await?;
+    let body = response.error_for_status()?.bytes().await?;
+    Ok(rmp_serde::from_slice(&body)?)
+}
--- /dev/null
+++ b/buckthornlink-datagram/src/process.rs
@@ -0,0 +1,120 @@
+//! Starting and ending a process.
+
+use std::net::SocketAddrV4;
+
+use anyhow::Context;
+use tokio::signal::unix::{SignalKind, signal};
+
+use buckthornlink_core::datagram::{Agent, Balancer, Event, Reducer, Role, ServiceTag, Setup};
+use buckthornlink_core::{Millis, ZoneTag};
+use buckthornlink_node::clock::boot_id;
+use buckthornlink_node::metrics::HttpServer;
+use buckthornlink_node::source::Registration;
+use buckthornlink_platform::BalancerEntry;
+
+use crate::link::Offer;
+use crate::node::Node;
+use crate::sockets::Sockets;
+use crate::{Adapter, Inbox, Settings, clock, follow};
+
+/// Inputs that wait for the reducer before further ones are dropped.
+const QUEUE: usize = 1_024;
+
+/// Runs a balancer until SIGTERM.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound.
+pub fn run_balancer(adapter: impl Adapter, settings: &Settings) -> anyhow::Result<()> {
+    let setup = setup(settings, Role::Balancer);
+    block_on(async {
+        let entry = BalancerEntry {
+            link: SocketAddrV4::new(settings.ip, settings.link_port),
+            http: settings.readiness,
+            zone: settings.zone.clone(),
+        };
+        let store = adapter.open_store(&settings.store);
+        let _registration = Registration::spawn(store, entry);
+        serve(Balancer::new(&setup, clock::now()), adapter, settings).await
+    })
+}
+
+/// Runs an agent until SIGTERM.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound, or the settings name no backend server.
+pub fn run_agent(adapter: impl Adapter, settings: &Settings) -> anyhow::Result<()> {
+    let backend = settings.backend.as_ref();
+    let backend = backend.context("backend: an agent's settings name its backend server")?;
+    let setup = setup(settings, Role::Agent(ServiceTag::of(&backend.service)));
+    block_on(serve(Agent::new(&setup, clock::now()), adapter, settings))
+}
+
+async fn serve<R: Reducer, A: Adapter>(
+    reducer: R,
+    adapter: A,
+    settings: &Settings,
+) -> anyhow::Result<()> {
+    let sockets = Sockets::bind(settings).await.context("datagram sockets")?;
+    let (sender, inputs) = flume::bounded(QUEUE);
+    let inbox = Inbox::new(sender);
+    inbox.send(Event::Contacts(
+        settings.contacts.iter().map(|c| *c.ip()).collect(),
+    ));
+    let offer = Offer::default();
+    let link = SocketAddrV4::new(settings.ip, settings.link_port);
+    let _link = HttpServer::bind(link, offer.router())
+        .await
+        .context("link")?;
+    let router = adapter.readiness_router(inbox.clone());
+    let _readiness = HttpServer::bind(settings.readiness, router)
+        .await
+        .context("readiness")?;
+    let router = adapter.control_router(inbox.clone());
+    let _control = HttpServer::bind(settings.control, router)
+        .await
+        .context("control")?;
+    let store = adapter.open_store(&settings.store);
+    tokio::spawn(follow::follow(
+        adapter.clone(),
+        store.clone(),
+        inbox.clone(),
+    ));
+    tokio::spawn(follow::find_contacts(store, inbox.clone()));
+    spawn_signals(inbox.clone())?;
+    log::info!(ip:% = settings.ip, zone = settings.zone; "process started");
+    let node = Node::new(reducer, adapter, sockets, inbox, offer, settings)?;
+    node.run(inputs).await;
+    log::info!(ip:% = settings.ip; "process stopped");
+    Ok(())
+}
+
+fn spawn_signals(inbox: Inbox) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::spawn(async move {
+        terminate.recv().await;
+        log::info!("termination requested");
+        inbox.stop();
+    });
+    Ok(())
+}
+
+fn setup(settings: &Settings, role: Role) -> Setup {
+    let boot = boot_id();
+    Setup {
+        ip: settings.ip,
+        role,
+        zone: ZoneTag::of(&settings.zone),
+        boot,
+        heartbeat: Millis(settings.heartbeat_ms),
+        seed: boot.0 ^ u64::from(u32::from(settings.ip)),
+    }
+}
+
+fn block_on(future: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(future)
+}
--- /dev/null
+++ b/buckthornlink-datagram/src/settings.rs
@@ -0,0 +1,66 @@
+//! Settings of a process of the datagram path.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use buckthornlink_node::settings::LogSettings;
+
+/// Settings of a balancer or an agent. Unknown fields are ignored.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Settings {
+    /// Address of the instance.
+    pub ip: Ipv4Addr,
+    /// Name of its availability zone.
+    pub zone: String,
+    /// URL of the store.
+    pub store: String,
+    /// Address at which the fabric delivers packets; callers receive theirs at the same port.
+    pub data: SocketAddrV4,
+    /// Port for control messages between instances, the same everywhere.
+    pub link_port: u16,
+    /// Port for packets between instances, the same everywhere.
+    pub relay_port: u16,
+    /// Address of the readiness check.
+    pub readiness: SocketAddrV4,
+    /// Address at which heartbeats come.
+    pub control: SocketAddrV4,
+    /// Address of the metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddrV4>,
+    /// Addresses of instances to ask while the store is away; their ports do not matter.
+    #[serde(default)]
+    pub contacts: Vec<SocketAddrV4>,
+    /// Interval of a backend server's heartbeats, in milliseconds.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat_ms: u64,
+    /// Time between SIGTERM and the end of the process at the latest, in milliseconds.
+    #[serde(default = "default_grace")]
+    pub grace_ms: u64,
+    /// Agent only: where the backend server is and sends its packets to.
+    #[serde(default)]
+    pub backend: Option<BackendSettings>,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// The backend server beside an agent.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct BackendSettings {
+    /// Name of its service until its first heartbeat.
+    pub service: String,
+    /// Address at which it receives packets.
+    pub address: SocketAddrV4,
+    /// Address to which it sends its packets.
+    pub outbound: SocketAddrV4,
+}
+
+const fn default_heartbeat() -> u64 {
+    1_000
+}
+
+const fn default_grace() -> u64 {
+    5_000
+}
--- /dev/null
+++ b/buckthornlink-datagram/src/sockets.rs
@@ -0,0 +1,83 @@
+//! The UDP sockets of a process.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use tokio::net::UdpSocket;
+
+use buckthornlink_core::datagram::Source;
+
+use crate::Settings;
+
+/// Longest datagram that is read, in bytes.
+pub(crate) const MAX_DATAGRAM: usize = 2_048;
+
+/// The sockets of a process.
+#[derive(Debug)]
+pub(crate) struct Sockets {
+    /// From the fabric, on a balancer.
+    pub fabric: Option<UdpSocket>,
+    /// Packets from and to other instances.
+    pub relay: UdpSocket,
+    /// Control messages.
+    pub link: UdpSocket,
+    /// From and to the backend server, on an agent.
+    pub backend: Option<UdpSocket>,
+}
+
+impl Sockets {
+    /// Binds the sockets that the settings name.
+    pub(crate) async fn bind(settings: &Settings) -> io::Result<Self> {
+        let at = |port| SocketAddrV4::new(settings.ip, port);
+        let (fabric, backend) = match &settings.backend {
+            Some(backend) => (None, Some(UdpSocket::bind(backend.outbound).await?)),
+            None => (Some(UdpSocket::bind(settings.data).await?), None),
+        };
+        Ok(Self {
+            fabric,
+            relay: UdpSocket::bind(at(settings.relay_port)).await?,
+            link: UdpSocket::bind(at(settings.link_port)).await?,
+            backend,
+        })
+    }
+
+    /// The socket that packets of a source come to.
+    pub(crate) const fn of(&self, source: Source) -> Option<&UdpSocket> {
+        match source {
+            Source::Fabric => self.fabric.as_ref(),
+            Source::Backend => self.backend.as_ref(),
+            Source::Peer(_) => Some(&self.relay),
+        }
+    }
+}
+
+/// Receives one datagram if one waits.
+pub(crate) fn try_receive(socket: &UdpSocket, buffer: &mut [u8]) -> Received {
+    match socket.try_recv_from(buffer) {
+        Ok((len, SocketAddr::V4(from))) => Received::Datagram(len, *from.ip()),
+        Ok(_) => Received::Failed,
+        Err(err) if err.kind() == io::ErrorKind::WouldBlock => Received::Nothing,
+        Err(_) => Received::Failed,
+    }
+}
+
+/// Outcome of [`try_receive`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Received {
+    /// A datagram of this length from this instance.
+    Datagram(usize, Ipv4Addr),
+    /// The system reported an error, such as one of an earlier datagram.
+    Failed,
+    /// No datagram waits.
+    Nothing,
+}
+
+/// Waits until a socket is readable; for ever if there is none.
+pub(crate) async fn readable(socket: Option<&UdpSocket>) {
+    match socket {
+        Some(socket) => {
+            let _ = socket.readable().await;
+        }
+        None => std::future::pending().await,
+    }
+}
--- a/buckthornlink-platform/src/etcd/json.rs
+++ b/buckthornlink-platform/src/etcd/json.rs
@@ -227,7 +227,10 @@
         let entry = Entry::from(event.kv);
         match event.kind {
             WatchKind::Put => Self::Put(entry),
-            WatchKind::Delete => Self::Delete(entry.key),
+            WatchKind::Delete => Self::Delete {
+                key: entry.key,
+                revision: entry.revision,
+            },
         }
     }
 }
--- a/buckthornlink-platform/src/store.rs
+++ b/buckthornlink-platform/src/store.rs
@@ -39,7 +39,12 @@
     /// A key was written.
     Put(Entry),
     /// A key was deleted, or its lease ran out.
-    Delete(String),
+    Delete {
+        /// The key.
+        key: String,
+        /// Revision of the deletion.
+        revision: Revision,
+    },
 }
 
 /// Why a call to the store has no answer.
--- a/buckthornlink/src/command/serve.rs
+++ b/buckthornlink/src/command/serve.rs
@@ -4,6 +4,8 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
+use buckthornlink_adapter::Platform;
+use buckthornlink_datagram::{Settings, run_balancer};
 use buckthornlink_node::{logs, settings};
 
 use super::Outcome;
@@ -12,8 +14,14 @@
 #[derive(Debug, clap::Args)]
 pub(super) struct Arguments {
     /// Settings file in JSON
-    #[arg(required_unless_present = "print_schema")]
+    #[arg(
+        required_unless_present = "print_schema",
+        env = "BUCKTHORNLINK_SETTINGS"
+    )]
     settings: Option<PathBuf>,
+    /// Balance flows of datagrams that carry no connection id
+    #[arg(long)]
+    datagrams: bool,
     /// Print the JSON Schema of the settings and stop
     #[arg(long)]
     print_schema: bool,
@@ -25,9 +33,14 @@
 impl Arguments {
     pub(super) fn run(self) -> Outcome {
         let Some(path) = self.settings.filter(|_| !self.print_schema) else {
-            println!("{}", settings::schema::<BalancerSettings>());
+            println!("{}", schema(self.datagrams));
             return Ok(());
         };
+        if self.datagrams {
+            let settings: Settings = settings::load(&path)?;
+            logs::init(&settings.log);
+            return Ok(run_balancer(Platform, &settings)?);
+        }
         let mut settings: BalancerSettings = settings::load(&path)?;
         settings.record = self.record.or(settings.record);
         logs::init(&settings.log);
@@ -37,6 +50,14 @@
     }
 }
 
+fn schema(is_datagrams: bool) -> String {
+    if is_datagrams {
+        settings::schema::<Settings>()
+    } else {
+        settings::schema::<BalancerSettings>()
+    }
+}
+
 async fn serve(settings: BalancerSettings) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let balancer = Balancer::spawn(settings).await?;
