fix(core): a first heartbeat ends no flow

Cause: an agent that starts with its backend server tried unknown flows before the first heartbeat, which then marked them as over. Flows that were only tried are unknown after a new start.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -15,6 +15,7 @@
     Backend, Decision, Effect, Event, Fact, Flow, FlowCounts, Flows, Heartbeat, Load, Mesh,
     Message, Note, Packet, Phase, Reason, Reducer, Role, ServiceTag, Setup, Source, Table,
 };
+use crate::id::BootId;
 use crate::time::Millis;
 
 /// A flow is noted at its home once it is this old; shorter ones end before a note is of use.
@@ -112,7 +113,8 @@
         if !self.backend.hear(beat, now) {
             return;
         }
-        if self.backend.boot() != boot {
+        let is_known = boot != BootId::default();
+        if is_known && self.backend.boot() != boot {
             self.flows.end_all();
         }
         self.refresh(now, out);
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -124,9 +124,11 @@
     /// Marks the flows that an ended backend server held.
     pub fn end_all(&mut self) {
         for state in self.flows.values_mut() {
-            if state.is_own() {
-                state.holding = Holding::Over;
-            }
+            state.holding = match state.holding {
+                Holding::Offered | Holding::Half { .. } | Holding::Open => Holding::Over,
+                Holding::Tried { .. } => Holding::Unknown,
+                other => other,
+            };
         }
         self.open = 0;
         self.waiting = 0;
@@ -156,13 +158,6 @@
         self.ended[0] && self.ended[1]
     }
 
-    const fn is_own(&self) -> bool {
-        matches!(
-            self.holding,
-            Holding::Offered | Holding::Half { .. } | Holding::Open | Holding::Tried { .. }
-        )
-    }
-
     /// Whether the flow counts as open, and as waiting.
     const fn counts(&self) -> (bool, bool) {
         let is_open = matches!(
--- /dev/null
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -0,0 +1,214 @@
+//! Packets and drivers for the reducers of the datagram path.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use buckthornlink_core::datagram::{
+    Agent, Effect, Event, Flags, Flow, Heartbeat, Message, Mode, Packet, Reducer, Role, Route,
+    ServiceLimits, ServiceTag, Setup, Source, Table, Tag, Target,
+};
+use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
+
+/// The instance under test.
+pub const OWN: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+/// Another agent.
+pub const PEER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 2);
+/// A balancer.
+pub const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 9);
+
+/// The service of all agents.
+pub fn service() -> ServiceTag {
+    ServiceTag::of("token")
+}
+
+/// The only route.
+pub fn route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+/// A configuration with one route to [`service`].
+pub fn table(version: u64) -> Table {
+    let target = Target {
+        service: service(),
+        weight: 1,
+    };
+    let limits = ServiceLimits {
+        connections: 2_000,
+        cold_rate: 10_000,
+        cold_span: Millis(2_000),
+    };
+    Table {
+        version: Version(version),
+        idle: Millis(15_000),
+        routes: BTreeMap::from([(
+            route(),
+            Route {
+                targets: vec![target],
+            },
+        )]),
+        services: BTreeMap::from([(service(), limits)]),
+    }
+}
+
+/// What the instance at `ip` is told at its start.
+pub fn setup(ip: Ipv4Addr, role: Role) -> Setup {
+    Setup {
+        ip,
+        role,
+        zone: ZoneTag::of("a"),
+        boot: BootId(1),
+        heartbeat: Millis(1_200),
+        seed: u64::from(u32::from(ip)),
+    }
+}
+
+/// The flow of the caller with this port.
+pub fn flow(port: u16) -> Flow {
+    Flow {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port),
+        route: route(),
+    }
+}
+
+/// A packet without flags and data.
+pub fn packet(port: u16) -> Packet {
+    Packet {
+        flow: flow(port),
+        flags: Flags::default(),
+        seq: 1,
+        ack: 0,
+        len: 0,
+        tag: Tag::direct(),
+    }
+}
+
+/// An opening packet.
+pub fn opening(port: u16) -> Packet {
+    let mut packet = packet(port);
+    packet.flags.syn = true;
+    packet
+}
+
+/// A packet of a caller with data, which acknowledges 501.
+pub fn data(port: u16) -> Packet {
+    let mut packet = packet(port);
+    packet.flags.ack = true;
+    packet.ack = 501;
+    packet.len = 100;
+    packet
+}
+
+/// A packet of the backend server with data.
+pub fn answer(port: u16) -> Packet {
+    let mut packet = data(port);
+    packet.seq = 501;
+    packet
+}
+
+/// A backend server's answer to an opening packet.
+pub fn syn_ack(port: u16, seq: u32) -> Packet {
+    let mut packet = opening(port);
+    packet.flags.ack = true;
+    packet.seq = seq;
+    packet
+}
+
+/// A packet that the backend server gives back.
+pub fn bounce(mut packet: Packet) -> Packet {
+    packet.flags.bounced = true;
+    packet.tag = Tag::new(Mode::Direct, BALANCER);
+    packet
+}
+
+/// A heartbeat of a ready backend server.
+pub fn beat(seq: u64) -> Heartbeat {
+    Heartbeat {
+        id: "i-1".to_owned(),
+        born: Some(5_000),
+        seq,
+        service: service(),
+        draining: false,
+        cold: Millis(0),
+        slots: 8,
+    }
+}
+
+/// Whether an effect ends a flow.
+pub const fn is_reset(effect: &Effect) -> bool {
+    matches!(effect, Effect::Reset { .. })
+}
+
+/// An agent with a clock.
+pub struct AgentDriver {
+    pub agent: Agent,
+    pub now: Millis,
+}
+
+impl AgentDriver {
+    /// An agent with a configuration that has heard no heartbeat.
+    pub fn without_backend() -> Self {
+        let setup = setup(OWN, Role::Agent(service()));
+        let now = Millis(10_000);
+        let agent = Agent::new(&setup, now);
+        let mut driver = Self { agent, now };
+        driver.reduce(Event::Table(Arc::new(table(1))));
+        driver
+    }
+
+    /// An agent whose backend server has just started.
+    pub fn ready() -> Self {
+        let mut driver = Self::without_backend();
+        driver.heartbeat(beat(1));
+        driver
+    }
+
+    /// Lets time pass.
+    pub fn wait(&mut self, span: Millis) {
+        self.now = self.now + span;
+        self.reduce(Event::Tick);
+    }
+
+    /// Effects of an event, without log lines.
+    pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.agent.reduce(event, self.now, &mut effects);
+        effects.retain(|e| !matches!(e, Effect::Log(_)));
+        effects
+    }
+
+    /// A packet comes from [`PEER`].
+    pub fn relayed(&mut self, mut packet: Packet, mode: Mode) -> Vec<Effect> {
+        packet.tag = Tag::new(mode, BALANCER);
+        let source = Source::Peer(if mode == Mode::Search { PEER } else { BALANCER });
+        self.reduce(Event::Packet { source, packet })
+    }
+
+    /// A packet comes from the backend server.
+    pub fn outbound(&mut self, packet: Packet) -> Vec<Effect> {
+        let source = Source::Backend;
+        self.reduce(Event::Packet { source, packet })
+    }
+
+    /// A heartbeat comes.
+    pub fn heartbeat(&mut self, beat: Heartbeat) -> Vec<Effect> {
+        self.reduce(Event::Heartbeat(beat))
+    }
+
+    /// A control message comes from [`PEER`].
+    pub fn message(&mut self, message: Message) -> Vec<Effect> {
+        self.reduce(Event::Message {
+            from: PEER,
+            message,
+        })
+    }
+
+    /// Opens a flow in full.
+    pub fn open_flow(&mut self, port: u16) {
+        self.relayed(opening(port), Mode::Placed);
+        self.outbound(syn_ack(port, 500));
+        self.relayed(data(port), Mode::Placed);
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -0,0 +1,94 @@
+//! Decisions of an agent about single packets.
+
+mod datagram;
+
+use buckthornlink_core::datagram::{Effect, Message, Mode, Note};
+use buckthornlink_core::{BootId, Millis};
+
+use datagram::{AgentDriver, PEER, beat, bounce, data, opening, syn_ack};
+
+#[test]
+fn a_flow_that_was_tried_before_the_first_heartbeat_is_not_reset() {
+    let mut agent = AgentDriver::without_backend();
+    let tried = agent.relayed(data(1), Mode::Search);
+    assert!(matches!(tried[..], [Effect::Deliver(_)]));
+    agent.heartbeat(beat(1));
+    let next = agent.relayed(data(1), Mode::Search);
+    assert!(!next.iter().any(datagram::is_reset), "{next:?}");
+}
+
+#[test]
+fn an_agent_that_restarts_beside_its_backend_server_keeps_learnt_flows() {
+    let mut agent = AgentDriver::without_backend();
+    agent.relayed(data(1), Mode::Known);
+    agent.outbound(datagram::answer(1));
+    agent.heartbeat(beat(40));
+    let next = agent.relayed(data(1), Mode::Known);
+    assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+}
+
+#[test]
+fn flows_of_an_ended_start_are_reset_at_once() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    let mut reborn = beat(1);
+    reborn.born = Some(9_000);
+    agent.heartbeat(reborn);
+    let next = agent.relayed(data(1), Mode::Known);
+    assert!(next.iter().any(datagram::is_reset), "{next:?}");
+}
+
+#[test]
+fn an_opening_packet_that_bounces_goes_back_to_the_balancer() {
+    let mut agent = AgentDriver::ready();
+    let taken = agent.relayed(opening(1), Mode::Placed);
+    assert!(matches!(taken[..], [Effect::Deliver(_)]));
+    let refused = agent.outbound(bounce(opening(1)));
+    assert!(
+        refused
+            .iter()
+            .any(|e| matches!(e, Effect::Relay { tag, .. } if tag.mode == Mode::Refused)),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn two_answers_to_copies_are_settled_by_what_the_caller_acknowledges() {
+    let mut agent = AgentDriver::ready();
+    agent.relayed(opening(1), Mode::Placed);
+    agent.outbound(syn_ack(1, 5_000_000));
+    let mut other = data(1);
+    other.ack = 1;
+    let next = agent.relayed(other, Mode::Placed);
+    assert!(
+        !next.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn a_packet_of_a_noted_flow_is_passed_on_to_its_owner() {
+    let mut agent = AgentDriver::ready();
+    let note = Note {
+        flow: data(1).flow,
+        owner: PEER,
+        backend: BootId(1),
+    };
+    agent.message(Message::Notes(vec![note]));
+    let next = agent.relayed(data(1), Mode::Lookup);
+    assert!(
+        matches!(next[..], [Effect::Relay { to: PEER, tag }] if tag.mode == Mode::Noted),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn a_silent_backend_server_gets_no_new_flow() {
+    let mut agent = AgentDriver::ready();
+    agent.wait(Millis(2_500));
+    let refused = agent.relayed(opening(1), Mode::Placed);
+    assert!(
+        !refused.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{refused:?}"
+    );
+}
