fix(core): find flows of services that their route no longer has

Cause: a new version of a route may drop a service while its flows stay there. Lookups and searches asked only the agents of the route's present services; all of those denied the flow and it was reset. Homes are now on one ring of all agents, and a small system searches all of them.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -174,13 +174,8 @@
         }
     }
 
-    fn service(&self) -> ServiceTag {
-        self.mesh.own().service().unwrap_or_default()
-    }
-
     /// Tells the homes of own flows where these live, once for each home and start of it.
     fn note_homes(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let service = self.service();
         let own = self.mesh.own().ip;
         let roster = self.mesh.roster();
         let mut due: Vec<(Ipv4Addr, Flow)> = Vec::new();
@@ -188,7 +183,7 @@
             if now.since(state.opened) < NOTE_AGE {
                 continue;
             }
-            let home = roster.home(flow, service).filter(|&ip| ip != own);
+            let home = roster.home(flow).filter(|&ip| ip != own);
             let home = home.and_then(|ip| Some((ip, roster.get(ip)?.fact.boot)));
             if home.is_some() && home != state.noted {
                 due.extend(home.map(|(ip, _)| (ip, *flow)));
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -10,6 +10,8 @@
 
 /// A flow is searched for at most this often.
 const SEARCH_INTERVAL: Millis = Millis(150);
+/// Most agents that are asked for one flow.
+const MAX_ASKED: usize = 64;
 /// Time after the start from which on the known agents are taken to be all.
 const SETTLE_SPAN: Millis = Millis(3_000);
 
@@ -117,7 +119,7 @@
 
     /// Ends a flow that every agent which might own it denies.
     fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) {
-        let is_settled = now.since(self.started) >= SETTLE_SPAN;
+        let is_settled = now.since(self.started) >= SETTLE_SPAN && self.is_small();
         if !is_settled || !self.denies(flow) || self.table.route(flow).is_none() {
             return;
         }
@@ -143,14 +145,26 @@
         !is_unknown || self.backend.is_witnessed()
     }
 
-    /// The other agents that may own a flow.
+    /// The other agents that are asked for a flow.
+    ///
+    /// A flow stays at its backend server when its route changes to other services, so all agents
+    /// are asked where that is feasible, else those of the route's present services.
     fn suspects(&self, flow: &Flow) -> Vec<Ipv4Addr> {
         let own = self.mesh.own().ip;
-        let targets = self.table.route(flow).map(|r| r.targets.as_slice());
-        let services = targets.unwrap_or_default().iter().map(|t| t.service);
         let roster = self.mesh.roster();
-        let agents = services.flat_map(|service| roster.agents(service));
-        let ips = agents.map(|m: &Member| m.fact.ip);
-        ips.filter(|&ip| ip != own).collect()
+        let ips: Vec<Ipv4Addr> = if self.is_small() {
+            roster.all_agents().map(|m| m.fact.ip).collect()
+        } else {
+            let targets = self.table.route(flow).map(|r| r.targets.as_slice());
+            let services = targets.unwrap_or_default().iter().map(|t| t.service);
+            let agents = services.flat_map(|service| roster.agents(service));
+            agents.map(|m: &Member| m.fact.ip).take(MAX_ASKED).collect()
+        };
+        ips.into_iter().filter(|&ip| ip != own).collect()
+    }
+
+    /// Whether all agents may be asked at once.
+    fn is_small(&self) -> bool {
+        self.mesh.roster().all_agents().nth(MAX_ASKED).is_none()
     }
 }
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -92,19 +92,11 @@
         out.push(Effect::Relay { to: owner, tag });
     }
 
-    /// Sends a packet of an unknown flow to the agents that may have a note about it.
+    /// Sends a packet of an unknown flow to the agent that may have a note about it.
     fn look_up(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
-        let Some(route) = self.table.route(&packet.flow) else {
-            return;
-        };
-        let roster = self.mesh.roster();
-        let homes = route
-            .targets
-            .iter()
-            .filter_map(|t| roster.home(&packet.flow, t.service));
-        let homes: Vec<Ipv4Addr> = homes.collect();
-        out.push(self.decision(Reason::LookedUp, packet, homes.first().copied(), now));
-        for to in homes {
+        let home = self.mesh.roster().home(&packet.flow);
+        out.push(self.decision(Reason::LookedUp, packet, home, now));
+        if let Some(to) = home {
             let tag = self.tag(Mode::Lookup, to, now);
             out.push(Effect::Relay { to, tag });
         }
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -4,12 +4,15 @@
 use std::net::Ipv4Addr;
 
 use super::{Fact, Flow, Phase, ServiceTag};
+use crate::id::stable_hash;
 use crate::time::Millis;
 
 /// An instance whose fact has not advanced for this long is suspected to be gone.
 const SUSPECT_SPAN: Millis = Millis(2_500);
 /// An instance that is suspected for this long is forgotten.
 const FORGET_SPAN: Millis = Millis(60_000);
+/// Points of one agent on the ring of homes.
+const RING_POINTS: u8 = 16;
 /// An instance that owes an answer for this long gets no new flows while others do.
 const MUTE_SPAN: Millis = Millis(400);
 
@@ -35,6 +38,7 @@
 pub struct Roster {
     members: BTreeMap<Ipv4Addr, Member>,
     agents: BTreeMap<ServiceTag, Vec<Ipv4Addr>>,
+    ring: BTreeMap<u64, Ipv4Addr>,
 }
 
 impl Roster {
@@ -91,12 +95,23 @@
         members.filter(|m| m.fact.phase.is_running())
     }
 
-    /// The agent that keeps the note of a flow: the first by rendezvous hashing.
+    /// All running agents.
+    pub fn all_agents(&self) -> impl Iterator<Item = &Member> {
+        let agents = self.members.values();
+        agents.filter(|m| m.fact.service().is_some() && m.fact.phase.is_running())
+    }
+
+    /// The agent that keeps the note of a flow: the next one on a ring of hashes.
+    ///
+    /// The home does not depend on the service, since a route may change its services while its
+    /// flows stay where they are.
     #[must_use]
-    pub fn home(&self, flow: &Flow, service: ServiceTag) -> Option<Ipv4Addr> {
-        let agents = self.agents(service).filter(|m| !m.suspect);
-        let best = agents.max_by_key(|m| flow.rank(m.fact.ip));
-        best.map(|m| m.fact.ip)
+    pub fn home(&self, flow: &Flow) -> Option<Ipv4Addr> {
+        let hash = flow.hash();
+        let after = self.ring.range(hash..).chain(self.ring.range(..hash));
+        let members = after.filter_map(|(_, ip)| self.members.get(ip));
+        let mut live = members.filter(|m| m.fact.phase.is_running() && !m.suspect);
+        live.next().map(|m| m.fact.ip)
     }
 
     /// Marks instances that have not been heard, and forgets those silent for long.
@@ -143,6 +158,8 @@
     fn list(&mut self, fact: &Fact) {
         if let Some(service) = fact.service() {
             self.agents.entry(service).or_default().push(fact.ip);
+            self.ring
+                .extend(ring_points(fact.ip).map(|point| (point, fact.ip)));
         }
     }
 
@@ -153,9 +170,20 @@
         if let Some(ips) = self.agents.get_mut(&service) {
             ips.retain(|&ip| ip != fact.ip);
         }
+        for point in ring_points(fact.ip) {
+            self.ring.remove(&point);
+        }
     }
 }
 
+/// Where an agent stands on the ring.
+fn ring_points(ip: Ipv4Addr) -> impl Iterator<Item = u64> {
+    (0..RING_POINTS).map(move |i| {
+        let [a, b, c, d] = ip.octets();
+        stable_hash(&[a, b, c, d, i])
+    })
+}
+
 /// Outcome of [`Roster::merge`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Merge {
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use buckthornlink_core::datagram::{
-    Agent, Effect, Event, Flags, Flow, Heartbeat, Message, Mode, Packet, Reducer, Role, Route,
-    ServiceLimits, ServiceTag, Setup, Source, Table, Tag, Target,
+    Agent, Effect, Event, Fact, Flags, Flow, Heartbeat, Load, Message, Mode, Packet, Phase,
+    Reducer, Role, Route, ServiceLimits, ServiceTag, Setup, Source, Status, Table, Tag, Target,
 };
 use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
 
@@ -205,6 +205,28 @@
         })
     }
 
+    /// Another agent tells its own fact.
+    pub fn meet(&mut self, ip: Ipv4Addr, service: ServiceTag) {
+        let fact = Fact {
+            ip,
+            role: Role::Agent(service),
+            zone: ZoneTag::of("a"),
+            boot: BootId(1),
+            seq: u32::try_from(self.now.0).unwrap(),
+            phase: Phase::Ready,
+            backend: BootId(1),
+            load: Load::default(),
+        };
+        let status = Status {
+            from: fact,
+            version: Version(1),
+            zones: Vec::new(),
+            facts: Vec::new(),
+            asks: false,
+        };
+        self.message(Message::Status(status));
+    }
+
     /// Opens a flow in full.
     pub fn open_flow(&mut self, port: u16) {
         self.relayed(opening(port), Mode::Placed);
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -92,3 +92,17 @@
         "{refused:?}"
     );
 }
+
+#[test]
+fn a_flow_of_a_service_that_the_route_no_longer_has_is_searched_for_there() {
+    let mut agent = AgentDriver::ready();
+    agent.meet(PEER, buckthornlink_core::datagram::ServiceTag::of("ledger"));
+    agent.wait(Millis(3_500));
+    agent.heartbeat(beat(2));
+    agent.meet(PEER, buckthornlink_core::datagram::ServiceTag::of("ledger"));
+    let next = agent.relayed(data(1), Mode::Lookup);
+    assert!(
+        matches!(next[..], [Effect::Relay { to: PEER, tag }] if tag.mode == Mode::Search),
+        "{next:?}"
+    );
+}
