fix(core): groups that do not know each other keep asking their contacts

Cause: after a total power loss three balancers met only each other and stopped asking; a balancer that knew no agent refused every flow at once. Contacts that are not known as instances are asked for ever, the store's entries are read again 1.5 s after the start, and a balancer refuses nothing before it can know agents.

--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -10,6 +10,10 @@
 /// A copy of an opening packet that comes this long after the last one goes to another agent.
 const COPY_SPAN: Millis = Millis(150);
 
+/// Time after the start within which a balancer that knows no agent for a flow does not refuse it:
+/// the caller sends a copy, and agents are heard of meanwhile.
+const ACQUAINT_SPAN: Millis = Millis(3_000);
+
 impl Balancer {
     /// Places an opening packet; a copy goes to another agent if the first has not answered.
     pub(super) fn place(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
@@ -58,6 +62,9 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(owner) = self.choose(packet, &tried, now) else {
+            if tried.is_empty() && now.since(self.started) < ACQUAINT_SPAN {
+                return;
+            }
             self.seats.remove(&packet.flow);
             out.push(self.decision(Reason::NoAgent, packet, tried.last().copied(), now));
             out.push(reset(packet));
--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -21,8 +21,14 @@
 const MAX_FACTS: usize = 16;
 /// Times that a change is sent before it counts as spread.
 const RUMOR_SENDS: u8 = 8;
-/// Interval at which contacts are asked while no other instance is known.
-const CONTACT_INTERVAL: Millis = Millis(200);
+/// Interval at which unknown contacts are asked while no other instance is known.
+const CONTACT_INTERVAL_ALONE: Millis = Millis(200);
+/// Interval at which unknown contacts are asked shortly after the start.
+const CONTACT_INTERVAL_YOUNG: Millis = Millis(400);
+/// Interval at which unknown contacts are asked later on; joins groups that do not know each other.
+const CONTACT_INTERVAL: Millis = Millis(3_000);
+/// Time after the start for which a process counts as young.
+const YOUNG_SPAN: Millis = Millis(6_000);
 /// Contacts that are asked at once.
 const CONTACT_FANOUT: usize = 4;
 
@@ -55,6 +61,7 @@
     cursor: usize,
     exchanged: Millis,
     contacted: Option<Millis>,
+    started: Millis,
     fetched: Option<(Version, Millis)>,
     rng: Pcg64Mcg,
 }
@@ -92,6 +99,7 @@
             cursor: 0,
             exchanged: now,
             contacted: None,
+            started: now,
             fetched: None,
             rng: Pcg64Mcg::seed_from_u64(setup.seed),
         }
@@ -338,18 +346,26 @@
         ips
     }
 
+    /// Asks some of the contacts that are not known as instances.
     fn ask_contacts(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let is_recent = self
-            .contacted
-            .is_some_and(|at| now.since(at) < CONTACT_INTERVAL);
-        if self.has_peers() || is_recent {
+        let interval = if !self.has_peers() {
+            CONTACT_INTERVAL_ALONE
+        } else if now.since(self.started) < YOUNG_SPAN {
+            CONTACT_INTERVAL_YOUNG
+        } else {
+            CONTACT_INTERVAL
+        };
+        if self.contacted.is_some_and(|at| now.since(at) < interval) {
             return;
         }
         self.contacted = Some(now);
-        let mut ips = self.contacts.clone();
+        let is_live = |ip| self.roster.get(ip).is_some_and(|m| !m.suspect);
+        let contacts = self.contacts.iter().copied();
+        let mut ips: Vec<Ipv4Addr> = contacts.filter(|&ip| !is_live(ip)).collect();
         shuffle(&mut ips, CONTACT_FANOUT, &mut self.rng);
         for to in ips {
-            let message = self.status(Vec::new(), true);
+            let facts = self.pick_facts();
+            let message = self.status(facts, true);
             effects.push(Effect::Send { to, message });
         }
     }
--- /dev/null
+++ b/buckthornlink-core/tests/datagram_mesh.rs
@@ -0,0 +1,104 @@
+//! Instances find each other, also when they start at the same time.
+
+mod datagram;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use buckthornlink_core::Millis;
+use buckthornlink_core::datagram::{Balancer, Effect, Event, Reducer, Role};
+
+use datagram::{setup, table};
+
+/// Balancers that exchange messages without loss.
+struct Net {
+    nodes: BTreeMap<Ipv4Addr, Balancer>,
+    now: Millis,
+    fetching: BTreeSet<Ipv4Addr>,
+}
+
+impl Net {
+    fn start(ips: impl IntoIterator<Item = Ipv4Addr>) -> Self {
+        let now = Millis(1_000);
+        let start = |ip| (ip, Balancer::new(&setup(ip, Role::Balancer), now));
+        let nodes = ips.into_iter().map(start).collect();
+        let fetching = BTreeSet::new();
+        Self {
+            nodes,
+            now,
+            fetching,
+        }
+    }
+
+    fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Millis(200);
+            let ips: Vec<Ipv4Addr> = self.nodes.keys().copied().collect();
+            for ip in ips {
+                self.reduce(ip, Event::Tick);
+            }
+        }
+    }
+
+    fn reduce(&mut self, ip: Ipv4Addr, event: Event) {
+        let mut queue = VecDeque::from([(ip, event)]);
+        while let Some((at, event)) = queue.pop_front() {
+            let Some(node) = self.nodes.get_mut(&at) else {
+                continue;
+            };
+            let mut effects = Vec::new();
+            node.reduce(event, self.now, &mut effects);
+            for effect in effects {
+                match effect {
+                    Effect::Send { to, message } => {
+                        queue.push_back((to, Event::Message { from: at, message }));
+                    }
+                    Effect::Fetch { .. } => {
+                        self.fetching.insert(at);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn known(&self, ip: Ipv4Addr) -> BTreeSet<Ipv4Addr> {
+        let roster = self.nodes[&ip].mesh().roster();
+        roster.iter().map(|m| m.fact.ip).collect()
+    }
+}
+
+fn ip(host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 1, 0, host)
+}
+
+#[test]
+fn two_groups_that_share_one_contact_become_one() {
+    let mut net = Net::start((1..=6).map(ip));
+    for host in 1..=6 {
+        let group = if host <= 3 { 1 } else { 4 };
+        let contacts = vec![ip(group), ip(group + 1)];
+        net.reduce(ip(host), Event::Contacts(contacts));
+    }
+    net.run(Millis(2_000));
+    assert_eq!(net.known(ip(1)).len(), 3);
+    net.reduce(ip(5), Event::Contacts(vec![ip(2)]));
+    net.run(Millis(6_000));
+    for host in 1..=6 {
+        assert_eq!(net.known(ip(host)).len(), 6, "instance {host}");
+    }
+}
+
+#[test]
+fn a_version_that_one_instance_has_is_fetched_by_all() {
+    let mut net = Net::start((1..=8).map(ip));
+    for host in 1..=8 {
+        net.reduce(ip(host), Event::Contacts(vec![ip(1)]));
+    }
+    net.run(Millis(2_000));
+    net.reduce(ip(3), Event::Table(Arc::new(table(7))));
+    net.run(Millis(1_200));
+    assert_eq!(net.fetching.len(), 7);
+}
--- a/buckthornlink-datagram/src/follow.rs
+++ b/buckthornlink-datagram/src/follow.rs
@@ -18,6 +18,8 @@
 /// Pauses between tries while the store does not answer.
 const RETRY_MIN: Duration = Duration::from_millis(150);
 const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Pauses before the balancers' entries are read.
+const CONTACT_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(1_500)];
 /// Most records that are read at once.
 const MAX_RECORDS: u32 = 10_000;
 
@@ -39,22 +41,27 @@
     }
 }
 
-/// Reads the balancers that have an entry in the store, until that works once.
+/// Reads the balancers that have an entry in the store: at the start, and again once others that
+/// started at the same time have written theirs.
 pub(crate) async fn find_contacts<S: Store>(store: S, inbox: Inbox) {
-    let mut pause = RETRY_MIN;
-    loop {
-        if let Ok((entries, _)) = store.range(BALANCERS_PREFIX, MAX_RECORDS).await {
-            let entries = entries.iter();
-            let parsed =
-                entries.filter_map(|e| serde_json::from_slice::<BalancerEntry>(&e.value).ok());
-            inbox.send(Event::Contacts(parsed.map(|e| *e.link.ip()).collect()));
-            return;
+    for delay in CONTACT_DELAYS {
+        sleep(delay).await;
+        let mut pause = RETRY_MIN;
+        while read_contacts(&store, &inbox).await.is_err() {
+            sleep(pause).await;
+            pause = (pause * 2).min(RETRY_MAX);
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(RETRY_MAX);
     }
 }
 
+async fn read_contacts<S: Store>(store: &S, inbox: &Inbox) -> Result<(), StoreError> {
+    let (entries, _) = store.range(BALANCERS_PREFIX, MAX_RECORDS).await?;
+    let entries = entries.iter();
+    let parsed = entries.filter_map(|e| serde_json::from_slice::<BalancerEntry>(&e.value).ok());
+    inbox.send(Event::Contacts(parsed.map(|e| *e.link.ip()).collect()));
+    Ok(())
+}
+
 struct Follower<A: Adapter> {
     adapter: A,
     store: A::Store,
