fix(core): keep the reset of a backend server that was only tried from the caller

An agent that had heard no heartbeat yet tried a searched packet at its new backend server, which answered with a reset instead of giving the packet back; the agent passed the reset on. Ruled out: denial by all agents (the searcher had not settled), an ended start. Placing and admission are logged.

--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -21,6 +21,8 @@
         }
         if !is_copy {
             self.backend.admit(now);
+            let age = self.backend.age(now);
+            out.push(self.decision(Reason::Admitted, Some(packet.flow), age));
             self.flows.change(&packet.flow, |s| {
                 *s = crate::datagram::FlowState {
                     holding: Holding::Offered,
--- a/buckthornlink-core/src/datagram/agent/own.rs
+++ b/buckthornlink-core/src/datagram/agent/own.rs
@@ -29,7 +29,11 @@
                 self.take(packet, now, out);
             }
             Holding::Tried { .. } => out.push(Effect::Deliver(packet.tag)),
-            Holding::Over => out.push(reset(packet)),
+            Holding::Over => {
+                let age = self.backend.age(now);
+                out.push(self.decision(Reason::BackendOver, Some(packet.flow), age));
+                out.push(reset(packet));
+            }
             Holding::Foreign { owner: Some(owner) } if owner.0 != from => {
                 self.pass_on(owner, packet, out);
             }
@@ -43,6 +47,13 @@
             self.bounced(packet, now, out);
             return;
         }
+        let holding = self.flows.get(&packet.flow).map(|s| s.holding);
+        if packet.flags.rst
+            && let Some(Holding::Tried { asker }) = holding
+        {
+            self.deny(asker, packet, out);
+            return;
+        }
         self.flows.change(&packet.flow, |s| s.answer(packet, now));
         out.push(Effect::Answer);
     }
@@ -101,15 +112,23 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        self.deny(asker, packet, out);
+        if asker.is_none() {
+            self.search(packet, now, out);
+        }
+    }
+
+    /// Notes that the backend server does not hold a flow, and tells whoever asked.
+    ///
+    /// A backend server that resets a flow which it was only tried with does not speak for the
+    /// flow's owner, so its reset stays here.
+    fn deny(&mut self, asker: Option<Ipv4Addr>, packet: &Packet, out: &mut Vec<Effect>) {
         self.flows.change(&packet.flow, |s| {
             s.holding = Holding::Foreign { owner: None };
         });
-        match asker {
-            Some(to) => out.push(Effect::Send {
-                to,
-                message: Message::Denied(packet.flow),
-            }),
-            None => self.search(packet, now, out),
+        if let Some(to) = asker {
+            let message = Message::Denied(packet.flow);
+            out.push(Effect::Send { to, message });
         }
     }
 }
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -70,9 +70,7 @@
             out.push(reset(packet));
             return;
         };
-        if reason != Reason::Placed {
-            out.push(self.decision(reason, packet, Some(owner), now));
-        }
+        out.push(self.decision(reason, packet, Some(owner), now));
         tried.push(owner);
         let member = self.mesh.roster_mut().get_mut(owner);
         let backend = member.map_or(crate::BootId(0), |m| {
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -5,7 +5,7 @@
 use buckthornlink_core::datagram::{Effect, Message, Mode, Note};
 use buckthornlink_core::{BootId, Millis};
 
-use datagram::{AgentDriver, PEER, beat, bounce, data, opening, syn_ack};
+use datagram::{AgentDriver, PEER, answer, beat, bounce, data, opening, syn_ack};
 
 #[test]
 fn a_flow_that_was_tried_before_the_first_heartbeat_is_not_reset() {
@@ -106,3 +106,23 @@
         "{next:?}"
     );
 }
+
+#[test]
+fn a_reset_of_a_backend_server_that_was_only_tried_does_not_reach_the_caller() {
+    let mut agent = AgentDriver::without_backend();
+    agent.relayed(data(1), Mode::Search);
+    let mut reset = answer(1);
+    reset.flags.rst = true;
+    let next = agent.outbound(reset);
+    assert!(!next.contains(&Effect::Answer), "{next:?}");
+    assert!(
+        next.iter().any(|e| matches!(
+            e,
+            Effect::Send {
+                to: PEER,
+                message: Message::Denied(_)
+            }
+        )),
+        "{next:?}"
+    );
+}
