feat(core): reset flows that are over as soon as all agents are known

Cause: after a power loss an agent waited 3 s until it took the agents that it knew for all, so dead flows held their callers. Every instance now has a leased entry in the store; once all agents listed there are heard, denial by all counts.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -35,7 +35,6 @@
     backend: Backend,
     flows: Flows,
     heartbeat: Millis,
-    started: Millis,
     swept: Millis,
     is_leaving: bool,
 }
@@ -50,7 +49,6 @@
             backend: Backend::default(),
             flows: Flows::default(),
             heartbeat: setup.heartbeat,
-            started: now,
             swept: now,
             is_leaving: false,
         }
@@ -238,6 +236,7 @@
             Event::Table(table) => self.configure(table, now, out),
             Event::Zone(record) => self.mesh.set_zone(record, now, out),
             Event::Contacts(ips) => self.mesh.add_contacts(ips),
+            Event::Agents(ips) => self.mesh.expect(ips),
             Event::Heartbeat(beat) => self.hear(&beat, now, out),
             Event::Ended(id) => self.end(&id, now, out),
             Event::Leave => self.leave(now, out),
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -12,8 +12,6 @@
 const SEARCH_INTERVAL: Millis = Millis(150);
 /// Most agents that are asked for one flow.
 const MAX_ASKED: usize = 64;
-/// Time after the start from which on the known agents are taken to be all.
-const SETTLE_SPAN: Millis = Millis(3_000);
 
 impl Agent {
     /// Takes notes of other owners over.
@@ -119,7 +117,7 @@
 
     /// Ends a flow that every agent which might own it denies.
     fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) {
-        let is_settled = now.since(self.started) >= SETTLE_SPAN && self.is_small();
+        let is_settled = self.mesh.is_settled(now) && self.is_small();
         if !is_settled || !self.denies(flow) || self.table.route(flow).is_none() {
             return;
         }
@@ -130,7 +128,7 @@
         let is_denied = self
             .suspects(flow)
             .iter()
-            .all(|ip| state.denied.contains(ip));
+            .all(|ip| state.denied.contains(ip) || self.is_silent(*ip));
         if is_denied {
             out.push(self.decision(Reason::DeniedByAll, Some(*flow), Millis(0)));
             out.push(Effect::Reset { flow: *flow, seq });
@@ -163,6 +161,11 @@
         ips.into_iter().filter(|&ip| ip != own).collect()
     }
 
+    /// Whether an agent has not been heard for so long that its flows are given up.
+    fn is_silent(&self, ip: Ipv4Addr) -> bool {
+        self.mesh.roster().get(ip).is_none_or(|m| m.suspect)
+    }
+
     /// Whether all agents may be asked at once.
     fn is_small(&self) -> bool {
         self.mesh.roster().all_agents().nth(MAX_ASKED).is_none()
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -88,6 +88,10 @@
             out.push(reset(packet));
             return;
         }
+        if member.is_none_or(|m| m.suspect) {
+            self.look_up(packet, now, out);
+            return;
+        }
         let tag = self.tag(Mode::Known, owner, now);
         out.push(Effect::Relay { to: owner, tag });
     }
@@ -202,6 +206,7 @@
             Event::Table(table) => self.configure(table, now, out),
             Event::Zone(record) => self.mesh.set_zone(record, now, out),
             Event::Contacts(ips) => self.mesh.add_contacts(ips),
+            Event::Agents(ips) => self.mesh.expect(ips),
             Event::Heartbeat(_) | Event::Ended(_) => {}
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -30,6 +30,8 @@
     Zone(ZoneRecord),
     /// Addresses of instances that may be asked for others.
     Contacts(Vec<Ipv4Addr>),
+    /// Agents that have an entry in the store.
+    Agents(Vec<Ipv4Addr>),
     /// The backend server reports itself.
     Heartbeat(Heartbeat),
     /// The backend server of this name has ended.
--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -27,6 +27,8 @@
 const CONTACT_INTERVAL_YOUNG: Millis = Millis(400);
 /// Interval at which unknown contacts are asked later on; joins groups that do not know each other.
 const CONTACT_INTERVAL: Millis = Millis(3_000);
+/// Time after the start from which on the known agents are taken to be all.
+const SETTLE_SPAN: Millis = Millis(3_000);
 /// Time after the start for which a process counts as young.
 const YOUNG_SPAN: Millis = Millis(6_000);
 /// Contacts that are asked at once.
@@ -57,6 +59,7 @@
     zones: ZoneBook,
     version: Version,
     contacts: Vec<Ipv4Addr>,
+    expected: Option<Vec<Ipv4Addr>>,
     rumors: VecDeque<Rumor>,
     cursor: usize,
     exchanged: Millis,
@@ -95,6 +98,7 @@
             zones: ZoneBook::default(),
             version: Version(0),
             contacts: Vec::new(),
+            expected: None,
             rumors: VecDeque::new(),
             cursor: 0,
             exchanged: now,
@@ -150,6 +154,24 @@
         }
     }
 
+    /// Takes over which agents have an entry in the store; they may be asked as well.
+    pub fn expect(&mut self, ips: Vec<Ipv4Addr>) {
+        self.add_contacts(ips.iter().copied());
+        self.expected = Some(ips);
+    }
+
+    /// Whether all agents that may hold flows are known.
+    ///
+    /// That is so once every agent with an entry in the store has been heard, or, without the
+    /// store, some time after the start.
+    #[must_use]
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let is_heard = |ip: &Ipv4Addr| self.roster.get(*ip).is_some();
+        let expected = self.expected.as_ref();
+        let is_complete = expected.is_some_and(|ips| ips.len() > 1 && ips.iter().all(is_heard));
+        is_complete || now.since(self.started) >= SETTLE_SPAN
+    }
+
     /// Puts a newer version in force and tells others at once.
     pub fn set_version(&mut self, version: Version, now: Millis, effects: &mut Vec<Effect>) {
         self.version = version;
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -2,7 +2,9 @@
 
 mod datagram;
 
-use buckthornlink_core::datagram::{Effect, Message, Mode, Note};
+use std::net::Ipv4Addr;
+
+use buckthornlink_core::datagram::{Effect, Event, Message, Mode, Note};
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{AgentDriver, PEER, answer, beat, bounce, data, opening, syn_ack};
@@ -126,3 +128,36 @@
         "{next:?}"
     );
 }
+
+#[test]
+fn a_flow_that_all_other_agents_deny_is_reset_once_all_are_known() {
+    let mut agent = AgentDriver::ready();
+    let service = datagram::service();
+    agent.reduce(Event::Agents(vec![datagram::OWN, PEER]));
+    let unknown = agent.relayed(data(1), Mode::Lookup);
+    assert!(!unknown.iter().any(datagram::is_reset), "{unknown:?}");
+    agent.meet(PEER, service);
+    agent.wait(Millis(200));
+    agent.relayed(data(1), Mode::Lookup);
+    let next = agent.message(Message::Denied(data(1).flow));
+    assert!(next.iter().any(datagram::is_reset), "{next:?}");
+}
+
+#[test]
+fn a_flow_that_only_a_silent_agent_may_hold_is_given_up() {
+    let mut agent = AgentDriver::ready();
+    let others = [3, 4, 5].map(|host| Ipv4Addr::new(10, 1, 0, host));
+    for ip in others.into_iter().chain([PEER]) {
+        agent.meet(ip, datagram::service());
+    }
+    agent.wait(Millis(2_000));
+    others.map(|ip| agent.meet(ip, datagram::service()));
+    agent.wait(Millis(1_200));
+    agent.relayed(data(1), Mode::Lookup);
+    let mut effects = Vec::new();
+    for from in others {
+        let message = Message::Denied(data(1).flow);
+        effects.extend(agent.reduce(Event::Message { from, message }));
+    }
+    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
+}
--- a/buckthornlink-datagram/src/follow.rs
+++ b/buckthornlink-datagram/src/follow.rs
@@ -10,7 +10,7 @@
 use buckthornlink_core::datagram::Event;
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_platform::{
-    BALANCERS_PREFIX, BalancerEntry, Change, Entry, Revision, Store, StoreError, Watch,
+    Change, Entry, INSTANCES_PREFIX, InstanceEntry, Revision, Store, StoreError, Watch,
 };
 
 use crate::{Adapter, Inbox, Record};
@@ -18,8 +18,8 @@
 /// Pauses between tries while the store does not answer.
 const RETRY_MIN: Duration = Duration::from_millis(150);
 const RETRY_MAX: Duration = Duration::from_secs(2);
-/// Pauses before the balancers' entries are read.
-const CONTACT_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(1_500)];
+/// Pauses before the instances' entries are read.
+const INSTANCE_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(1_500)];
 /// Most records that are read at once.
 const MAX_RECORDS: u32 = 10_000;
 
@@ -41,27 +41,33 @@
     }
 }
 
-/// Reads the balancers that have an entry in the store: at the start, and again once others that
+/// Reads which instances have an entry in the store: at the start, and again once others that
 /// started at the same time have written theirs.
-pub(crate) async fn find_contacts<S: Store>(store: S, inbox: Inbox) {
-    for delay in CONTACT_DELAYS {
+pub(crate) async fn find_instances<S: Store>(store: S, inbox: Inbox) {
+    for delay in INSTANCE_DELAYS {
         sleep(delay).await;
         let mut pause = RETRY_MIN;
-        while read_contacts(&store, &inbox).await.is_err() {
+        while read_instances(&store, &inbox).await.is_err() {
             sleep(pause).await;
             pause = (pause * 2).min(RETRY_MAX);
         }
     }
 }
 
-async fn read_contacts<S: Store>(store: &S, inbox: &Inbox) -> Result<(), StoreError> {
-    let (entries, _) = store.range(BALANCERS_PREFIX, MAX_RECORDS).await?;
-    let entries = entries.iter();
-    let parsed = entries.filter_map(|e| serde_json::from_slice::<BalancerEntry>(&e.value).ok());
-    inbox.send(Event::Contacts(parsed.map(|e| *e.link.ip()).collect()));
+async fn read_instances<S: Store>(store: &S, inbox: &Inbox) -> Result<(), StoreError> {
+    let (entries, _) = store.range(INSTANCES_PREFIX, MAX_RECORDS).await?;
+    let parsed = entries.iter().filter_map(read_instance);
+    let (agents, balancers): (Vec<_>, Vec<_>) = parsed.partition(|entry| entry.agent);
+    let ips = |entries: &[InstanceEntry]| entries.iter().map(|e| e.ip).collect();
+    inbox.send(Event::Contacts(ips(&balancers)));
+    inbox.send(Event::Agents(ips(&agents)));
     Ok(())
 }
 
+fn read_instance(entry: &Entry) -> Option<InstanceEntry> {
+    serde_json::from_slice(&entry.value).ok()
+}
+
 struct Follower<A: Adapter> {
     adapter: A,
     store: A::Store,
--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -1,16 +1,18 @@
 //! Starting and ending a process.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use anyhow::Context;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
 
 use buckthornlink_core::datagram::{Agent, Balancer, Event, Reducer, Role, ServiceTag, Setup};
 use buckthornlink_core::{Millis, ZoneTag};
 use buckthornlink_node::clock::boot_id;
 use buckthornlink_node::metrics::HttpServer;
 use buckthornlink_node::source::Registration;
-use buckthornlink_platform::BalancerEntry;
+use buckthornlink_platform::{INSTANCES_PREFIX, InstanceEntry};
 
 use crate::link::Offer;
 use crate::node::Node;
@@ -20,6 +22,9 @@
 /// Inputs that wait for the reducer before further ones are dropped.
 const QUEUE: usize = 1_024;
 
+/// Time in which a leaving process takes its entry out of the store.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Runs a balancer until SIGTERM.
 ///
 /// # Errors
@@ -27,16 +32,11 @@
 /// Returns an error if an address cannot be bound.
 pub fn run_balancer(adapter: impl Adapter, settings: &Settings) -> anyhow::Result<()> {
     let setup = setup(settings, Role::Balancer);
-    block_on(async {
-        let entry = BalancerEntry {
-            link: SocketAddrV4::new(settings.ip, settings.link_port),
-            http: settings.readiness,
-            zone: settings.zone.clone(),
-        };
-        let store = adapter.open_store(&settings.store);
-        let _registration = Registration::spawn(store, entry);
-        serve(Balancer::new(&setup, clock::now()), adapter, settings).await
-    })
+    block_on(serve(
+        Balancer::new(&setup, clock::now()),
+        adapter,
+        settings,
+    ))
 }
 
 /// Runs an agent until SIGTERM.
@@ -81,11 +81,18 @@
         store.clone(),
         inbox.clone(),
     ));
-    tokio::spawn(follow::find_contacts(store, inbox.clone()));
+    tokio::spawn(follow::find_instances(store.clone(), inbox.clone()));
+    let entry = InstanceEntry {
+        ip: settings.ip,
+        agent: settings.backend.is_some(),
+    };
+    let key = format!("{INSTANCES_PREFIX}{}", settings.ip);
+    let registration = Registration::spawn(store.clone(), key, &entry);
     spawn_signals(inbox.clone())?;
     log::info!(ip:% = settings.ip, zone = settings.zone; "process started");
     let node = Node::new(reducer, adapter, sockets, inbox, offer, settings)?;
     node.run(inputs).await;
+    let _ = timeout(WITHDRAW_TIMEOUT, registration.withdraw(&store)).await;
     log::info!(ip:% = settings.ip; "process stopped");
     Ok(())
 }
--- a/buckthornlink-node/src/source.rs
+++ b/buckthornlink-node/src/source.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use serde::Serialize;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -14,8 +15,8 @@
 use buckthornlink_core::config::Config;
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_platform::{
-    BALANCERS_PREFIX, BalancerEntry, CONFIG_KEY, Catalog, Change, ConfigRecord, LeaseId,
-    ROOT_PREFIX, Revision, Store, StoreError, Watch, ZONES_PREFIX, ZoneEntry,
+    CONFIG_KEY, Catalog, Change, ConfigRecord, LeaseId, ROOT_PREFIX, Revision, Store, StoreError,
+    Watch, ZONES_PREFIX, ZoneEntry,
 };
 
 /// Interval of polls while another process watches.
@@ -24,7 +25,7 @@
 const WATCH_LIFETIME: Duration = Duration::from_mins(2);
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
-/// Lifetime of a balancer's entry in the store.
+/// Lifetime of an instance's entry in the store.
 const ENTRY_TTL: Duration = Duration::from_mins(1);
 const RENEW_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -69,25 +70,42 @@
     }
 }
 
-/// Keeps a balancer's entry in the store until dropped.
+/// Keeps an instance's entry in the store until dropped.
 #[derive(Debug)]
 pub struct Registration {
     task: JoinHandle<()>,
+    lease: watch::Receiver<Option<LeaseId>>,
 }
 
 impl Registration {
-    /// Starts to keep the entry.
-    pub fn spawn<S: Store>(store: S, entry: BalancerEntry) -> Self {
+    /// Starts to keep the entry at `key`, encoded as JSON.
+    pub fn spawn<S: Store>(store: S, key: String, entry: &impl Serialize) -> Self {
+        let value = serde_json::to_vec(entry).unwrap_or_default();
+        let (granted, lease) = watch::channel(None);
         let task = tokio::spawn(async move {
             let mut backoff = Backoff::default();
             loop {
-                if let Err(err) = keep_entry(&store, &entry, &mut backoff).await {
+                if let Err(err) = keep_entry(&store, &key, &value, &granted, &mut backoff).await {
                     log::debug!(err:% = err; "entry in the store is not kept");
                 }
                 backoff.pause().await;
             }
         });
-        Self { task }
+        Self { task, lease }
+    }
+
+    /// Takes the entry out of the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store did not confirm; the entry then ends with its lease.
+    pub async fn withdraw(self, store: &impl Store) -> Result<(), StoreError> {
+        self.task.abort();
+        let lease = *self.lease.borrow();
+        match lease {
+            Some(lease) => store.revoke(lease).await,
+            None => Ok(()),
+        }
     }
 }
 
@@ -190,13 +208,14 @@
 /// Grants a lease, writes the entry and renews until that fails.
 async fn keep_entry<S: Store>(
     store: &S,
-    entry: &BalancerEntry,
+    key: &str,
+    value: &[u8],
+    granted: &watch::Sender<Option<LeaseId>>,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
     let lease: LeaseId = store.grant(ENTRY_TTL).await?;
-    let value = serde_json::to_vec(entry).map_err(|e| StoreError::Malformed(e.to_string()))?;
-    let key = format!("{BALANCERS_PREFIX}{}", entry.link);
-    store.put_leased(&key, &value, lease).await?;
+    granted.send_replace(Some(lease));
+    store.put_leased(key, value, lease).await?;
     backoff.reset();
     loop {
         sleep(jittered(RENEW_INTERVAL)).await;
--- a/buckthornlink-platform/src/catalog.rs
+++ b/buckthornlink-platform/src/catalog.rs
@@ -7,7 +7,7 @@
 mod record;
 
 pub use edit::{Accepted, EditError};
-pub use record::{BalancerEntry, ConfigRecord, ZoneEntry};
+pub use record::{BalancerEntry, ConfigRecord, InstanceEntry, ZoneEntry};
 
 use crate::store::{Entry, Revision, Store, StoreError};
 
@@ -19,6 +19,8 @@
 pub const ZONES_PREFIX: &str = "/buckthornlink/zones/";
 /// Prefix of the leased entries of balancers, by which the command line finds them.
 pub const BALANCERS_PREFIX: &str = "/buckthornlink/balancers/";
+/// Prefix of the leased entries of all instances of the datagram path.
+pub const INSTANCES_PREFIX: &str = "/buckthornlink/instances/";
 
 /// Zone records read at the most.
 const MAX_ZONES: u32 = 256;
--- a/buckthornlink-platform/src/catalog/record.rs
+++ b/buckthornlink-platform/src/catalog/record.rs
@@ -1,6 +1,6 @@
 //! Values of the operators' records.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,15 @@
     pub zone: String,
 }
 
+/// The leased entry of an instance of the datagram path.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceEntry {
+    /// Address of the instance.
+    pub ip: Ipv4Addr,
+    /// Whether it runs beside a backend server.
+    pub agent: bool,
+}
+
 impl ConfigRecord {
     /// The record that follows `current`.
     #[must_use]
--- a/buckthornlink-platform/src/lib.rs
+++ b/buckthornlink-platform/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use catalog::{
     Accepted, BALANCERS_PREFIX, BalancerEntry, CONFIG_KEY, Catalog, ConfigRecord, Current,
-    EditError, ROOT_PREFIX, ZONES_PREFIX, ZoneEntry,
+    EditError, INSTANCES_PREFIX, InstanceEntry, ROOT_PREFIX, ZONES_PREFIX, ZoneEntry,
 };
 pub use etcd::EtcdStore;
 pub use store::{Change, Entry, LeaseId, Revision, Store, StoreError, Swap, Watch};
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -29,7 +29,7 @@
 use buckthornlink_node::settings::key_ring;
 use buckthornlink_node::source::{Follower, Registration, Update};
 use buckthornlink_node::trace::{Recorder, TraceRole};
-use buckthornlink_platform::{BalancerEntry, EtcdStore};
+use buckthornlink_platform::{BALANCERS_PREFIX, BalancerEntry, EtcdStore};
 
 use batch::BatchSocket;
 use executor::{Executor, Job};
@@ -91,7 +91,11 @@
             .with_context(|| format!("http {}", settings.http))?;
         let store = EtcdStore::open(&settings.store.url);
         let follower = follow(store.clone(), jobs.clone());
-        let registration = Registration::spawn(store, entry(&settings, link, http.addr()));
+        let registration = Registration::spawn(
+            store,
+            format!("{BALANCERS_PREFIX}{link}"),
+            &entry(&settings, link, http.addr()),
+        );
         let mut tasks = JoinSet::new();
         tasks.spawn(forward::receive_link(Arc::clone(&shared), jobs.clone()));
         let mut executor =
