feat(core): weigh requests in hand against flows when placing

Found beside it: by flows alone, a server that sheds load attracts more. Each measure now counts as its share of the service's total.

--- a/buckthornlink-core/src/datagram.rs
+++ b/buckthornlink-core/src/datagram.rs
@@ -48,5 +48,5 @@
 pub use mesh::{Mesh, Setup};
 pub use message::{Message, Note, Status};
 pub use packet::{Flags, Mode, Packet, Tag};
-pub use roster::{Member, Merge, Roster};
+pub use roster::{Member, Merge, Roster, ServiceLoad};
 pub use table::{Route, ServiceLimits, Table, Target};
--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -36,6 +36,7 @@
     flows: Flows,
     heartbeat: Millis,
     swept: Millis,
+    waiting: u16,
     is_leaving: bool,
 }
 
@@ -50,6 +51,7 @@
             flows: Flows::default(),
             heartbeat: setup.heartbeat,
             swept: now,
+            waiting: 0,
             is_leaving: false,
         }
     }
@@ -131,6 +133,7 @@
     }
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.smooth_waiting();
         self.refresh(now, out);
         self.mesh.tick(now, out);
         self.note_homes(now, out);
@@ -140,6 +143,13 @@
         }
     }
 
+    /// Moves the mean of the requests in hand a fifth of the way to the present count.
+    fn smooth_waiting(&mut self) {
+        let now = clamp(self.flows.waiting()).saturating_mul(10);
+        let mean = u32::from(self.waiting) * 4 + u32::from(now);
+        self.waiting = u16::try_from(mean.div_ceil(5)).unwrap_or(u16::MAX);
+    }
+
     /// Brings the own fact up to date.
     fn refresh(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let old = *self.mesh.own();
@@ -149,7 +159,7 @@
             phase: if self.is_leaving { Phase::Left } else { phase },
             backend: self.backend.boot(),
             load: Load {
-                waiting: clamp(self.flows.waiting()),
+                waiting: self.waiting,
                 flows: clamp(self.flows.open()),
                 slots: self.backend.slots(),
             },
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -4,7 +4,7 @@
 
 use super::seats::{Opening, Seat};
 use super::{Balancer, reset};
-use crate::datagram::{Effect, Flow, Member, Mode, Packet, Reason, ServiceTag};
+use crate::datagram::{Effect, Flow, Member, Mode, Packet, Reason, ServiceLoad, ServiceTag};
 use crate::time::Millis;
 
 /// A copy of an opening packet that comes this long after the last one goes to another agent.
@@ -105,10 +105,11 @@
         let zones = self.mesh.zones();
         let agents = self.mesh.roster().agents(service);
         let open = agents.filter(|m| m.fact.phase.is_open() && !zones.is_out(m.fact.zone));
+        let load = ServiceLoad::of(self.mesh.roster().agents(service));
         let fresh = open.filter(|m| !tried.contains(&m.fact.ip));
         let cost = |m: &&Member| {
             let is_doubtful = m.suspect || m.is_mute(now);
-            (is_doubtful, m.pressure(), flow.rank(m.fact.ip))
+            (is_doubtful, load.pressure(m), flow.rank(m.fact.ip))
         };
         fresh.min_by_key(cost).map(|m| m.fact.ip)
     }
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -60,7 +60,8 @@
 /// Load of one backend server as its agent sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Flows with a request that the backend server has not begun to answer.
+    /// Flows with a request that the backend server has not begun to answer: mean of the last
+    /// second, in tenths.
     pub waiting: u16,
     /// Open flows.
     pub flows: u16,
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -220,13 +220,51 @@
             || self.fact.backend == backend && self.fact.phase == Phase::Over
     }
 
-    /// Load for placing: the greater, the less suited. New flows count before they are reported.
+    /// Flows that it holds, those placed since its last report included.
     #[must_use]
-    pub fn pressure(&self) -> u32 {
-        let load = &self.fact.load;
-        let flows = u32::from(load.flows) + u32::from(self.sent);
-        let waiting = u32::from(load.waiting);
-        let excess = waiting.saturating_sub(u32::from(load.slots));
-        flows + 2 * waiting + 4 * excess
+    pub fn flows(&self) -> u64 {
+        u64::from(self.fact.load.flows) + u64::from(self.sent)
+    }
+
+    /// Requests in hand, in tenths; those beyond what it works on at once count twice.
+    #[must_use]
+    pub fn waiting(&self) -> u64 {
+        let waiting = u64::from(self.fact.load.waiting);
+        let slots = 10 * u64::from(self.fact.load.slots);
+        waiting + waiting.saturating_sub(slots)
+    }
+}
+
+/// Load of a service's agents, which weighs flows against requests in hand.
+///
+/// Long flows stay where they are placed, so flows tell about the load to come and requests in hand
+/// about that of now. Each counts as its share of the service's total. A backend server that sheds
+/// load has few flows, and is told apart by its requests in hand alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceLoad {
+    flows: u64,
+    waiting: u64,
+}
+
+impl ServiceLoad {
+    /// The load of some agents together.
+    ///
+    /// ```
+    /// # use buckthornlink_core::datagram::ServiceLoad;
+    /// assert_eq!(ServiceLoad::of(std::iter::empty()), ServiceLoad::default());
+    /// ```
+    pub fn of<'a>(agents: impl Iterator<Item = &'a Member>) -> Self {
+        agents.fold(Self::default(), |sum, member| Self {
+            flows: sum.flows + member.flows(),
+            waiting: sum.waiting + member.waiting(),
+        })
+    }
+
+    /// Load of one of the agents for placing: the greater, the less suited.
+    #[must_use]
+    pub fn pressure(&self, member: &Member) -> u64 {
+        let flows = member.flows() * self.waiting.max(1);
+        let waiting = member.waiting() * self.flows.max(1);
+        flows + waiting
     }
 }
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -7,8 +7,9 @@
 use std::sync::Arc;
 
 use buckthornlink_core::datagram::{
-    Agent, Effect, Event, Fact, Flags, Flow, Heartbeat, Load, Message, Mode, Packet, Phase,
-    Reducer, Role, Route, ServiceLimits, ServiceTag, Setup, Source, Status, Table, Tag, Target,
+    Agent, Balancer, Effect, Event, Fact, Flags, Flow, Heartbeat, Load, Message, Mode, Packet,
+    Phase, Reducer, Role, Route, ServiceLimits, ServiceTag, Setup, Source, Status, Table, Tag,
+    Target,
 };
 use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
 
@@ -207,24 +208,10 @@
 
     /// Another agent tells its own fact.
     pub fn meet(&mut self, ip: Ipv4Addr, service: ServiceTag) {
-        let fact = Fact {
-            ip,
-            role: Role::Agent(service),
-            zone: ZoneTag::of("a"),
-            boot: BootId(1),
-            seq: u32::try_from(self.now.0).unwrap(),
-            phase: Phase::Ready,
-            backend: BootId(1),
-            load: Load::default(),
-        };
-        let status = Status {
-            from: fact,
-            version: Version(1),
-            zones: Vec::new(),
-            facts: Vec::new(),
-            asks: false,
-        };
-        self.message(Message::Status(status));
+        let mut fact = fact(ip, Phase::Ready, Load::default());
+        fact.role = Role::Agent(service);
+        fact.seq = u32::try_from(self.now.0).unwrap();
+        self.message(status(fact));
     }
 
     /// Opens a flow in full.
@@ -234,3 +221,84 @@
         self.relayed(data(port), Mode::Placed);
     }
 }
+
+/// A fact of an agent of [`service`].
+pub fn fact(ip: Ipv4Addr, phase: Phase, load: Load) -> Fact {
+    Fact {
+        ip,
+        role: Role::Agent(service()),
+        zone: ZoneTag::of("a"),
+        boot: BootId(1),
+        seq: 1,
+        phase,
+        backend: BootId(1),
+        load,
+    }
+}
+
+/// A message in which an instance tells about itself alone.
+pub fn status(from: Fact) -> Message {
+    Message::Status(Status {
+        from,
+        version: Version(1),
+        zones: Vec::new(),
+        facts: Vec::new(),
+        asks: false,
+    })
+}
+
+/// A balancer with a clock.
+pub struct BalancerDriver {
+    pub balancer: Balancer,
+    pub now: Millis,
+    seq: u32,
+}
+
+impl BalancerDriver {
+    /// A balancer with a configuration, some time after its start.
+    pub fn ready() -> Self {
+        let setup = setup(BALANCER, Role::Balancer);
+        let balancer = Balancer::new(&setup, Millis(10_000));
+        let mut driver = Self {
+            balancer,
+            now: Millis(20_000),
+            seq: 1,
+        };
+        driver.reduce(Event::Table(Arc::new(table(1))));
+        driver
+    }
+
+    /// Agents tell their facts.
+    pub fn learn(&mut self, facts: &[Fact]) {
+        self.seq += 1;
+        for &fact in facts {
+            let from = fact.ip;
+            let message = status(Fact {
+                seq: self.seq,
+                ..fact
+            });
+            self.reduce(Event::Message { from, message });
+        }
+    }
+
+    /// Effects of an event, without log lines.
+    pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.balancer.reduce(event, self.now, &mut effects);
+        effects.retain(|e| !matches!(e, Effect::Log(_)));
+        effects
+    }
+
+    /// A packet comes from a caller.
+    pub fn caller(&mut self, packet: Packet) -> Vec<Effect> {
+        let source = Source::Fabric;
+        self.reduce(Event::Packet { source, packet })
+    }
+
+    /// An agent gives an opening packet back.
+    pub fn refused(&mut self, from: Ipv4Addr, mut packet: Packet) -> Vec<Effect> {
+        packet.tag = Tag::new(Mode::Refused, BALANCER);
+        let source = Source::Peer(from);
+        self.reduce(Event::Packet { source, packet })
+    }
+}
--- /dev/null
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -0,0 +1,111 @@
+//! Decisions of a balancer about single packets.
+
+mod datagram;
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use buckthornlink_core::Millis;
+use buckthornlink_core::datagram::{Effect, Load, Mode, Phase};
+
+use datagram::{BalancerDriver, data, fact, is_reset, opening};
+
+const BUSY: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+const CALM: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 2);
+
+fn load(flows: u16, waiting: u16) -> Load {
+    Load {
+        waiting,
+        flows,
+        slots: 5,
+    }
+}
+
+/// Where opening packets go.
+fn placements(balancer: &mut BalancerDriver, count: u16) -> BTreeMap<Ipv4Addr, u16> {
+    let mut placed = BTreeMap::new();
+    for port in 1..=count {
+        for effect in balancer.caller(opening(port)) {
+            if let Effect::Relay { to, .. } = effect {
+                *placed.entry(to).or_default() += 1;
+            }
+        }
+    }
+    placed
+}
+
+#[test]
+fn a_backend_server_that_sheds_load_does_not_attract_more() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[
+        fact(BUSY, Phase::Ready, load(30, 250)),
+        fact(CALM, Phase::Ready, load(90, 30)),
+    ]);
+    let placed = placements(&mut balancer, 10);
+    assert_eq!(placed.get(&BUSY), None, "{placed:?}");
+}
+
+#[test]
+fn flows_are_spread_over_equal_agents_before_any_report() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[
+        fact(BUSY, Phase::Ready, load(0, 0)),
+        fact(CALM, Phase::Ready, load(0, 0)),
+    ]);
+    let placed = placements(&mut balancer, 10);
+    assert_eq!(placed, BTreeMap::from([(BUSY, 5), (CALM, 5)]));
+}
+
+#[test]
+fn a_refused_opening_packet_goes_on_and_ends_with_a_reset() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[
+        fact(BUSY, Phase::Ready, load(0, 0)),
+        fact(CALM, Phase::Ready, load(0, 0)),
+    ]);
+    let first = balancer.caller(opening(1));
+    let [Effect::Relay { to: first, .. }] = first[..] else {
+        panic!("{first:?}");
+    };
+    let second = balancer.refused(first, opening(1));
+    let [Effect::Relay { to: second, .. }] = second[..] else {
+        panic!("{second:?}");
+    };
+    assert_ne!(first, second);
+    let last = balancer.refused(second, opening(1));
+    assert!(matches!(last[..], [Effect::Reset { .. }]), "{last:?}");
+}
+
+#[test]
+fn a_copy_of_an_opening_packet_goes_to_another_agent() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[
+        fact(BUSY, Phase::Ready, load(0, 0)),
+        fact(CALM, Phase::Ready, load(0, 0)),
+    ]);
+    let first = balancer.caller(opening(1));
+    balancer.now = balancer.now + Millis(200);
+    let second = balancer.caller(opening(1));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_packet_of_an_unknown_flow_is_looked_up_at_its_home() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[fact(CALM, Phase::Draining, load(0, 0))]);
+    let next = balancer.caller(data(1));
+    assert!(
+        matches!(next[..], [Effect::Relay { to: CALM, tag }] if tag.mode == Mode::Lookup),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn the_flow_of_a_backend_server_that_has_ended_is_reset_at_once() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[fact(CALM, Phase::Ready, load(0, 0))]);
+    balancer.caller(opening(1));
+    balancer.learn(&[fact(CALM, Phase::Over, load(0, 0))]);
+    let next = balancer.caller(data(1));
+    assert!(next.iter().any(is_reset), "{next:?}");
+}
