perf(core): exchange signs of life, and ask all contacts at the start

Cause: exchanges carried whole facts, 5 to 10 KB/s for each process and most of the bytes between zones; after a restart of all, balancers met the agents over several ticks. Exchanges now carry changed facts and short signs of life, every other one stays in the zone, and a young process asks everyone it hears of. Placement prefers the own zone by a fifth.

--- a/buckthornlink-core/src/datagram.rs
+++ b/buckthornlink-core/src/datagram.rs
@@ -46,7 +46,7 @@
 pub use flow::{Flow, FlowMap, ServiceTag};
 pub use flows::{FlowState, Flows, Holding};
 pub use mesh::{Mesh, Setup};
-pub use message::{Message, Note, Status};
+pub use message::{Beat, Message, Note, Status};
 pub use packet::{Flags, Mode, Packet, Tag};
 pub use roster::{Member, Merge, Roster, ServiceLoad};
 pub use table::{Route, ServiceLimits, Table, Target};
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -171,7 +171,7 @@
         };
         let interval = Millis(ASK_INTERVAL.0 * u64::from(member.unanswered));
         let is_due = member.asked.is_none_or(|at| now.since(at) >= interval);
-        if now.since(member.heard) >= STATUS_AGE && is_due {
+        if now.since(member.told) >= STATUS_AGE && is_due {
             tag.asks = true;
             member.asked.get_or_insert(now);
             member.unanswered = member.unanswered.saturating_add(1);
@@ -205,8 +205,8 @@
             Event::Message { from, message } => self.message(from, message, now, out),
             Event::Table(table) => self.configure(table, now, out),
             Event::Zone(record) => self.mesh.set_zone(record, now, out),
-            Event::Contacts(ips) => self.mesh.add_contacts(ips),
-            Event::Agents(ips) => self.mesh.expect(ips),
+            Event::Contacts(ips) => self.mesh.meet(ips, now, out),
+            Event::Agents(ips) => self.mesh.expect(ips, now, out),
             Event::Heartbeat(_) | Event::Ended(_) => {}
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -10,6 +10,10 @@
 /// A copy of an opening packet that comes this long after the last one goes to another agent.
 const COPY_SPAN: Millis = Millis(150);
 
+/// Weight of the load of an agent in the balancer's own zone, and in another one: flows stay in
+/// their zone until its agents bear a fifth more than those of the others.
+const LOCAL_PERCENT: u64 = 100;
+const REMOTE_PERCENT: u64 = 120;
 /// Time after the start within which a balancer that knows no agent for a flow does not refuse it:
 /// the caller sends a copy, and agents are heard of meanwhile.
 const ACQUAINT_SPAN: Millis = Millis(3_000);
@@ -107,9 +111,16 @@
         let open = agents.filter(|m| m.fact.phase.is_open() && !zones.is_out(m.fact.zone));
         let load = ServiceLoad::of(self.mesh.roster().agents(service));
         let fresh = open.filter(|m| !tried.contains(&m.fact.ip));
+        let own_zone = self.mesh.own().zone;
         let cost = |m: &&Member| {
             let is_doubtful = m.suspect || m.is_mute(now);
-            (is_doubtful, load.pressure(m), flow.rank(m.fact.ip))
+            let pressure = load.pressure(m);
+            let distance = if m.fact.zone == own_zone {
+                LOCAL_PERCENT
+            } else {
+                REMOTE_PERCENT
+            };
+            (is_doubtful, pressure * distance, flow.rank(m.fact.ip))
         };
         fresh.min_by_key(cost).map(|m| m.fact.ip)
     }
--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -6,7 +6,9 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{Decision, Effect, Fact, Load, Merge, Message, Phase, Reason, Role, Roster, Status};
+use super::{
+    Beat, Decision, Effect, Fact, Load, Member, Merge, Message, Phase, Reason, Role, Roster, Status,
+};
 use crate::id::{BootId, Version, ZoneTag};
 use crate::member::{ZoneBook, ZoneRecord};
 use crate::time::Millis;
@@ -16,9 +18,11 @@
 /// Instances that hear of an urgent change at once.
 const FANOUT: usize = 5;
 /// Instances that each exchange goes to.
-const EXCHANGE_FANOUT: usize = 2;
-/// Most facts in one message, so that it fits a datagram.
-const MAX_FACTS: usize = 16;
+const EXCHANGE_FANOUT: usize = 1;
+/// Most facts in one message; with the signs of life it fits a datagram.
+const MAX_FACTS: usize = 12;
+/// Most signs of life in one message.
+const MAX_BEATS: usize = 40;
 /// Times that a change is sent before it counts as spread.
 const RUMOR_SENDS: u8 = 8;
 /// Interval at which unknown contacts are asked while no other instance is known.
@@ -33,6 +37,8 @@
 const YOUNG_SPAN: Millis = Millis(6_000);
 /// Contacts that are asked at once.
 const CONTACT_FANOUT: usize = 4;
+/// Contacts that a young process asks at once.
+const CONTACT_FANOUT_YOUNG: usize = 24;
 
 /// What an instance is told at its start.
 #[derive(Clone, Copy, Debug)]
@@ -144,19 +150,22 @@
         self.roster.len() > 1
     }
 
-    /// Adds addresses that may be asked while no instance is known.
-    pub fn add_contacts(&mut self, ips: impl IntoIterator<Item = Ipv4Addr>) {
-        for ip in ips {
-            if ip != self.own.ip && !self.contacts.contains(&ip) {
-                self.contacts.push(ip);
-                self.contacted = None;
-            }
+    /// Adds addresses of instances that may be asked; a young process asks them at once.
+    pub fn meet(
+        &mut self,
+        ips: impl IntoIterator<Item = Ipv4Addr>,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.add_contacts(ips);
+        if self.is_young(now) {
+            self.ask_contacts(now, effects);
         }
     }
 
     /// Takes over which agents have an entry in the store; they may be asked as well.
-    pub fn expect(&mut self, ips: Vec<Ipv4Addr>) {
-        self.add_contacts(ips.iter().copied());
+    pub fn expect(&mut self, ips: Vec<Ipv4Addr>, now: Millis, effects: &mut Vec<Effect>) {
+        self.meet(ips.iter().copied(), now, effects);
         self.expected = Some(ips);
     }
 
@@ -211,7 +220,7 @@
     /// The own fact with a new sequence number, for an instance that asked.
     pub fn report(&mut self, to: Ipv4Addr, effects: &mut Vec<Effect>) {
         self.advance();
-        let message = self.status(Vec::new(), false);
+        let message = self.status(Vec::new(), Vec::new(), false);
         effects.push(Effect::Send { to, message });
     }
 
@@ -225,6 +234,9 @@
         for &fact in &status.facts {
             self.learn(fact, now, effects);
         }
+        for beat in &status.beats {
+            self.hear(beat, now);
+        }
         for &record in &status.zones {
             self.set_zone(record, now, effects);
         }
@@ -233,8 +245,8 @@
         }
         if status.asks {
             self.advance();
-            let facts = self.pick_facts();
-            let message = self.status(facts, false);
+            let lacks = (status.known as usize) < self.roster.len();
+            let message = self.exchange_status(lacks, false);
             effects.push(Effect::Send { to: from, message });
         }
     }
@@ -269,6 +281,19 @@
         })
     }
 
+    fn add_contacts(&mut self, ips: impl IntoIterator<Item = Ipv4Addr>) {
+        for ip in ips {
+            if ip != self.own.ip && !self.contacts.contains(&ip) {
+                self.contacts.push(ip);
+                self.contacted = None;
+            }
+        }
+    }
+
+    fn is_young(&self, now: Millis) -> bool {
+        now.since(self.started) < YOUNG_SPAN
+    }
+
     fn advance(&mut self) {
         self.own.seq += 1;
     }
@@ -322,32 +347,71 @@
         self.exchanged = now;
         self.advance();
         for to in self.pick_peers(fanout) {
-            let facts = self.pick_facts();
-            let message = self.status(facts, asks);
+            let message = self.exchange_status(false, asks);
             effects.push(Effect::Send { to, message });
         }
     }
 
-    fn status(&self, facts: Vec<Fact>, asks: bool) -> Message {
+    /// What goes to another instance in an exchange; one that lacks facts gets some more of them.
+    fn exchange_status(&mut self, lacks: bool, asks: bool) -> Message {
+        let mut facts = self.pick_rumors();
+        if lacks {
+            self.add_facts(&mut facts);
+        }
+        let beats = self.pick_beats();
+        self.status(facts, beats, asks)
+    }
+
+    fn status(&self, facts: Vec<Fact>, beats: Vec<Beat>, asks: bool) -> Message {
         Message::Status(Status {
             from: self.own,
             version: self.version,
             zones: self.zones.iter().copied().collect(),
             facts,
+            beats,
+            known: u32::try_from(self.roster.len()).unwrap_or(u32::MAX),
             asks,
         })
     }
 
-    /// Changed facts first, then others in turn.
-    fn pick_facts(&mut self) -> Vec<Fact> {
-        let mut facts = Vec::with_capacity(MAX_FACTS);
-        for rumor in self.rumors.iter_mut().take(MAX_FACTS / 2) {
+    /// Takes a sign of life over; an instance or a start that is not known is asked for its fact.
+    fn hear(&mut self, beat: &Beat, now: Millis) {
+        let ip = Ipv4Addr::from_bits(beat.ip);
+        if ip != self.own.ip && !self.roster.hear(beat, now) {
+            self.add_contacts([ip]);
+        }
+    }
+
+    /// Facts that have changed.
+    fn pick_rumors(&mut self) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        for rumor in self.rumors.iter_mut().take(MAX_FACTS) {
             rumor.left -= 1;
             facts.extend(self.roster.get(rumor.ip).map(|m| m.fact));
         }
         self.rumors.retain(|r| r.left > 0);
+        facts
+    }
+
+    /// The freshest signs of life.
+    fn pick_beats(&self) -> Vec<Beat> {
+        let others = self.roster.iter().filter(|m| m.fact.ip != self.own.ip);
+        let mut members: Vec<&Member> = others.collect();
+        if members.len() > MAX_BEATS {
+            members.sort_unstable_by_key(|m| std::cmp::Reverse(m.heard));
+            members.truncate(MAX_BEATS);
+        }
+        let beat = |m: &&Member| Beat {
+            seq: m.beat,
+            ..Beat::of(&m.fact)
+        };
+        members.iter().map(beat).collect()
+    }
+
+    /// Adds facts of all instances in turn.
+    fn add_facts(&mut self, facts: &mut Vec<Fact>) {
         let total = self.roster.len();
-        let rest = (MAX_FACTS - facts.len()).min(total);
+        let rest = MAX_FACTS.saturating_sub(facts.len()).min(total);
         let start = self.cursor % total;
         let others = self.roster.iter().skip(start).chain(self.roster.iter());
         for member in others.take(rest) {
@@ -356,14 +420,22 @@
             }
         }
         self.cursor = (self.cursor + rest) % total;
-        facts
     }
 
-    /// Random running instances other than this one.
+    /// Random running instances other than this one; a single one is of the own zone every other
+    /// time, to spare bytes between zones.
     fn pick_peers(&mut self, count: usize) -> Vec<Ipv4Addr> {
-        let is_peer = |f: &Fact| f.ip != self.own.ip && f.phase.is_running();
-        let members = self.roster.iter().map(|m| m.fact);
-        let mut ips: Vec<Ipv4Addr> = members.filter(is_peer).map(|f| f.ip).collect();
+        let is_local = count == 1 && self.own.seq.is_multiple_of(2);
+        let own = self.own;
+        let is_peer = |f: &Fact| f.ip != own.ip && f.phase.is_running();
+        let facts = || self.roster.iter().map(|m| m.fact).filter(is_peer);
+        let mut ips: Vec<Ipv4Addr> = facts()
+            .filter(|f| !is_local || f.zone == own.zone)
+            .map(|f| f.ip)
+            .collect();
+        if ips.is_empty() {
+            ips = facts().map(|f| f.ip).collect();
+        }
         shuffle(&mut ips, count, &mut self.rng);
         ips
     }
@@ -372,7 +444,7 @@
     fn ask_contacts(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let interval = if !self.has_peers() {
             CONTACT_INTERVAL_ALONE
-        } else if now.since(self.started) < YOUNG_SPAN {
+        } else if self.is_young(now) {
             CONTACT_INTERVAL_YOUNG
         } else {
             CONTACT_INTERVAL
@@ -384,10 +456,14 @@
         let is_live = |ip| self.roster.get(ip).is_some_and(|m| !m.suspect);
         let contacts = self.contacts.iter().copied();
         let mut ips: Vec<Ipv4Addr> = contacts.filter(|&ip| !is_live(ip)).collect();
-        shuffle(&mut ips, CONTACT_FANOUT, &mut self.rng);
+        let fanout = if self.is_young(now) {
+            CONTACT_FANOUT_YOUNG
+        } else {
+            CONTACT_FANOUT
+        };
+        shuffle(&mut ips, fanout, &mut self.rng);
         for to in ips {
-            let facts = self.pick_facts();
-            let message = self.status(facts, true);
+            let message = self.exchange_status(false, true);
             effects.push(Effect::Send { to, message });
         }
     }
--- a/buckthornlink-core/src/datagram/message.rs
+++ b/buckthornlink-core/src/datagram/message.rs
@@ -30,12 +30,50 @@
     pub version: Version,
     /// Zone records.
     pub zones: Vec<ZoneRecord>,
-    /// Facts about other instances.
+    /// Facts about other instances that have changed or that the receiver may lack.
     pub facts: Vec<Fact>,
+    /// Signs of life of other instances.
+    pub beats: Vec<Beat>,
+    /// Instances that the sender knows.
+    pub known: u32,
     /// Whether the receiver is asked for its own status.
     pub asks: bool,
 }
 
+/// A sign of life of an instance, without the rest of its fact.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Address of the instance.
+    pub ip: u32,
+    /// Low bits of its boot id.
+    pub boot: u32,
+    /// Its sequence number.
+    pub seq: u32,
+}
+
+impl Beat {
+    /// The sign of life that a fact gives.
+    #[must_use]
+    pub const fn of(fact: &Fact) -> Self {
+        Self {
+            ip: fact.ip.to_bits(),
+            boot: boot_bits(fact.boot),
+            seq: fact.seq,
+        }
+    }
+
+    /// Whether the sign of life comes from the start of the process that `fact` tells about.
+    #[must_use]
+    pub const fn is_of(&self, fact: &Fact) -> bool {
+        self.boot == boot_bits(fact.boot)
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "the low bits are wanted")]
+const fn boot_bits(boot: BootId) -> u32 {
+    (boot.0 & u32::MAX as u64) as u32
+}
+
 /// Where one flow lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Note {
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use super::{Fact, Flow, Phase, ServiceTag};
+use super::{Beat, Fact, Flow, Phase, ServiceTag};
 use crate::id::stable_hash;
 use crate::time::Millis;
 
 /// An instance whose fact has not advanced for this long is suspected to be gone.
-const SUSPECT_SPAN: Millis = Millis(2_500);
+///
+/// Signs of life take longer to come round in a large system, so the span grows with its size.
+const SUSPECT_SPAN: Millis = Millis(3_500);
+/// Instances for which [`SUSPECT_SPAN`] holds.
+const SUSPECT_MEMBERS: usize = 40;
 /// An instance that is suspected for this long is forgotten.
 const FORGET_SPAN: Millis = Millis(60_000);
 /// Points of one agent on the ring of homes.
@@ -21,8 +25,12 @@
 pub struct Member {
     /// Its latest fact.
     pub fact: Fact,
-    /// When its fact last advanced.
+    /// When it last gave a sign of life.
     pub heard: Millis,
+    /// When its fact last came.
+    pub told: Millis,
+    /// Sequence number of its last sign of life.
+    pub beat: u32,
     /// When this process first asked it for its status without an answer so far.
     pub asked: Option<Millis>,
     /// Unanswered requests for its status.
@@ -51,8 +59,14 @@
         if !fact.supersedes(&member.fact) {
             return Merge::Stale;
         }
-        let old = member.fact;
+        let old = *member;
         *member = Member::new(fact, now);
+        if old.fact.boot == fact.boot && fact.seq <= old.beat {
+            member.heard = old.heard;
+            member.beat = old.beat;
+            member.suspect = old.suspect;
+        }
+        let old = old.fact;
         if old.service() != fact.service() {
             self.unlist(&old);
             self.list(&fact);
@@ -60,6 +74,20 @@
         Merge::Replaced(old)
     }
 
+    /// Takes a sign of life over; returns whether the start of the process is known.
+    pub fn hear(&mut self, beat: &Beat, now: Millis) -> bool {
+        let member = self.members.get_mut(&Ipv4Addr::from_bits(beat.ip));
+        let Some(member) = member.filter(|m| beat.is_of(&m.fact)) else {
+            return false;
+        };
+        if beat.seq > member.beat {
+            member.beat = beat.seq;
+            member.heard = now;
+            member.suspect = false;
+        }
+        true
+    }
+
     /// The instance at `ip`.
     #[must_use]
     pub fn get(&self, ip: Ipv4Addr) -> Option<&Member> {
@@ -119,7 +147,9 @@
     /// If more than half of the others are silent at once, the fault is taken to be this
     /// process's own and no instance is marked. Returns those newly marked.
     pub fn observe(&mut self, own: Ipv4Addr, now: Millis) -> Vec<Fact> {
-        let is_stale = |m: &Member| m.fact.ip != own && now.since(m.heard) > SUSPECT_SPAN;
+        let factor = self.members.len().div_ceil(SUSPECT_MEMBERS) as u64;
+        let span = Millis(SUSPECT_SPAN.0 * factor);
+        let is_stale = |m: &Member| m.fact.ip != own && now.since(m.heard) > span;
         let running = self.members.values().filter(|m| m.fact.phase.is_running());
         let total = running.clone().count();
         let stale = running.filter(|m| is_stale(m)).count();
@@ -200,6 +230,8 @@
         Self {
             fact,
             heard: now,
+            told: now,
+            beat: fact.seq,
             asked: None,
             unanswered: 0,
             sent: 0,
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -243,6 +243,8 @@
         version: Version(1),
         zones: Vec::new(),
         facts: Vec::new(),
+        beats: Vec::new(),
+        known: 1,
         asks: false,
     })
 }
--- a/buckthornlink-core/tests/datagram_mesh.rs
+++ b/buckthornlink-core/tests/datagram_mesh.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Balancer, Effect, Event, Reducer, Role};
+use buckthornlink_core::datagram::{Balancer, Effect, Event, Reason, Reducer, Role};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use datagram::{setup, table};
 
@@ -16,6 +18,9 @@
     nodes: BTreeMap<Ipv4Addr, Balancer>,
     now: Millis,
     fetching: BTreeSet<Ipv4Addr>,
+    lost: BTreeSet<Ipv4Addr>,
+    loss_percent: u32,
+    rng: SmallRng,
 }
 
 impl Net {
@@ -28,6 +33,9 @@
             nodes,
             now,
             fetching,
+            lost: BTreeSet::new(),
+            loss_percent: 0,
+            rng: SmallRng::seed_from_u64(7),
         }
     }
 
@@ -52,6 +60,10 @@
             node.reduce(event, self.now, &mut effects);
             for effect in effects {
                 match effect {
+                    Effect::Send { .. } if self.rng.random_ratio(self.loss_percent, 100) => {}
+                    Effect::Log(decision) if decision.reason == Reason::MemberLost => {
+                        self.lost.extend(decision.peer);
+                    }
                     Effect::Send { to, message } => {
                         queue.push_back((to, Event::Message { from: at, message }));
                     }
@@ -102,3 +114,23 @@
     net.run(Millis(1_200));
     assert_eq!(net.fetching.len(), 7);
 }
+
+#[test]
+fn a_silent_instance_is_noticed_and_no_other_one() {
+    let mut net = Net::start((1..=30).map(ip));
+    for host in 1..=30 {
+        net.reduce(ip(host), Event::Contacts(vec![ip(1), ip(2), ip(3)]));
+    }
+    net.loss_percent = 5;
+    net.run(Millis(60_000));
+    assert_eq!(net.known(ip(30)).len(), 30);
+    assert_eq!(net.lost, BTreeSet::new());
+    net.nodes.remove(&ip(4));
+    net.run(Millis(5_500));
+    assert_eq!(net.lost, BTreeSet::from([ip(4)]));
+    let noticed = net.nodes.values().filter(|node| {
+        let member = node.mesh().roster().get(ip(4));
+        member.is_some_and(|m| m.suspect)
+    });
+    assert_eq!(noticed.count(), 29);
+}
