feat: few processes watch the store; bounded JSON logs on standard output; metrics

Two balancers of each zone watch the store and all others hear by exchange; any process that knows fewer than two watchers which the store answers watches as well. Metrics at the address of the settings.

--- a/buckthornlink-agent/src/main.rs
+++ b/buckthornlink-agent/src/main.rs
@@ -72,11 +72,13 @@
 
 async fn serve(settings: AgentSettings) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    tokio::spawn(logs::flush_regularly());
     let agent = Agent::spawn(settings).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         interrupted = tokio::signal::ctrl_c() => interrupted?,
     }
     agent.drain().await.finish().await;
+    logs::flush();
     Ok(())
 }
--- a/buckthornlink-core/src/datagram.rs
+++ b/buckthornlink-core/src/datagram.rs
@@ -40,7 +40,7 @@
 pub use backend::{Backend, BackendState, Heartbeat};
 pub use balancer::Balancer;
 pub use decision::{Decision, Reason};
-pub use effect::Effect;
+pub use effect::{Effect, Measure};
 pub use event::{Event, FlowCounts, Reducer, Source};
 pub use fact::{Fact, Load, Phase, Role};
 pub use flow::{Flow, FlowMap, ServiceTag};
--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -165,13 +165,13 @@
             },
             ..old
         };
+        if old != fact {
+            self.mesh.set_own(fact, now, out);
+        }
         if old.phase != fact.phase {
             let age = self.backend.age(now);
             out.push(self.decision(Reason::BackendChanged, None, age));
         }
-        if old != fact {
-            self.mesh.set_own(fact, now, out);
-        }
     }
 
     fn role(&self, known: Role) -> Role {
@@ -247,6 +247,7 @@
             Event::Zone(record) => self.mesh.set_zone(record, now, out),
             Event::Contacts(ips) => self.mesh.meet(ips, now, out),
             Event::Agents(ips) => self.mesh.expect(ips, now, out),
+            Event::Store(answers) => self.mesh.set_store(answers, now, out),
             Event::Heartbeat(beat) => self.hear(&beat, now, out),
             Event::Ended(id) => self.end(&id, now, out),
             Event::Leave => self.leave(now, out),
--- a/buckthornlink-core/src/datagram/agent/own.rs
+++ b/buckthornlink-core/src/datagram/agent/own.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use super::Agent;
-use crate::datagram::{Effect, FlowState, Holding, Message, Mode, Packet, Reason};
+use crate::datagram::{Effect, FlowState, Holding, Measure, Message, Mode, Packet, Reason};
 use crate::time::Millis;
 
 /// A balancer is told at most this often that a flow lives here.
@@ -54,8 +54,9 @@
             self.deny(asker, packet, out);
             return;
         }
-        self.flows.change(&packet.flow, |s| s.answer(packet, now));
+        let span = self.flows.change(&packet.flow, |s| s.answer(packet, now));
         out.push(Effect::Answer);
+        out.extend(span.map(|(measure, span)| Effect::Measure(measure, span)));
     }
 
     /// Delivers a packet of an own flow.
@@ -138,29 +139,37 @@
     fn request(&mut self, packet: &Packet, now: Millis) {
         self.seen = now;
         self.acked = packet.ack;
-        self.is_waiting |= packet.len > 0;
+        if packet.len > 0 {
+            self.waiting.get_or_insert(now);
+        }
         self.ended[0] |= packet.flags.fin;
         if packet.flags.rst {
             self.ended = [true; 2];
         }
     }
 
-    /// Notes a packet of the backend server, which shows that it holds the flow.
-    fn answer(&mut self, packet: &Packet, now: Millis) {
+    /// Notes a packet of the backend server, which shows that it holds the flow; returns what it
+    /// took to answer, if this is the first packet of an answer.
+    fn answer(&mut self, packet: &Packet, now: Millis) -> Option<(Measure, Millis)> {
         self.seen = now;
         if packet.flags.syn {
+            let is_first = self.holding == Holding::Offered;
             self.holding = Holding::Half { seq: packet.seq };
-            return;
+            return is_first.then(|| (Measure::Handshake, now.since(self.opened)));
         }
         if self.holding != Holding::Open {
             self.holding = Holding::Open;
             self.opened = now;
         }
-        self.is_waiting &= packet.len == 0;
         self.ended[1] |= packet.flags.fin;
         if packet.flags.rst {
             self.ended = [true; 2];
         }
+        if packet.len == 0 {
+            return None;
+        }
+        let since = self.waiting.take()?;
+        Some((Measure::Response, now.since(since)))
     }
 }
 
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -4,7 +4,9 @@
 
 use super::Agent;
 use super::own::reset;
-use crate::datagram::{Effect, Flow, Holding, Member, Message, Mode, Note, Packet, Reason, Tag};
+use crate::datagram::{
+    Effect, Flow, Holding, Measure, Member, Message, Mode, Note, Packet, Reason, Tag,
+};
 use crate::id::BootId;
 use crate::time::Millis;
 
@@ -130,7 +132,9 @@
             .iter()
             .all(|ip| state.denied.contains(ip) || self.is_silent(*ip));
         if is_denied {
-            out.push(self.decision(Reason::DeniedByAll, Some(*flow), Millis(0)));
+            let age = now.since(state.searched.unwrap_or(now));
+            out.push(Effect::Measure(Measure::Search, age));
+            out.push(self.decision(Reason::DeniedByAll, Some(*flow), age));
             out.push(Effect::Reset { flow: *flow, seq });
         }
     }
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -207,6 +207,7 @@
             Event::Zone(record) => self.mesh.set_zone(record, now, out),
             Event::Contacts(ips) => self.mesh.meet(ips, now, out),
             Event::Agents(ips) => self.mesh.expect(ips, now, out),
+            Event::Store(answers) => self.mesh.set_store(answers, now, out),
             Event::Heartbeat(_) | Event::Ended(_) => {}
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -84,3 +84,44 @@
     /// The backend server of this instance changed its phase.
     BackendChanged,
 }
+
+impl Reason {
+    /// Name in logs and metrics.
+    ///
+    /// ```
+    /// # use buckthornlink_core::datagram::Reason;
+    /// assert_eq!(Reason::HandedOn.name(), "handed_on");
+    /// ```
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Placed => "placed",
+            Self::PlacedAgain => "placed_again",
+            Self::HandedOn => "handed_on",
+            Self::NoAgent => "no_agent",
+            Self::NoRoute => "no_route",
+            Self::LookedUp => "looked_up",
+            Self::OwnerLearnt => "owner_learnt",
+            Self::BackendOver => "backend_over",
+            Self::AgentLost => "agent_lost",
+            Self::DeniedByAll => "denied_by_all",
+            Self::Bounced => "bounced",
+            Self::FlowLost => "flow_lost",
+            Self::Admitted => "admitted",
+            Self::RefusedRoute => "refused_route",
+            Self::RefusedPhase => "refused_phase",
+            Self::RefusedZone => "refused_zone",
+            Self::RefusedCold => "refused_cold",
+            Self::RefusedFull => "refused_full",
+            Self::RefusedUnready => "refused_unready",
+            Self::Searched => "searched",
+            Self::HopsExceeded => "hops_exceeded",
+            Self::Configured => "configured",
+            Self::ZoneOut => "zone_out",
+            Self::ZoneIn => "zone_in",
+            Self::MemberChanged => "member_changed",
+            Self::MemberLost => "member_lost",
+            Self::BackendChanged => "backend_changed",
+        }
+    }
+}
--- a/buckthornlink-core/src/datagram/effect.rs
+++ b/buckthornlink-core/src/datagram/effect.rs
@@ -4,6 +4,7 @@
 
 use super::{Decision, Flow, Message, Tag};
 use crate::id::Version;
+use crate::time::Millis;
 
 /// One thing to do. Effects on a packet mean the packet of the event that is being reduced.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +41,21 @@
         /// The version that it has, at least.
         version: Version,
     },
+    /// Start or stop to watch the store.
+    Watch(bool),
     /// Write a line to the log.
     Log(Decision),
+    /// Count a span in a histogram.
+    Measure(Measure, Millis),
+}
+
+/// What a measured span is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Measure {
+    /// From an opening packet to the backend server's answer to it.
+    Handshake,
+    /// From a request's first packet to the first packet of the answer.
+    Response,
+    /// From the search for a flow to its owner's answer, or to its reset.
+    Search,
 }
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -32,6 +32,8 @@
     Contacts(Vec<Ipv4Addr>),
     /// Agents that have an entry in the store.
     Agents(Vec<Ipv4Addr>),
+    /// The store answers this process, or no longer does.
+    Store(bool),
     /// The backend server reports itself.
     Heartbeat(Heartbeat),
     /// The backend server of this name has ended.
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -24,6 +24,8 @@
     pub phase: Phase,
     /// Start of the backend server beside an agent; zero if none is known.
     pub backend: BootId,
+    /// Whether it watches the store, and the store answers it.
+    pub store: bool,
     /// Load of the backend server.
     pub load: Load,
 }
@@ -76,6 +78,12 @@
         (self.boot, self.seq) > (other.boot, other.seq)
     }
 
+    /// What others are told at once when it changes.
+    #[must_use]
+    pub const fn news(&self) -> (Phase, Role, BootId, BootId, bool) {
+        (self.phase, self.role, self.boot, self.backend, self.store)
+    }
+
     /// The service of an agent, or `None` for a balancer.
     #[must_use]
     pub const fn service(&self) -> Option<ServiceTag> {
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -47,8 +47,8 @@
     pub opened: Millis,
     /// When a packet of it last came.
     pub seen: Millis,
-    /// Whether the backend server owes an answer.
-    pub is_waiting: bool,
+    /// Since when the backend server owes an answer, if it does.
+    pub waiting: Option<Millis>,
     /// Whether the caller, or the backend server, has sent its end.
     pub ended: [bool; 2],
     /// The agent that was told that the flow lives here.
@@ -66,7 +66,7 @@
 /// The flows that an agent knows, with counts of those that its backend server holds.
 #[derive(Clone, Debug, Default)]
 pub struct Flows {
-    flows: FlowMap<FlowState>,
+    states: FlowMap<FlowState>,
     open: usize,
     waiting: usize,
 }
@@ -87,24 +87,24 @@
     /// Flows that are remembered, also those of others.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.flows.len()
+        self.states.len()
     }
 
     /// Whether no flow is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
+        self.states.is_empty()
     }
 
     /// What is known about a flow.
     #[must_use]
     pub fn get(&self, flow: &Flow) -> Option<&FlowState> {
-        self.flows.get(flow)
+        self.states.get(flow)
     }
 
     /// Changes a flow and keeps the counts.
     pub fn change<R>(&mut self, flow: &Flow, f: impl FnOnce(&mut FlowState) -> R) -> R {
-        let state = self.flows.entry(*flow).or_default();
+        let state = self.states.entry(*flow).or_default();
         let before = state.counts();
         let result = f(state);
         let after = state.counts();
@@ -115,15 +115,15 @@
 
     /// Forgets a flow.
     pub fn remove(&mut self, flow: &Flow) {
-        if self.flows.contains_key(flow) {
+        if self.states.contains_key(flow) {
             self.change(flow, |state| state.holding = Holding::Unknown);
-            self.flows.remove(flow);
+            self.states.remove(flow);
         }
     }
 
     /// Marks the flows that an ended backend server held.
     pub fn end_all(&mut self) {
-        for state in self.flows.values_mut() {
+        for state in self.states.values_mut() {
             state.holding = match state.holding {
                 Holding::Offered | Holding::Half { .. } | Holding::Open => Holding::Over,
                 Holding::Tried { .. } => Holding::Unknown,
@@ -136,16 +136,16 @@
 
     /// Forgets flows without packets since `idle`, and all if there are too many.
     pub fn expire(&mut self, idle: Millis, now: Millis) {
-        let is_full = self.flows.len() > MAX_FLOWS;
+        let is_full = self.states.len() > MAX_FLOWS;
         let span = if is_full { Millis(idle.0 / 8) } else { idle };
-        self.flows.retain(|_, s| now.since(s.seen) <= span);
-        self.open = self.flows.values().filter(|s| s.counts().0).count();
-        self.waiting = self.flows.values().filter(|s| s.counts().1).count();
+        self.states.retain(|_, s| now.since(s.seen) <= span);
+        self.open = self.states.values().filter(|s| s.counts().0).count();
+        self.waiting = self.states.values().filter(|s| s.counts().1).count();
     }
 
     /// The flows that the backend server holds.
     pub fn own(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
-        self.flows
+        self.states
             .iter()
             .filter(|(_, s)| s.holding == Holding::Open && !s.is_closed())
     }
@@ -164,6 +164,6 @@
             self.holding,
             Holding::Offered | Holding::Half { .. } | Holding::Open
         ) && !self.is_closed();
-        (is_open, is_open && self.is_waiting)
+        (is_open, is_open && self.waiting.is_some())
     }
 }
--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -9,7 +9,7 @@
 use super::{
     Beat, Decision, Effect, Fact, Load, Member, Merge, Message, Phase, Reason, Role, Roster, Status,
 };
-use crate::id::{BootId, Version, ZoneTag};
+use crate::id::{BootId, Version, ZoneTag, stable_hash};
 use crate::member::{ZoneBook, ZoneRecord};
 use crate::time::Millis;
 
@@ -35,6 +35,10 @@
 const SETTLE_SPAN: Millis = Millis(3_000);
 /// Time after the start for which a process counts as young.
 const YOUNG_SPAN: Millis = Millis(6_000);
+/// Balancers of each zone that watch the store.
+const ZONE_WATCHERS: usize = 2;
+/// Watchers that the store answers, below which any instance that notices it watches as well.
+const MIN_WATCHERS: usize = 2;
 /// Contacts that are asked at once.
 const CONTACT_FANOUT: usize = 4;
 /// Contacts that a young process asks at once.
@@ -66,6 +70,7 @@
     version: Version,
     contacts: Vec<Ipv4Addr>,
     expected: Option<Vec<Ipv4Addr>>,
+    is_watcher: bool,
     rumors: VecDeque<Rumor>,
     cursor: usize,
     exchanged: Millis,
@@ -94,6 +99,7 @@
             seq: 1,
             phase: Phase::Starting,
             backend: BootId(0),
+            store: false,
             load: Load::default(),
         };
         let mut roster = Roster::default();
@@ -105,6 +111,7 @@
             version: Version(0),
             contacts: Vec::new(),
             expected: None,
+            is_watcher: false,
             rumors: VecDeque::new(),
             cursor: 0,
             exchanged: now,
@@ -211,7 +218,7 @@
             ..fact
         };
         self.roster.merge(self.own, now);
-        let is_urgent = (old.phase, old.role, old.backend) != (fact.phase, fact.role, fact.backend);
+        let is_urgent = old.news() != fact.news();
         if is_urgent {
             self.push(now, effects);
         }
@@ -258,11 +265,23 @@
             effects.push(decision);
         }
         self.ask_contacts(now, effects);
+        self.choose_watchers(effects);
         if now.since(self.exchanged) >= EXCHANGE_INTERVAL {
             self.exchange(now, EXCHANGE_FANOUT, true, effects);
         }
     }
 
+    /// Notes whether the store answers this process, and tells others at once if that changed.
+    pub fn set_store(&mut self, answers: bool, now: Millis, effects: &mut Vec<Effect>) {
+        let fact = Fact {
+            store: answers && self.is_watcher,
+            ..self.own
+        };
+        if fact != self.own {
+            self.set_own(fact, now, effects);
+        }
+    }
+
     /// Tells a few others at once.
     pub fn push(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         self.exchange(now, FANOUT, false, effects);
@@ -306,10 +325,7 @@
         let is_news = match self.roster.merge(fact, now) {
             Merge::Stale => return,
             Merge::New => true,
-            Merge::Replaced(old) => {
-                (old.phase, old.role, old.backend, old.boot)
-                    != (fact.phase, fact.role, fact.backend, fact.boot)
-            }
+            Merge::Replaced(old) => old.news() != fact.news(),
         };
         if is_news {
             self.spread(fact.ip);
@@ -468,6 +484,29 @@
         }
     }
 
+    /// Starts to watch the store if this instance is one of the first balancers of its zone, or if
+    /// it knows of too few others that the store answers; stops when neither holds any longer.
+    fn choose_watchers(&mut self, effects: &mut Vec<Effect>) {
+        let live = || {
+            let others = self.roster.iter().filter(|m| m.fact.ip != self.own.ip);
+            others.filter(|m| m.fact.phase.is_running() && !m.suspect)
+        };
+        let answered = live().filter(|m| m.fact.store).count();
+        let rank = stable_hash(&self.own.ip.octets());
+        let ahead = live().filter(|m| {
+            m.fact.role == Role::Balancer
+                && m.fact.zone == self.own.zone
+                && stable_hash(&m.fact.ip.octets()) < rank
+        });
+        let is_first = self.own.role == Role::Balancer && ahead.count() < ZONE_WATCHERS;
+        let is_watcher = is_first || answered < MIN_WATCHERS;
+        if is_watcher != self.is_watcher {
+            self.is_watcher = is_watcher;
+            self.own.store &= is_watcher;
+            effects.push(Effect::Watch(is_watcher));
+        }
+    }
+
     fn member_decision(&self, reason: Reason, fact: &Fact, now: Millis) -> Effect {
         let heard = self.roster.get(fact.ip).map_or(now, |m| m.heard);
         Effect::Log(Decision {
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -232,6 +232,7 @@
         seq: 1,
         phase,
         backend: BootId(1),
+        store: false,
         load,
     }
 }
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -151,7 +151,9 @@
         agent.meet(ip, datagram::service());
     }
     agent.wait(Millis(2_000));
-    others.map(|ip| agent.meet(ip, datagram::service()));
+    for ip in others {
+        agent.meet(ip, datagram::service());
+    }
     agent.wait(Millis(1_800));
     agent.relayed(data(1), Mode::Lookup);
     let mut effects = Vec::new();
--- a/buckthornlink-datagram/src/follow.rs
+++ b/buckthornlink-datagram/src/follow.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use buckthornlink_core::ZoneTag;
 use buckthornlink_core::datagram::Event;
@@ -13,6 +14,7 @@
     Change, Entry, INSTANCES_PREFIX, InstanceEntry, Revision, Store, StoreError, Watch,
 };
 
+use crate::metrics::Metrics;
 use crate::{Adapter, Inbox, Record};
 
 /// Pauses between tries while the store does not answer.
@@ -20,27 +22,52 @@
 const RETRY_MAX: Duration = Duration::from_secs(2);
 /// Pauses before the instances' entries are read.
 const INSTANCE_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(1_500)];
+/// Time after which a process that does not watch looks for changes all the same.
+const POLL_INTERVAL: Duration = Duration::from_mins(2);
 /// Most records that are read at once.
 const MAX_RECORDS: u32 = 10_000;
 
-/// Reads and watches the operators' records for ever.
-pub(crate) async fn follow<A: Adapter>(adapter: A, store: A::Store, inbox: Inbox) {
+/// Reads the operators' records, and watches them while `watching` says so, for ever.
+pub(crate) async fn follow<A: Adapter>(
+    adapter: A,
+    store: A::Store,
+    inbox: Inbox,
+    metrics: Metrics,
+    mut watching: watch::Receiver<bool>,
+) {
     let mut follower = Follower {
         adapter,
         store,
         inbox,
+        metrics,
         out: BTreeSet::new(),
         is_lost: false,
     };
     let mut pause = RETRY_MIN;
     loop {
-        let err = follower.watch(&mut pause).await;
+        let err = tokio::select! {
+            err = follower.watch(&mut pause, watching.clone()) => err,
+            () = stopped(&mut watching) => continue,
+        };
         follower.lose(&err);
         sleep(pause).await;
         pause = (pause * 2).min(RETRY_MAX);
     }
 }
 
+/// Waits until a process that watches is to stop; for ever if it does not watch.
+async fn stopped(watching: &mut watch::Receiver<bool>) {
+    for state in [true, false] {
+        if watching
+            .wait_for(|&watching| watching == state)
+            .await
+            .is_err()
+        {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Reads which instances have an entry in the store: at the start, and again once others that
 /// started at the same time have written theirs.
 pub(crate) async fn find_instances<S: Store>(store: S, inbox: Inbox) {
@@ -72,20 +99,30 @@
     adapter: A,
     store: A::Store,
     inbox: Inbox,
+    metrics: Metrics,
     out: BTreeSet<ZoneTag>,
     is_lost: bool,
 }
 
 impl<A: Adapter> Follower<A> {
-    /// Reads all records and watches for changes until that fails.
-    async fn watch(&mut self, pause: &mut Duration) -> StoreError {
+    /// Reads all records, and watches for changes until that fails or the process is to stop.
+    async fn watch(
+        &mut self,
+        pause: &mut Duration,
+        mut watching: watch::Receiver<bool>,
+    ) -> StoreError {
+        let start = Instant::now();
         let result = self.read_all().await;
+        let outcome = if result.is_ok() { "ok" } else { "failed" };
+        self.metrics.observe_store(outcome, start.elapsed());
         let revision = match result {
             Ok(revision) => revision,
             Err(err) => return err,
         };
         self.regain();
         *pause = RETRY_MIN;
+        let _ = timeout(POLL_INTERVAL, watching.wait_for(|&watching| watching)).await;
+        self.inbox.send(Event::Store(true));
         let prefix = self.adapter.records_prefix();
         let mut watch = match self.store.watch(prefix, revision).await {
             Ok(watch) => watch,
@@ -159,6 +196,7 @@
             self.is_lost = true;
             log::warn!(err:% = err; "store is lost");
         }
+        self.inbox.send(Event::Store(false));
     }
 
     fn regain(&mut self) {
--- a/buckthornlink-datagram/src/inbox.rs
+++ b/buckthornlink-datagram/src/inbox.rs
@@ -45,17 +45,23 @@
     /// Hands a heartbeat over; returns whether there was room.
     #[must_use]
     pub fn heartbeat(&self, beat: Heartbeat) -> bool {
-        self.send(Event::Heartbeat(beat))
+        self.try_send(Event::Heartbeat(beat))
     }
 
     /// Hands the end of a backend server over; returns whether there was room.
     #[must_use]
     pub fn ended(&self, id: String) -> bool {
-        self.send(Event::Ended(id))
+        self.try_send(Event::Ended(id))
     }
 
-    /// Hands an event over; returns whether there was room.
-    pub fn send(&self, event: Event) -> bool {
+    /// Hands an event over, which is dropped if the reducer is far behind; what matters comes again.
+    pub fn send(&self, event: Event) {
+        if !self.try_send(event) {
+            log::warn!("reducer is behind; an event was dropped");
+        }
+    }
+
+    fn try_send(&self, event: Event) -> bool {
         self.sender.try_send(Input::Event(event)).is_ok()
     }
 
--- /dev/null
+++ b/buckthornlink-datagram/src/metrics.rs
@@ -0,0 +1,115 @@
+//! Metrics of a process of the datagram path.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, histogram_opts,
+};
+
+use buckthornlink_core::datagram::{Decision, Measure, Reducer, Source};
+use buckthornlink_core::{Millis, Version};
+use buckthornlink_node::metrics::LATENCY_BUCKETS;
+
+/// Counters, gauges and histograms of one process.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    packets: IntCounterVec,
+    decisions: IntCounterVec,
+    state: IntGaugeVec,
+    spans: HistogramVec,
+    store: HistogramVec,
+}
+
+impl Metrics {
+    /// Metrics whose series carry the name of the service, empty on a balancer.
+    pub(crate) fn new(service: &str) -> prometheus::Result<Self> {
+        let labels = [("service".to_owned(), service.to_owned())];
+        let registry = Registry::new_custom(Some("buckthornlink".to_owned()), Some(labels.into()))?;
+        let metrics = Self {
+            packets: IntCounterVec::new(
+                Opts::new("packets_total", "Packets received, by source."),
+                &["source"],
+            )?,
+            decisions: IntCounterVec::new(
+                Opts::new("decisions_total", "Decisions, by reason."),
+                &["reason"],
+            )?,
+            state: IntGaugeVec::new(
+                Opts::new("state", "What the process holds, by kind."),
+                &["kind"],
+            )?,
+            spans: histogram(
+                "span_seconds",
+                "Spans of handshakes, responses and searches.",
+                "of",
+            )?,
+            store: histogram("store_call_seconds", "Calls to the store.", "outcome")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    pub(crate) fn count_packet(&self, source: Source) {
+        let label = match source {
+            Source::Fabric => "fabric",
+            Source::Peer(_) => "peer",
+            Source::Backend => "backend",
+        };
+        self.packets.with_label_values(&[label]).inc();
+    }
+
+    pub(crate) fn count_decision(&self, decision: &Decision) {
+        let reason = decision.reason.name();
+        self.decisions.with_label_values(&[reason]).inc();
+    }
+
+    pub(crate) fn observe(&self, measure: Measure, span: Millis) {
+        let label = match measure {
+            Measure::Handshake => "handshake",
+            Measure::Response => "response",
+            Measure::Search => "search",
+        };
+        let seconds = Duration::from_millis(span.0).as_secs_f64();
+        self.spans.with_label_values(&[label]).observe(seconds);
+    }
+
+    pub(crate) fn observe_store(&self, outcome: &str, span: Duration) {
+        let histogram = self.store.with_label_values(&[outcome]);
+        histogram.observe(span.as_secs_f64());
+    }
+
+    /// Brings the gauges up to date.
+    pub(crate) fn update(&self, reducer: &impl Reducer) {
+        let flows = reducer.flow_counts();
+        let roster = reducer.mesh().roster();
+        let suspects = roster.iter().filter(|m| m.suspect).count();
+        let Version(version) = reducer.table().version;
+        self.set("flows_open", flows.open);
+        self.set("flows_waiting", flows.waiting);
+        self.set("flows_known", flows.known);
+        self.set("members", roster.len());
+        self.set("members_suspect", suspects);
+        self.set("routes", reducer.table().routes.len());
+        self.set("version", usize::try_from(version).unwrap_or(usize::MAX));
+    }
+
+    fn set(&self, kind: &str, value: usize) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.state.with_label_values(&[kind]).set(value);
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        self.registry.register(Box::new(self.packets.clone()))?;
+        self.registry.register(Box::new(self.decisions.clone()))?;
+        self.registry.register(Box::new(self.state.clone()))?;
+        self.registry.register(Box::new(self.spans.clone()))?;
+        self.registry.register(Box::new(self.store.clone()))
+    }
+}
+
+fn histogram(name: &str, help: &str, label: &str) -> prometheus::Result<HistogramVec> {
+    let opts: HistogramOpts = histogram_opts!(name, help, LATENCY_BUCKETS.to_vec());
+    HistogramVec::new(opts, &[label])
+}
--- a/buckthornlink-datagram/src/node.rs
+++ b/buckthornlink-datagram/src/node.rs
@@ -4,12 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Decision, Effect, Event, Flow, Message, Reducer, Source, Tag};
+use buckthornlink_core::datagram::{Effect, Event, Flow, Message, Reducer, Source, Tag};
+use buckthornlink_node::logs;
 
+use crate::journal::Journal;
 use crate::link::{self, Offer};
+use crate::metrics::Metrics;
 use crate::sockets::{MAX_DATAGRAM, Received, Sockets, readable, try_receive};
 use crate::{Adapter, Inbox, Input, Settings, clock};
 
@@ -27,16 +31,28 @@
     reducer: R,
     adapter: A,
     sockets: Sockets,
-    inbox: Inbox,
-    offer: Offer,
+    outlets: Outlets,
     http: reqwest::Client,
     ports: Ports,
     grace: Millis,
+    journal: Journal,
     effects: Vec<Effect>,
     buffer: Box<[u8; MAX_DATAGRAM]>,
     heard: Millis,
 }
 
+/// What the loop tells other tasks of the process.
+pub(crate) struct Outlets {
+    /// Readiness, and the way back to the loop.
+    pub inbox: Inbox,
+    /// The configuration that is offered to others.
+    pub offer: Offer,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Whether to watch the store.
+    pub watching: watch::Sender<bool>,
+}
+
 /// Where other parties receive.
 #[derive(Clone, Copy, Debug)]
 struct Ports {
@@ -52,16 +68,14 @@
         reducer: R,
         adapter: A,
         sockets: Sockets,
-        inbox: Inbox,
-        offer: Offer,
+        outlets: Outlets,
         settings: &Settings,
     ) -> anyhow::Result<Self> {
         Ok(Self {
             reducer,
             adapter,
             sockets,
-            inbox,
-            offer,
+            outlets,
             http: reqwest::Client::builder().no_proxy().build()?,
             ports: Ports {
                 caller: settings.data.port(),
@@ -70,6 +84,7 @@
                 backend: settings.backend.as_ref().map(|b| b.address),
             },
             grace: Millis(settings.grace_ms),
+            journal: Journal::default(),
             effects: Vec::with_capacity(64),
             buffer: Box::new([0; MAX_DATAGRAM]),
             heard: clock::now(),
@@ -84,7 +99,7 @@
         loop {
             tokio::select! {
                 biased;
-                _ = ticks.tick() => self.reduce(Event::Tick, 0),
+                _ = ticks.tick() => self.tick(),
                 input = inputs.recv_async() => match input {
                     Ok(Input::Event(event)) => self.reduce(event, 0),
                     Ok(Input::Stop) => {
@@ -107,6 +122,13 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.reduce(Event::Tick, 0);
+        self.journal.turn(clock::now());
+        self.outlets.metrics.update(&self.reducer);
+        logs::flush();
+    }
+
     /// Whether a process that leaves since `since` is no longer needed.
     fn may_end(&self, since: Millis) -> bool {
         let now = clock::now();
@@ -118,12 +140,12 @@
     /// Lets others see the present state.
     fn publish(&mut self) {
         let is_ready = self.reducer.is_ready(clock::now());
-        if is_ready != self.inbox.is_ready() {
+        if is_ready != self.outlets.inbox.is_ready() {
             log::info!(ready = is_ready; "readiness changed");
-            self.inbox.set_ready(is_ready);
+            self.outlets.inbox.set_ready(is_ready);
         }
-        if self.reducer.table().version != self.offer.version() {
-            self.offer.set(Arc::clone(self.reducer.table()));
+        if self.reducer.table().version != self.outlets.offer.version() {
+            self.outlets.offer.set(Arc::clone(self.reducer.table()));
         }
     }
 
@@ -144,6 +166,7 @@
             };
             if let Some(packet) = self.adapter.read_packet(&self.buffer[..len], source) {
                 self.heard = clock::now();
+                self.outlets.metrics.count_packet(source);
                 self.reduce(Event::Packet { source, packet }, len);
             }
         }
@@ -184,7 +207,14 @@
                 log::debug!(from:% = from, version:% = version; "configuration is fetched");
                 self.fetch(from);
             }
-            Effect::Log(decision) => log_decision(&decision),
+            Effect::Log(decision) => {
+                self.outlets.metrics.count_decision(&decision);
+                self.journal.write(&decision, clock::now());
+            }
+            Effect::Watch(watching) => {
+                self.outlets.watching.send_replace(watching);
+            }
+            Effect::Measure(measure, span) => self.outlets.metrics.observe(measure, span),
         }
     }
 
@@ -237,7 +267,7 @@
     /// Fetches the configuration of another process in the background.
     fn fetch(&self, from: Ipv4Addr) {
         let http = self.http.clone();
-        let inbox = self.inbox.clone();
+        let inbox = self.outlets.inbox.clone();
         let port = self.ports.link;
         tokio::spawn(async move {
             match link::fetch(&http, from, port).await {
@@ -249,8 +279,3 @@
         });
     }
 }
-
-fn log_decision(decision: &Decision) {
-    let text = serde_json::to_string(decision).unwrap_or_default();
-    log::info!(decision = text; "decision");
-}
--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -5,17 +5,20 @@
 
 use anyhow::Context;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use buckthornlink_core::datagram::{Agent, Balancer, Event, Reducer, Role, ServiceTag, Setup};
 use buckthornlink_core::{Millis, ZoneTag};
 use buckthornlink_node::clock::boot_id;
-use buckthornlink_node::metrics::HttpServer;
+use buckthornlink_node::logs;
+use buckthornlink_node::metrics::{HttpServer, router};
 use buckthornlink_node::source::Registration;
 use buckthornlink_platform::{INSTANCES_PREFIX, InstanceEntry};
 
 use crate::link::Offer;
-use crate::node::Node;
+use crate::metrics::Metrics;
+use crate::node::{Node, Outlets};
 use crate::sockets::Sockets;
 use crate::{Adapter, Inbox, Settings, clock, follow};
 
@@ -62,6 +65,9 @@
     inbox.send(Event::Contacts(
         settings.contacts.iter().map(|c| *c.ip()).collect(),
     ));
+    let service = settings.backend.as_ref().map_or("", |b| &b.service);
+    let metrics = Metrics::new(service)?;
+    let _metrics = serve_metrics(settings, &metrics).await?;
     let offer = Offer::default();
     let link = SocketAddrV4::new(settings.ip, settings.link_port);
     let _link = HttpServer::bind(link, offer.router())
@@ -76,10 +82,13 @@
         .await
         .context("control")?;
     let store = adapter.open_store(&settings.store);
+    let (watching, is_watching) = watch::channel(false);
     tokio::spawn(follow::follow(
         adapter.clone(),
         store.clone(),
         inbox.clone(),
+        metrics.clone(),
+        is_watching,
     ));
     tokio::spawn(follow::find_instances(store.clone(), inbox.clone()));
     let entry = InstanceEntry {
@@ -89,14 +98,33 @@
     let key = format!("{INSTANCES_PREFIX}{}", settings.ip);
     let registration = Registration::spawn(store.clone(), key, &entry);
     spawn_signals(inbox.clone())?;
-    log::info!(ip:% = settings.ip, zone = settings.zone; "process started");
-    let node = Node::new(reducer, adapter, sockets, inbox, offer, settings)?;
+    log::info!(ip:% = settings.ip, zone = settings.zone, boot = reducer.mesh().own().boot.0; "process started");
+    let outlets = Outlets {
+        inbox,
+        offer,
+        metrics,
+        watching,
+    };
+    let node = Node::new(reducer, adapter, sockets, outlets, settings)?;
     node.run(inputs).await;
     let _ = timeout(WITHDRAW_TIMEOUT, registration.withdraw(&store)).await;
     log::info!(ip:% = settings.ip; "process stopped");
+    logs::flush();
     Ok(())
 }
 
+/// Serves the metrics if the settings name an address.
+async fn serve_metrics(
+    settings: &Settings,
+    metrics: &Metrics,
+) -> anyhow::Result<Option<HttpServer>> {
+    let Some(addr) = settings.metrics else {
+        return Ok(None);
+    };
+    let server = HttpServer::bind(addr, router(metrics.registry.clone())).await;
+    server.map(Some).with_context(|| format!("metrics {addr}"))
+}
+
 fn spawn_signals(inbox: Inbox) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     tokio::spawn(async move {
--- a/buckthornlink-datagram/src/sockets.rs
+++ b/buckthornlink-datagram/src/sockets.rs
@@ -55,9 +55,8 @@
 pub(crate) fn try_receive(socket: &UdpSocket, buffer: &mut [u8]) -> Received {
     match socket.try_recv_from(buffer) {
         Ok((len, SocketAddr::V4(from))) => Received::Datagram(len, *from.ip()),
-        Ok(_) => Received::Failed,
         Err(err) if err.kind() == io::ErrorKind::WouldBlock => Received::Nothing,
-        Err(_) => Received::Failed,
+        Ok(_) | Err(_) => Received::Failed,
     }
 }
 
--- a/buckthornlink-node/src/logs.rs
+++ b/buckthornlink-node/src/logs.rs
@@ -1,22 +1,57 @@
 //! Structured logging.
+//!
+//! Text goes to standard error, for people. JSON goes to standard output through a bounded
+//! [buffer](Buffered), which is written out by [`flush`] and never blocks.
+
+mod buffered;
+
+use std::time::Duration;
 
 use logforth::append;
 use logforth::filter::rustlog::RustLogFilterBuilder;
-use logforth::layout::{JsonLayout, TextLayout};
+use logforth::layout::TextLayout;
+use tokio::time::interval;
 
 use crate::settings::{LogFormat, LogSettings};
 
-/// Starts logging to standard error. A second call in one process has no effect.
+pub use buffered::{Buffered, Output, PipeOutput};
+
+/// Interval at which buffered lines are written out.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Starts logging. A second call in one process has no effect.
 pub fn init(settings: &LogSettings) {
     let filter = RustLogFilterBuilder::from_spec(settings.level.as_str()).build();
-    let stderr = match settings.format {
-        LogFormat::Text => append::Stderr::default().with_layout(TextLayout::default().no_color()),
-        LogFormat::Json => append::Stderr::default().with_layout(JsonLayout::default()),
+    let builder = logforth::starter_log::builder();
+    let started = match settings.format {
+        LogFormat::Text => {
+            let stderr = append::Stderr::default().with_layout(TextLayout::default().no_color());
+            builder
+                .dispatch(|d| d.filter(filter).append(stderr))
+                .try_apply()
+        }
+        LogFormat::Json => {
+            let stdout = Buffered::new(PipeOutput::stdout());
+            builder
+                .dispatch(|d| d.filter(filter).append(stdout))
+                .try_apply()
+        }
     };
-    let started = logforth::starter_log::builder()
-        .dispatch(|d| d.filter(filter).append(stderr))
-        .try_apply();
     if started.is_err() {
         log::debug!("logging was started before");
     }
 }
+
+/// Writes out what is buffered, as far as the reader of standard output keeps up.
+pub fn flush() {
+    log::logger().flush();
+}
+
+/// Flushes regularly, for processes without a tick of their own.
+pub async fn flush_regularly() {
+    let mut ticks = interval(FLUSH_INTERVAL);
+    loop {
+        ticks.tick().await;
+        flush();
+    }
+}
--- a/buckthornlink/src/command/serve.rs
+++ b/buckthornlink/src/command/serve.rs
@@ -60,11 +60,13 @@
 
 async fn serve(settings: BalancerSettings) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    tokio::spawn(logs::flush_regularly());
     let balancer = Balancer::spawn(settings).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         interrupted = tokio::signal::ctrl_c() => interrupted?,
     }
     balancer.leave().await;
+    logs::flush();
     Ok(())
 }
