feat: notice the silent end of a backend server, and agents that answer no search

Traced: agents whose backend server had gone tried searched packets at nothing, and two instances that came up for a moment never denied.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -94,6 +94,9 @@
     }
 
     fn message(&mut self, from: Ipv4Addr, message: Message, now: Millis, out: &mut Vec<Effect>) {
+        if let Some(member) = self.mesh.roster_mut().get_mut(from) {
+            member.answer();
+        }
         match message {
             Message::Status(status) => self.mesh.receive(&status, now, out),
             Message::Notes(notes) => self.learn(&notes, now),
@@ -127,6 +130,13 @@
         }
     }
 
+    fn miss(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.backend.miss() {
+            self.flows.end_all();
+            self.refresh(now, out);
+        }
+    }
+
     fn leave(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.is_leaving = true;
         self.refresh(now, out);
@@ -249,6 +259,7 @@
             Event::Agents(ips) => self.mesh.expect(ips, now, out),
             Event::Store(answers) => self.mesh.set_store(answers, now, out),
             Event::Heartbeat(beat) => self.hear(&beat, now, out),
+            Event::Absent => self.miss(now, out),
             Event::Ended(id) => self.end(&id, now, out),
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
--- a/buckthornlink-core/src/datagram/agent/own.rs
+++ b/buckthornlink-core/src/datagram/agent/own.rs
@@ -20,13 +20,13 @@
     ) {
         let holding = self.flows.get(&packet.flow).map(|s| s.holding);
         match holding.unwrap_or_default() {
-            Holding::Open => self.take(packet, now, out),
+            Holding::Open => self.take(from, packet, now, out),
             Holding::Half { seq } if packet.acknowledges(seq) => {
                 self.flows.change(&packet.flow, |s| {
                     s.holding = Holding::Open;
                     s.opened = now;
                 });
-                self.take(packet, now, out);
+                self.take(from, packet, now, out);
             }
             Holding::Tried { .. } => out.push(Effect::Deliver(packet.tag)),
             Holding::Over => {
@@ -60,7 +60,7 @@
     }
 
     /// Delivers a packet of an own flow.
-    fn take(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+    fn take(&mut self, from: Ipv4Addr, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
         let tells = self.flows.change(&packet.flow, |s| {
             s.request(packet, now);
             let is_due = s.told.is_none_or(|at| now.since(at) >= TELL_INTERVAL);
@@ -73,11 +73,17 @@
         });
         out.push(Effect::Deliver(packet.tag));
         if tells && !packet.tag.origin.is_unspecified() {
-            out.push(Effect::Send {
-                to: packet.tag.origin,
-                message: Message::Notes(vec![self.note(&packet.flow)]),
-            });
+            self.tell(packet.tag.origin, packet, out);
         }
+        if tells && packet.tag.mode == Mode::Search {
+            self.tell(from, packet, out);
+        }
+    }
+
+    /// Tells an instance that the flow of a packet lives here.
+    fn tell(&self, to: Ipv4Addr, packet: &Packet, out: &mut Vec<Effect>) {
+        let message = Message::Notes(vec![self.note(&packet.flow)]);
+        out.push(Effect::Send { to, message });
     }
 
     /// Handles a packet that the backend server did not take.
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -92,6 +92,9 @@
         out.push(self.decision(Reason::Searched, Some(packet.flow), Millis(0)));
         let tag = packet.tagged(Mode::Search);
         for to in self.suspects(&packet.flow) {
+            if let Some(member) = self.mesh.roster_mut().get_mut(to) {
+                member.ask(now);
+            }
             out.push(Effect::Relay { to, tag });
         }
         self.judge(&packet.flow, now, out);
@@ -130,7 +133,7 @@
         let is_denied = self
             .suspects(flow)
             .iter()
-            .all(|ip| state.denied.contains(ip) || self.is_silent(*ip));
+            .all(|ip| state.denied.contains(ip) || self.is_silent(*ip, now));
         if is_denied {
             let age = now.since(state.searched.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
@@ -144,7 +147,7 @@
         let state = self.flows.get(flow);
         let holding = state.map(|s| s.holding).unwrap_or_default();
         let is_unknown = holding == Holding::Unknown;
-        !is_unknown || self.backend.is_witnessed()
+        !is_unknown || self.backend.is_witnessed() || self.backend.is_gone()
     }
 
     /// The other agents that are asked for a flow.
@@ -166,8 +169,9 @@
     }
 
     /// Whether an agent has not been heard for so long that its flows are given up.
-    fn is_silent(&self, ip: Ipv4Addr) -> bool {
-        self.mesh.roster().get(ip).is_none_or(|m| m.suspect)
+    fn is_silent(&self, ip: Ipv4Addr, now: Millis) -> bool {
+        let member = self.mesh.roster().get(ip);
+        member.is_none_or(|m| m.is_silent(now))
     }
 
     /// Whether all agents may be asked at once.
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -44,7 +44,9 @@
     Ready,
     /// It is leaving.
     Draining,
-    /// It has ended.
+    /// Nothing listens at its address.
+    Absent,
+    /// It has ended by its own word.
     Over,
 }
 
@@ -93,11 +95,21 @@
         is_present
     }
 
-    /// Notes that the backend server no longer holds what it held.
-    pub fn crash(&mut self) {
-        if self.state != BackendState::Unknown {
-            self.state = BackendState::Over;
+    /// Notes that nothing listens at the backend server's address; returns whether that is news.
+    ///
+    /// A later heartbeat of the same start takes this back.
+    pub fn miss(&mut self) -> bool {
+        let is_news = !matches!(self.state, BackendState::Absent | BackendState::Over);
+        if is_news {
+            self.state = BackendState::Absent;
         }
+        is_news
+    }
+
+    /// Whether the backend server is known to hold no flows at all.
+    #[must_use]
+    pub const fn is_gone(&self) -> bool {
+        matches!(self.state, BackendState::Absent | BackendState::Over)
     }
 
     /// Start of the backend server; zero if none is known.
@@ -136,7 +148,7 @@
         let silent_after = Millis(interval.0 * SILENT_TENTHS / 10);
         match self.state {
             BackendState::Unknown => Phase::Starting,
-            BackendState::Over => Phase::Over,
+            BackendState::Absent | BackendState::Over => Phase::Over,
             _ if self.age(now) > silent_after => Phase::Silent,
             BackendState::Draining => Phase::Draining,
             BackendState::Ready if now < self.cold_until => Phase::Cold,
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -121,8 +121,7 @@
             Message::Status(status) => {
                 self.mesh.receive(&status, now, out);
                 if let Some(member) = self.mesh.roster_mut().get_mut(from) {
-                    member.asked = None;
-                    member.unanswered = 0;
+                    member.answer();
                 }
             }
             Message::Notes(notes) => {
@@ -173,8 +172,7 @@
         let is_due = member.asked.is_none_or(|at| now.since(at) >= interval);
         if now.since(member.told) >= STATUS_AGE && is_due {
             tag.asks = true;
-            member.asked.get_or_insert(now);
-            member.unanswered = member.unanswered.saturating_add(1);
+            member.ask(now);
         }
         tag
     }
@@ -208,7 +206,7 @@
             Event::Contacts(ips) => self.mesh.meet(ips, now, out),
             Event::Agents(ips) => self.mesh.expect(ips, now, out),
             Event::Store(answers) => self.mesh.set_store(answers, now, out),
-            Event::Heartbeat(_) | Event::Ended(_) => {}
+            Event::Heartbeat(_) | Event::Absent | Event::Ended(_) => {}
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
         }
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -36,6 +36,8 @@
     Store(bool),
     /// The backend server reports itself.
     Heartbeat(Heartbeat),
+    /// Nothing listens at the backend server's address.
+    Absent,
     /// The backend server of this name has ended.
     Ended(String),
     /// The process is to end.
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -15,6 +15,10 @@
 const SUSPECT_MEMBERS: usize = 40;
 /// An instance that is suspected for this long is forgotten.
 const FORGET_SPAN: Millis = Millis(60_000);
+/// Time within which an instance answers, or gives a sign of life, unless it is gone.
+const ANSWER_SPAN: Millis = Millis(1_000);
+/// Unanswered requests from which on an instance may count as silent.
+const MIN_UNANSWERED: u16 = 3;
 /// Points of one agent on the ring of homes.
 const RING_POINTS: u8 = 16;
 /// An instance that owes an answer for this long gets no new flows while others do.
@@ -245,6 +249,26 @@
         self.asked.is_some_and(|at| now.since(at) > MUTE_SPAN) && self.unanswered > 1
     }
 
+    /// Notes that the instance was asked something.
+    pub fn ask(&mut self, now: Millis) {
+        self.asked.get_or_insert(now);
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
+    /// Notes that the instance answered.
+    pub const fn answer(&mut self) {
+        self.asked = None;
+        self.unanswered = 0;
+    }
+
+    /// Whether the instance neither answers nor gives a sign of life to others.
+    #[must_use]
+    pub fn is_silent(&self, now: Millis) -> bool {
+        let is_due = self.asked.is_some_and(|at| now.since(at) >= ANSWER_SPAN);
+        let is_quiet = now.since(self.heard) >= ANSWER_SPAN;
+        self.suspect || is_due && is_quiet && self.unanswered >= MIN_UNANSWERED
+    }
+
     /// Whether the flows that `backend` held there are known to be over.
     #[must_use]
     pub fn is_over(&self, backend: crate::BootId) -> bool {
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -211,7 +211,8 @@
         let mut fact = fact(ip, Phase::Ready, Load::default());
         fact.role = Role::Agent(service);
         fact.seq = u32::try_from(self.now.0).unwrap();
-        self.message(status(fact));
+        let message = status(fact);
+        self.reduce(Event::Message { from: ip, message });
     }
 
     /// Opens a flow in full.
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -163,3 +163,73 @@
     }
     assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
 }
+
+#[test]
+fn flows_of_a_backend_server_at_whose_address_nothing_listens_are_reset() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.reduce(Event::Absent);
+    let next = agent.relayed(data(1), Mode::Known);
+    assert!(next.iter().any(datagram::is_reset), "{next:?}");
+}
+
+#[test]
+fn an_agent_without_a_backend_server_denies_searched_flows() {
+    let mut agent = AgentDriver::without_backend();
+    agent.reduce(Event::Absent);
+    let next = agent.relayed(data(1), Mode::Search);
+    assert!(
+        matches!(
+            next[..],
+            [Effect::Send {
+                to: PEER,
+                message: Message::Denied(_)
+            }]
+        ),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn a_heartbeat_takes_absence_back() {
+    let mut agent = AgentDriver::ready();
+    agent.reduce(Event::Absent);
+    agent.heartbeat(beat(2));
+    let next = agent.relayed(opening(1), Mode::Placed);
+    assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+}
+
+#[test]
+fn an_agent_that_answers_no_search_does_not_hold_a_dead_flow_up() {
+    let mut agent = AgentDriver::ready();
+    let others = [3, 4].map(|host| Ipv4Addr::new(10, 1, 0, host));
+    for ip in others.into_iter().chain([PEER]) {
+        agent.meet(ip, datagram::service());
+    }
+    agent.reduce(Event::Agents(vec![datagram::OWN, PEER]));
+    let mut resets = Vec::new();
+    for round in 0..8 {
+        agent.wait(Millis(200));
+        agent.relayed(data(1), Mode::Lookup);
+        for from in others {
+            agent.meet(from, datagram::service());
+            let message = Message::Denied(data(1).flow);
+            let effects = agent.reduce(Event::Message { from, message });
+            resets.extend(effects.iter().any(datagram::is_reset).then_some(round));
+        }
+    }
+    assert_eq!(resets.first(), Some(&5), "{resets:?}");
+}
+
+#[test]
+fn the_owner_of_a_searched_flow_tells_the_searcher() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.wait(Millis(400));
+    let next = agent.relayed(data(1), Mode::Search);
+    let told = |ip| {
+        next.iter()
+            .any(|e| matches!(e, Effect::Send { to, message: Message::Notes(_) } if *to == ip))
+    };
+    assert!(told(PEER) && told(datagram::BALANCER), "{next:?}");
+}
--- a/buckthornlink-datagram/src/lib.rs
+++ b/buckthornlink-datagram/src/lib.rs
@@ -34,6 +34,7 @@
 mod process;
 mod settings;
 mod sockets;
+mod vigil;
 
 pub use adapter::{Adapter, Record};
 pub use inbox::{Inbox, Input};
--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -20,7 +20,7 @@
 use crate::metrics::Metrics;
 use crate::node::{Node, Outlets};
 use crate::sockets::Sockets;
-use crate::{Adapter, Inbox, Settings, clock, follow};
+use crate::{Adapter, Inbox, Settings, clock, follow, vigil};
 
 /// Inputs that wait for the reducer before further ones are dropped.
 const QUEUE: usize = 1_024;
@@ -97,6 +97,9 @@
     };
     let key = format!("{INSTANCES_PREFIX}{}", settings.ip);
     let registration = Registration::spawn(store.clone(), key, &entry);
+    if let Some(backend) = &settings.backend {
+        tokio::spawn(vigil::watch(backend.address, inbox.clone()));
+    }
     spawn_signals(inbox.clone())?;
     log::info!(ip:% = settings.ip, zone = settings.zone, boot = reducer.mesh().own().boot.0; "process started");
     let outlets = Outlets {
