fix(core): two faults of restarted agents, found by a world in virtual time

The fakes package now has a world of the datagram path: real reducers, a fabric, callers with handshake and copies, backend servers that give packets back, drain and start cold, a store; faults from seeds. Each has a test that failed first.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -12,6 +12,12 @@
 
 /// A flow is searched for at most this often.
 const SEARCH_INTERVAL: Millis = Millis(150);
+/// Time beyond the idle time of flows after which an agent has seen all flows.
+const IDLE_MARGIN: Millis = Millis(1_000);
+/// Time after the start within which every searched packet is tried.
+const RECOVERY_SPAN: Millis = Millis(4_000);
+/// Groups of agents that take turns in trying searched packets.
+const TRY_GROUPS: u8 = 8;
 /// Most agents that are asked for one flow.
 const MAX_ASKED: usize = 64;
 
@@ -57,7 +63,10 @@
         out: &mut Vec<Effect>,
     ) {
         let is_search = packet.tag.mode == Mode::Search;
-        if !self.denies(&packet.flow) {
+        if !self.denies(&packet.flow, now) {
+            if is_search && !self.may_try(packet, now) {
+                return;
+            }
             let asker = is_search.then_some(from);
             self.flows.change(&packet.flow, |s| {
                 s.holding = Holding::Tried { asker };
@@ -90,7 +99,11 @@
             return;
         }
         out.push(self.decision(Reason::Searched, Some(packet.flow), Millis(0)));
-        let tag = packet.tagged(Mode::Search);
+        let mut tag = packet.tagged(Mode::Search);
+        tag.hops = self.flows.change(&packet.flow, |s| {
+            s.rounds = s.rounds.wrapping_add(1);
+            s.rounds % TRY_GROUPS
+        });
         for to in self.suspects(&packet.flow) {
             if let Some(member) = self.mesh.roster_mut().get_mut(to) {
                 member.ask(now);
@@ -123,7 +136,7 @@
     /// Ends a flow that every agent which might own it denies.
     fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) {
         let is_settled = self.mesh.is_settled(now) && self.is_small();
-        if !is_settled || !self.denies(flow) || self.table.route(flow).is_none() {
+        if !is_settled || !self.denies(flow, now) || self.table.route(flow).is_none() {
             return;
         }
         let Some(state) = self.flows.get(flow) else {
@@ -143,11 +156,26 @@
     }
 
     /// Whether the backend server is known not to hold a flow.
-    fn denies(&self, flow: &Flow) -> bool {
+    ///
+    /// An agent that has run for longer than an open flow may be idle has seen packets of every
+    /// flow of its backend server, even if it has not seen the backend server start.
+    fn denies(&self, flow: &Flow, now: Millis) -> bool {
         let state = self.flows.get(flow);
         let holding = state.map(|s| s.holding).unwrap_or_default();
-        let is_unknown = holding == Holding::Unknown;
-        !is_unknown || self.backend.is_witnessed() || self.backend.is_gone()
+        let has_seen_all = now.since(self.started) > self.table.idle + IDLE_MARGIN;
+        holding != Holding::Unknown
+            || self.backend.is_witnessed()
+            || self.backend.is_gone()
+            || self.has_table() && has_seen_all
+    }
+
+    /// Whether a searched packet may be tried at the backend server.
+    ///
+    /// Shortly after the start all flows are to be found again at once. Later on the agents that do
+    /// not know all their flows take turns, so that a packet does not reach many backend servers.
+    fn may_try(&self, packet: &Packet, now: Millis) -> bool {
+        let group = packet.flow.rank(self.mesh.own().ip) % u64::from(TRY_GROUPS);
+        now.since(self.started) < RECOVERY_SPAN || group == u64::from(packet.tag.hops)
     }
 
     /// The other agents that are asked for a flow.
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -57,6 +57,8 @@
     pub told: Option<Millis>,
     /// When all agents were last asked for the flow.
     pub searched: Option<Millis>,
+    /// How often all agents were asked.
+    pub rounds: u8,
     /// Agents that deny the flow.
     pub denied: Vec<Ipv4Addr>,
     /// What the caller last acknowledged.
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use super::{Beat, Fact, Flow, Phase, ServiceTag};
-use crate::id::stable_hash;
+use crate::id::{BootId, stable_hash};
 use crate::time::Millis;
 
 /// An instance whose fact has not advanced for this long is suspected to be gone.
@@ -270,10 +270,15 @@
     }
 
     /// Whether the flows that `backend` held there are known to be over.
+    ///
+    /// An agent that starts beside its backend server does not know its start until the next
+    /// heartbeat; of such a start nothing is known.
     #[must_use]
-    pub fn is_over(&self, backend: crate::BootId) -> bool {
-        self.fact.backend > backend
-            || self.fact.backend == backend && self.fact.phase == Phase::Over
+    pub fn is_over(&self, backend: BootId) -> bool {
+        let is_known = backend != BootId::default();
+        let is_newer = self.fact.backend > backend;
+        let has_ended = self.fact.backend == backend && self.fact.phase == Phase::Over;
+        is_known && (is_newer || has_ended)
     }
 
     /// Flows that it holds, those placed since its last report included.
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -233,3 +233,19 @@
     };
     assert!(told(PEER) && told(datagram::BALANCER), "{next:?}");
 }
+
+#[test]
+fn an_agent_that_has_run_longer_than_flows_may_be_idle_tries_no_more() {
+    let mut agent = AgentDriver::without_backend();
+    agent.heartbeat(beat(40));
+    agent.meet(PEER, datagram::service());
+    let young = agent.relayed(data(1), Mode::Lookup);
+    assert!(matches!(young[..], [Effect::Deliver(_)]), "{young:?}");
+    agent.wait(Millis(17_000));
+    let old = agent.relayed(data(2), Mode::Lookup);
+    assert!(matches!(old[0], Effect::Relay { to: PEER, .. }), "{old:?}");
+    assert!(
+        !old.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{old:?}"
+    );
+}
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Effect, Load, Mode, Phase};
+use buckthornlink_core::datagram::{Effect, Event, Load, Message, Mode, Note, Phase};
+use buckthornlink_core::{BootId, Millis};
 
 use datagram::{BalancerDriver, data, fact, is_reset, opening};
 
@@ -109,3 +109,22 @@
     let next = balancer.caller(data(1));
     assert!(next.iter().any(is_reset), "{next:?}");
 }
+
+#[test]
+fn a_flow_noted_before_the_first_heartbeat_is_not_over_after_it() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[fact(CALM, Phase::Ready, load(0, 0))]);
+    let note = Note {
+        flow: data(1).flow,
+        owner: CALM,
+        backend: BootId::default(),
+    };
+    let message = Message::Notes(vec![note]);
+    let from = CALM;
+    balancer.reduce(Event::Message { from, message });
+    let next = balancer.caller(data(1));
+    assert!(
+        matches!(next[..], [Effect::Relay { to: CALM, tag }] if tag.mode == Mode::Known),
+        "{next:?}"
+    );
+}
--- /dev/null
+++ b/buckthornlink-fakes/examples/datagram_world.rs
@@ -0,0 +1,105 @@
+//! Plays many seeds of the datagram path in virtual time and prints what broke.
+//!
+//! `cargo run --release --example datagram_world -- --seeds 200 --faults all`
+
+use std::process::ExitCode;
+
+use clap::{Parser, ValueEnum};
+use tabled::builder::Builder;
+
+use buckthornlink_core::Millis;
+use buckthornlink_fakes::datagram::{Fault, Outcome, Plan, World, WorldSetup};
+
+/// Time before the first fault.
+const SETTLE: Millis = Millis(6_000);
+/// Time after the last fault.
+const TAIL_MS: u64 = 10_000;
+
+/// Plays seeds of the datagram path in virtual time.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Number of seeds
+    #[arg(long, default_value_t = 50)]
+    seeds: u64,
+    /// First seed
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// Which faults happen
+    #[arg(long, value_enum, default_value_t = Faults::All)]
+    faults: Faults,
+    /// Number of faults on each day
+    #[arg(long, default_value_t = 8)]
+    count: usize,
+    /// Length of a day in seconds
+    #[arg(long, default_value_t = 40)]
+    seconds: u64,
+    /// Zones
+    #[arg(long, default_value_t = 3)]
+    zones: u8,
+    /// Agents of the first service in each zone
+    #[arg(long, default_value_t = 2)]
+    agents: u8,
+    /// Callers of each route
+    #[arg(long, default_value_t = 60)]
+    callers: u8,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Faults {
+    None,
+    Planned,
+    All,
+}
+
+fn main() -> ExitCode {
+    let args = Arguments::parse();
+    let mut table = Builder::default();
+    table.push_record(["seed", "asked", "served", "broken", "outcome"]);
+    let mut broken = 0;
+    for seed in args.first..args.first + args.seeds {
+        let outcome = play(&args, seed);
+        if outcome.broken() > 0 {
+            broken += 1;
+        }
+        if outcome.broken() > 0 || args.seeds <= 20 {
+            table.push_record(row(seed, &outcome));
+        }
+    }
+    println!("{}", table.build());
+    println!("{{\"seeds\":{},\"broken\":{broken}}}", args.seeds);
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn play(args: &Arguments, seed: u64) -> Outcome {
+    let end = Millis(args.seconds * 1_000);
+    let last = Millis((end.0).saturating_sub(TAIL_MS).max(SETTLE.0 + 1));
+    let plan = match args.faults {
+        Faults::None => Plan::default(),
+        Faults::Planned => Plan::random(&Fault::PLANNED, args.count, SETTLE, last, seed),
+        Faults::All => Plan::random(&Fault::ALL, args.count, SETTLE, last, seed),
+    };
+    let setup = WorldSetup {
+        zones: args.zones,
+        agents: [args.agents, 1],
+        callers: args.callers,
+        plan,
+        ..WorldSetup::default()
+    };
+    let mut world = World::new(&setup, seed);
+    world.run(end);
+    world.outcome()
+}
+
+fn row(seed: u64, outcome: &Outcome) -> [String; 5] {
+    [
+        seed.to_string(),
+        outcome.asked.to_string(),
+        format!("{:.4}", outcome.served_share()),
+        outcome.broken().to_string(),
+        format!("{outcome:?}"),
+    ]
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/datagram/backend.rs
@@ -0,0 +1,122 @@
+//! A backend server that knows the flows it holds and gives back what it does not hold.
+
+use std::collections::{HashMap, VecDeque};
+
+use buckthornlink_core::Millis;
+use buckthornlink_core::datagram::{Flow, Heartbeat, Packet, ServiceTag};
+use rand::Rng;
+
+/// Interval of heartbeats.
+pub(super) const HEARTBEAT: Millis = Millis(1_200);
+/// Length of a cold start.
+const COLD_SPAN: Millis = Millis(2_000);
+/// New flows in one second that a backend server in cold start bears at most.
+pub(super) const COLD_LIMIT: usize = 20;
+
+/// One start of a backend server.
+#[derive(Clone, Debug)]
+pub(super) struct Backend {
+    pub service: ServiceTag,
+    pub born: u64,
+    pub started: Millis,
+    pub draining: Option<Millis>,
+    pub seq: u64,
+    half: HashMap<Flow, u32>,
+    open: HashMap<Flow, u32>,
+    taken: VecDeque<Millis>,
+}
+
+/// What a backend server does with a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reaction {
+    /// Answers an opening packet; `is_overload` if it came on top of what it bears.
+    Opened { answer: Packet, is_overload: bool },
+    /// Takes a packet of a flow that it holds, and answers it if it carries a request.
+    Took { answer: Option<Packet> },
+    /// Gives the packet back.
+    Bounced(Packet),
+}
+
+impl Backend {
+    pub(super) fn new(service: ServiceTag, born: u64, now: Millis) -> Self {
+        Self {
+            service,
+            born,
+            started: now,
+            draining: None,
+            seq: 0,
+            half: HashMap::new(),
+            open: HashMap::new(),
+            taken: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn holds(&self, flow: &Flow) -> bool {
+        self.open.contains_key(flow)
+    }
+
+    pub(super) fn heartbeat(&mut self, now: Millis) -> Heartbeat {
+        self.seq += 1;
+        Heartbeat {
+            id: format!("i-{}", self.born),
+            born: Some(self.born),
+            seq: self.seq,
+            service: self.service,
+            draining: self.draining.is_some(),
+            cold: COLD_SPAN.since(now.since(self.started)),
+            slots: 8,
+        }
+    }
+
+    pub(super) fn receive(&mut self, packet: &Packet, now: Millis, rng: &mut impl Rng) -> Reaction {
+        if packet.is_opening() {
+            return self.offer(packet, now, rng);
+        }
+        if let Some(&seq) = self.half.get(&packet.flow)
+            && packet.ack == seq.wrapping_add(1)
+        {
+            self.half.remove(&packet.flow);
+            self.open.insert(packet.flow, seq);
+        }
+        let Some(&seq) = self.open.get(&packet.flow) else {
+            let mut bounced = *packet;
+            bounced.flags.bounced = true;
+            return Reaction::Bounced(bounced);
+        };
+        let answer = (packet.len > 0).then(|| {
+            let mut answer = *packet;
+            answer.seq = seq.wrapping_add(1);
+            answer.ack = packet.seq;
+            answer
+        });
+        Reaction::Took { answer }
+    }
+
+    fn offer(&mut self, packet: &Packet, now: Millis, rng: &mut impl Rng) -> Reaction {
+        let is_known = self.half.contains_key(&packet.flow) || self.open.contains_key(&packet.flow);
+        let is_overload = !is_known && self.is_overload(now);
+        let seq = *self.half.entry(packet.flow).or_insert_with(|| rng.random());
+        let mut answer = *packet;
+        answer.flags.ack = true;
+        answer.seq = seq;
+        Reaction::Opened {
+            answer,
+            is_overload,
+        }
+    }
+
+    fn is_overload(&mut self, now: Millis) -> bool {
+        if now.since(self.started) >= COLD_SPAN {
+            return false;
+        }
+        self.taken.push_back(now);
+        while self
+            .taken
+            .front()
+            .is_some_and(|&at| now.since(at) >= Millis(1_000))
+        {
+            self.taken.pop_front();
+        }
+        self.taken.len() > COLD_LIMIT
+    }
+}
--- /dev/null
+++ b/buckthornlink-fakes/src/datagram/process.rs
@@ -0,0 +1,91 @@
+//! One process of the system: a real reducer that can be killed and started again.
+
+use std::net::Ipv4Addr;
+
+use buckthornlink_core::datagram::{Agent, Balancer, Effect, Event, Reducer, Role, Setup};
+use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
+
+use super::backend::{Backend, HEARTBEAT};
+
+/// An instance with its process and, beside an agent, its backend server.
+pub(super) struct Instance {
+    pub zone: ZoneTag,
+    pub role: Role,
+    pub process: Option<Process>,
+    pub backend: Option<Backend>,
+    /// Until when the process is down.
+    pub down_until: Option<Millis>,
+    /// When something unplanned last happened to the instance.
+    pub harmed: Option<Millis>,
+    /// Whether the store answers the instance.
+    pub store: bool,
+    /// Whether the process watches the store.
+    pub is_watching: bool,
+    pub version: Version,
+    /// Readiness checks in a row that failed.
+    pub misses: u32,
+    /// When the instance leaves for good.
+    pub leaves: Option<Millis>,
+}
+
+/// A running process.
+pub(super) enum Process {
+    Balancer(Box<Balancer>),
+    Agent(Box<Agent>),
+}
+
+impl Process {
+    pub(super) fn start(ip: Ipv4Addr, role: Role, zone: ZoneTag, now: Millis, seed: u64) -> Self {
+        let setup = Setup {
+            ip,
+            role,
+            zone,
+            boot: BootId(now.0),
+            heartbeat: HEARTBEAT,
+            seed,
+        };
+        match role {
+            Role::Balancer => Self::Balancer(Box::new(Balancer::new(&setup, now))),
+            Role::Agent(_) => Self::Agent(Box::new(Agent::new(&setup, now))),
+        }
+    }
+
+    pub(super) fn reduce(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match self {
+            Self::Balancer(balancer) => balancer.reduce(event, now, &mut effects),
+            Self::Agent(agent) => agent.reduce(event, now, &mut effects),
+        }
+        effects
+    }
+
+    pub(super) fn reducer(&self) -> &dyn Reducer {
+        match self {
+            Self::Balancer(balancer) => &**balancer,
+            Self::Agent(agent) => &**agent,
+        }
+    }
+}
+
+impl Instance {
+    pub(super) const fn new(role: Role, zone: ZoneTag) -> Self {
+        Self {
+            zone,
+            role,
+            process: None,
+            backend: None,
+            down_until: None,
+            harmed: None,
+            store: true,
+            is_watching: false,
+            version: Version(0),
+            misses: 0,
+            leaves: None,
+        }
+    }
+
+    /// Whether nothing unplanned has happened to the instance for `span`.
+    pub(super) fn is_calm(&self, span: Millis, now: Millis) -> bool {
+        self.process.is_some() && self.harmed.is_none_or(|at| now.since(at) > span)
+    }
+}
--- a/buckthornlink-fakes/src/lib.rs
+++ b/buckthornlink-fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`FakeStore`] speaks the etcd v3 gateway, with faults that can be switched on.
 //! * [`BackendServer`] has slots, a cold start, and a record of everything it ran.
 //! * [`Callers`] keep flows open and send requests on them.
+//! * [`datagram`] runs the datagram path in virtual time.
 //! * [`Fleet`] sets all this up on loopback, with real balancers and agents.
 //!
 //! # Example
@@ -20,6 +21,7 @@
 
 mod backend;
 mod caller;
+pub mod datagram;
 mod fabric;
 mod fleet;
 mod preset;
