fix(datagram): reload the settings on SIGHUP instead of ending

Contacts and the store's address are now taken over on SIGHUP or when the file has changed; settings that cannot stand are refused and those in force stay. A test of the program failed first.

--- a/buckthornlink-agent/src/main.rs
+++ b/buckthornlink-agent/src/main.rs
@@ -52,9 +52,7 @@
         return Ok(());
     };
     if args.datagrams {
-        let settings: Settings = settings::load(&path)?;
-        logs::init(&settings.log);
-        return run_agent(Platform, &settings);
+        return run_agent(Platform, &path);
     }
     let mut settings: AgentSettings = settings::load(&path)?;
     settings.record = args.record.or(settings.record);
--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -1,6 +1,14 @@
 //! Starting and ending a process.
+//!
+//! * `records` follows the store.
+//! * `reload` takes changed settings over.
+//! * `servers` answers HTTP calls.
 
-use std::net::SocketAddrV4;
+mod records;
+mod reload;
+mod servers;
+
+use std::path::Path;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -11,97 +19,77 @@
 use buckthornlink_core::datagram::{Agent, Balancer, Event, Reducer, Role, ServiceTag, Setup};
 use buckthornlink_core::{Millis, ZoneTag};
 use buckthornlink_node::clock::boot_id;
-use buckthornlink_node::logs;
-use buckthornlink_node::metrics::{HttpServer, router};
 use buckthornlink_node::source::Registration;
+use buckthornlink_node::{logs, settings};
 use buckthornlink_platform::{INSTANCES_PREFIX, InstanceEntry};
 
 use crate::link::Offer;
 use crate::metrics::Metrics;
 use crate::node::{Node, Outlets};
 use crate::sockets::Sockets;
-use crate::{Adapter, Inbox, Settings, clock, follow, vigil};
+use crate::{Adapter, Inbox, Settings, clock, vigil};
+use records::Records;
+use servers::Servers;
 
 /// Inputs that wait for the reducer before further ones are dropped.
 const QUEUE: usize = 1_024;
-
 /// Time in which a leaving process takes its entry out of the store.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Runs a balancer until SIGTERM.
+/// Runs a balancer with the settings in the file at `path` until SIGTERM.
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound.
-pub fn run_balancer(adapter: impl Adapter, settings: &Settings) -> anyhow::Result<()> {
-    let setup = setup(settings, Role::Balancer);
-    block_on(serve(
-        Balancer::new(&setup, clock::now()),
-        adapter,
-        settings,
-    ))
+/// Returns an error if the settings cannot stand or an address cannot be bound.
+pub fn run_balancer(adapter: impl Adapter, path: &Path) -> anyhow::Result<()> {
+    let settings: Settings = settings::load(path)?;
+    let setup = setup(&settings, Role::Balancer);
+    let balancer = Balancer::new(&setup, clock::now());
+    block_on(serve(balancer, adapter, &settings, path))
 }
 
-/// Runs an agent until SIGTERM.
+/// Runs an agent with the settings in the file at `path` until SIGTERM.
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound, or the settings name no backend server.
-pub fn run_agent(adapter: impl Adapter, settings: &Settings) -> anyhow::Result<()> {
+/// Returns an error if the settings cannot stand, name no backend server, or an address cannot be
+/// bound.
+pub fn run_agent(adapter: impl Adapter, path: &Path) -> anyhow::Result<()> {
+    let settings: Settings = settings::load(path)?;
     let backend = settings.backend.as_ref();
     let backend = backend.context("backend: an agent's settings name its backend server")?;
-    let setup = setup(settings, Role::Agent(ServiceTag::of(&backend.service)));
-    block_on(serve(Agent::new(&setup, clock::now()), adapter, settings))
+    let setup = setup(&settings, Role::Agent(ServiceTag::of(&backend.service)));
+    let agent = Agent::new(&setup, clock::now());
+    block_on(serve(agent, adapter, &settings, path))
 }
 
 async fn serve<R: Reducer, A: Adapter>(
     reducer: R,
     adapter: A,
     settings: &Settings,
+    path: &Path,
 ) -> anyhow::Result<()> {
+    logs::init(&settings.log);
     let sockets = Sockets::bind(settings).await.context("datagram sockets")?;
     let (sender, inputs) = flume::bounded(QUEUE);
     let inbox = Inbox::new(sender);
-    inbox.send(Event::Contacts(
-        settings.contacts.iter().map(|c| *c.ip()).collect(),
-    ));
+    inbox.send(Event::Contacts(settings.contact_ips()));
     let service = settings.backend.as_ref().map_or("", |b| &b.service);
     let metrics = Metrics::new(service)?;
-    let _metrics = serve_metrics(settings, &metrics).await?;
     let offer = Offer::default();
-    let link = SocketAddrV4::new(settings.ip, settings.link_port);
-    let _link = HttpServer::bind(link, offer.router())
-        .await
-        .context("link")?;
-    let router = adapter.readiness_router(inbox.clone());
-    let _readiness = HttpServer::bind(settings.readiness, router)
-        .await
-        .context("readiness")?;
-    let router = adapter.control_router(inbox.clone());
-    let _control = HttpServer::bind(settings.control, router)
-        .await
-        .context("control")?;
-    let store = adapter.open_store(&settings.store);
+    let _servers = Servers::bind(&adapter, settings, &inbox, &offer, &metrics).await?;
     let (watching, is_watching) = watch::channel(false);
-    tokio::spawn(follow::follow(
-        adapter.clone(),
-        store.clone(),
-        inbox.clone(),
-        metrics.clone(),
-        is_watching,
-    ));
-    tokio::spawn(follow::find_instances(store.clone(), inbox.clone()));
-    let entry = InstanceEntry {
-        ip: settings.ip,
-        agent: settings.backend.is_some(),
-    };
-    let key = format!("{INSTANCES_PREFIX}{}", settings.ip);
-    let registration = Registration::spawn(store.clone(), key, &entry);
+    let store = adapter.open_store(&settings.store);
+    let registration = register(store.clone(), settings);
+    let records = Records::new(&adapter, &inbox, &metrics, &is_watching);
+    reload::spawn(records, settings.clone(), path.to_owned(), inbox.clone())?;
     if let Some(backend) = &settings.backend {
         tokio::spawn(vigil::watch(backend.address, inbox.clone()));
     }
-    spawn_signals(inbox.clone())?;
-    log::info!(ip:% = settings.ip, zone = settings.zone, boot = reducer.mesh().own().boot.0; "process started");
+    stop_on_signal(inbox.clone())?;
+    let boot = reducer.mesh().own().boot.0;
+    log::info!(ip:% = settings.ip, zone = settings.zone, boot = boot; "process started");
+    logs::flush();
     let outlets = Outlets {
         inbox,
         offer,
@@ -116,19 +104,17 @@
     Ok(())
 }
 
-/// Serves the metrics if the settings name an address.
-async fn serve_metrics(
-    settings: &Settings,
-    metrics: &Metrics,
-) -> anyhow::Result<Option<HttpServer>> {
-    let Some(addr) = settings.metrics else {
-        return Ok(None);
+/// Keeps the instance's entry in the store.
+fn register(store: impl buckthornlink_platform::Store, settings: &Settings) -> Registration {
+    let entry = InstanceEntry {
+        ip: settings.ip,
+        agent: settings.backend.is_some(),
     };
-    let server = HttpServer::bind(addr, router(metrics.registry.clone())).await;
-    server.map(Some).with_context(|| format!("metrics {addr}"))
+    let key = format!("{INSTANCES_PREFIX}{}", settings.ip);
+    Registration::spawn(store, key, &entry)
 }
 
-fn spawn_signals(inbox: Inbox) -> anyhow::Result<()> {
+fn stop_on_signal(inbox: Inbox) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     tokio::spawn(async move {
         terminate.recv().await;
--- /dev/null
+++ b/buckthornlink-datagram/src/process/servers.rs
@@ -0,0 +1,47 @@
+//! The HTTP servers of a process.
+
+use std::net::SocketAddrV4;
+
+use anyhow::Context;
+use axum::Router;
+
+use buckthornlink_node::metrics::{HttpServer, router};
+
+use crate::link::Offer;
+use crate::metrics::Metrics;
+use crate::{Adapter, Inbox, Settings};
+
+/// The running servers. They stop when dropped.
+pub(super) struct Servers {
+    _servers: Vec<HttpServer>,
+}
+
+impl Servers {
+    /// Binds the addresses that the settings name.
+    pub(super) async fn bind(
+        adapter: &impl Adapter,
+        settings: &Settings,
+        inbox: &Inbox,
+        offer: &Offer,
+        metrics: &Metrics,
+    ) -> anyhow::Result<Self> {
+        let link = SocketAddrV4::new(settings.ip, settings.link_port);
+        let readiness = adapter.readiness_router(inbox.clone());
+        let control = adapter.control_router(inbox.clone());
+        let mut servers = vec![
+            bind("link", link, offer.router()).await?,
+            bind("readiness", settings.readiness, readiness).await?,
+            bind("control", settings.control, control).await?,
+        ];
+        if let Some(addr) = settings.metrics {
+            let metrics = router(metrics.registry.clone());
+            servers.push(bind("metrics", addr, metrics).await?);
+        }
+        Ok(Self { _servers: servers })
+    }
+}
+
+async fn bind(name: &str, addr: SocketAddrV4, router: Router) -> anyhow::Result<HttpServer> {
+    let server = HttpServer::bind(addr, router).await;
+    server.with_context(|| format!("{name} {addr}"))
+}
--- a/buckthornlink-datagram/src/settings.rs
+++ b/buckthornlink-datagram/src/settings.rs
@@ -46,6 +46,14 @@
     pub log: LogSettings,
 }
 
+impl Settings {
+    /// Addresses of the contacts.
+    #[must_use]
+    pub fn contact_ips(&self) -> Vec<Ipv4Addr> {
+        self.contacts.iter().map(|c| *c.ip()).collect()
+    }
+}
+
 /// The backend server beside an agent.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct BackendSettings {
--- a/buckthornlink/src/command/serve.rs
+++ b/buckthornlink/src/command/serve.rs
@@ -37,9 +37,7 @@
             return Ok(());
         };
         if self.datagrams {
-            let settings: Settings = settings::load(&path)?;
-            logs::init(&settings.log);
-            return Ok(run_balancer(Platform, &settings)?);
+            return Ok(run_balancer(Platform, &path)?);
         }
         let mut settings: BalancerSettings = settings::load(&path)?;
         settings.record = self.record.or(settings.record);
--- a/buckthornlink/tests/cli.rs
+++ b/buckthornlink/tests/cli.rs
@@ -166,10 +166,10 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornlink"));
     let mut child = command
         .args(["balancer", file.path()])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
     let started = lines.next().unwrap().unwrap();
     assert!(started.contains("balancer started"), "{started}");
     let pid = Pid::from_child(&child);
@@ -177,3 +177,49 @@
     assert!(child.wait().unwrap().success());
     assert!(lines.any(|line| line.unwrap().contains("balancer stopped")));
 }
+
+#[test]
+fn a_datagram_balancer_takes_changed_settings_over_on_a_signal() {
+    let ports = free_ports();
+    let settings = |contact: &str| {
+        serde_json::json!({
+            "ip": "127.0.0.1",
+            "zone": "a",
+            "store": "http://127.0.0.1:9",
+            "data": format!("127.0.0.1:{}", ports[0]),
+            "link_port": ports[1],
+            "relay_port": ports[2],
+            "readiness": format!("127.0.0.1:{}", ports[3]),
+            "control": format!("127.0.0.1:{}", ports[4]),
+            "contacts": [contact],
+            "log": { "format": "json" },
+        })
+        .to_string()
+    };
+    let file = File::new("datagrams.json", &settings("127.0.0.1:1"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornlink"));
+    let mut child = command
+        .args(["balancer", "--datagrams", file.path()])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let mut wait_for = |text: &str| lines.any(|line| line.unwrap().contains(text));
+    assert!(wait_for("process started"));
+    std::fs::write(file.path(), settings("127.0.0.1:2")).unwrap();
+    let pid = Pid::from_child(&child);
+    rustix::process::kill_process(pid, Signal::HUP).unwrap();
+    assert!(wait_for("settings reloaded"));
+    std::fs::write(file.path(), "{").unwrap();
+    rustix::process::kill_process(pid, Signal::HUP).unwrap();
+    assert!(wait_for("settings are refused"));
+    rustix::process::kill_process(pid, Signal::TERM).unwrap();
+    assert!(wait_for("process stopped"));
+    assert!(child.wait().unwrap().success());
+}
+
+/// Ports that are free for TCP at the moment.
+fn free_ports() -> [u16; 5] {
+    let listeners = [(); 5].map(|()| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|l| l.local_addr().unwrap().port())
+}
