--- a/buckthornlink-datagram/src/inbox.rs
+++ b/buckthornlink-datagram/src/inbox.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use flume::TrySendError;
+
 use buckthornlink_core::datagram::{Event, Heartbeat};
 
 /// Something for the reducer's thread.
@@ -56,7 +58,7 @@
 
     /// Hands an event over, which is dropped if the reducer is far behind; what matters comes again.
     pub fn send(&self, event: Event) {
-        if !self.try_send(event) {
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(Input::Event(event)) {
             log::warn!("reducer is behind; an event was dropped");
         }
     }
--- a/buckthornlink/src/command.rs
+++ b/buckthornlink/src/command.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod explain;
 mod output;
 mod replay;
 mod serve;
@@ -52,6 +53,8 @@
     Status(status::Arguments),
     /// Run a recorded trace through the reducer again
     Replay(replay::Arguments),
+    /// Show the history of a flow of datagrams from the logs of several processes
+    Explain(explain::Arguments),
 }
 
 /// How to reach the store and make edits.
@@ -103,6 +106,7 @@
             Command::Zone(args) => args.run(),
             Command::Status(args) => args.run(),
             Command::Replay(args) => args.run(),
+            Command::Explain(args) => args.run(),
         };
         let Err(failure) = outcome else {
             return ExitCode::from(EXIT_DONE);
--- /dev/null
+++ b/buckthornlink/src/command/explain.rs
@@ -0,0 +1,122 @@
+//! `buckthornlink explain`.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+use serde::Deserialize;
+
+use super::Outcome;
+
+#[derive(Debug, clap::Args)]
+pub(super) struct Arguments {
+    /// Address and port of the caller, as the caller's or the backend server's log names them
+    #[arg(long, value_name = "ADDRESS:PORT")]
+    flow: String,
+    /// Also show what the processes believed: versions, zones, instances, starts and stops
+    #[arg(long)]
+    beliefs: bool,
+    /// Log files of the processes, one or more
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+}
+
+/// A log line, as far as it matters here.
+#[derive(Clone, Debug, Deserialize)]
+struct Line {
+    timestamp: String,
+    message: String,
+    #[serde(default)]
+    kvs: Values,
+    #[serde(skip)]
+    process: String,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Values {
+    /// Counts the decisions of one start of a process.
+    n: u64,
+    reason: String,
+    caller: String,
+    route: String,
+    peer: String,
+    phase: String,
+    version: u64,
+    age_ms: u64,
+}
+
+impl Arguments {
+    pub(super) fn run(self) -> Outcome {
+        let mut lines = Vec::new();
+        let mut skipped = 0;
+        for path in &self.files {
+            skipped += read(path, &mut lines)?;
+        }
+        lines.retain(|line| self.is_wanted(line));
+        lines.sort_by(|a, b| (&a.timestamp, a.kvs.n).cmp(&(&b.timestamp, b.kvs.n)));
+        for line in &lines {
+            println!("{}", show(line));
+        }
+        if lines.is_empty() {
+            println!("no line about {}", self.flow);
+        }
+        if skipped > 0 {
+            println!("{skipped} lines could not be read and were skipped");
+        }
+        Ok(())
+    }
+
+    fn is_wanted(&self, line: &Line) -> bool {
+        if line.message == "decision" && line.kvs.caller != "-" {
+            return line.kvs.caller == self.flow;
+        }
+        self.beliefs
+    }
+}
+
+/// Reads the lines of a file; returns how many could not be read.
+fn read(path: &Path, lines: &mut Vec<Line>) -> anyhow::Result<usize> {
+    let file = File::open(path).with_context(|| path.display().to_string())?;
+    let name = path.file_stem().unwrap_or_default().to_string_lossy();
+    let mut skipped = 0;
+    for text in BufReader::new(file).lines() {
+        match text.ok().and_then(|text| parse(&text, &name)) {
+            Some(line) => lines.push(line),
+            None => skipped += 1,
+        }
+    }
+    Ok(skipped)
+}
+
+/// Parses a line; what stands before the JSON object, such as a collector's columns, names the
+/// process.
+fn parse(text: &str, file: &str) -> Option<Line> {
+    let start = text.find('{')?;
+    let mut line: Line = serde_json::from_str(&text[start..]).ok()?;
+    let column = text[..start].split_whitespace().last();
+    column.unwrap_or(file).clone_into(&mut line.process);
+    Some(line)
+}
+
+fn show(line: &Line) -> String {
+    let Values {
+        reason,
+        route,
+        peer,
+        phase,
+        version,
+        age_ms,
+        ..
+    } = &line.kvs;
+    let what = if line.message == "decision" {
+        reason
+    } else {
+        &line.message
+    };
+    format!(
+        "{} {} {what} route={route} peer={peer} phase={phase} version={version} age_ms={age_ms}",
+        line.timestamp, line.process
+    )
+}
