--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -1,14 +1,14 @@
 //! Spreads what instances say about themselves, zone records and the version in force.
 
+mod exchange;
+
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::{
-    Beat, Decision, Effect, Fact, Load, Member, Merge, Message, Phase, Reason, Role, Roster, Status,
-};
+use super::{Beat, Decision, Effect, Fact, Load, Merge, Phase, Reason, Role, Roster, Status};
 use crate::id::{BootId, Version, ZoneTag, stable_hash};
 use crate::member::{ZoneBook, ZoneRecord};
 use crate::time::Millis;
@@ -19,18 +19,8 @@
 const FANOUT: usize = 5;
 /// Instances that each exchange goes to.
 const EXCHANGE_FANOUT: usize = 1;
-/// Most facts in one message; with the signs of life it fits a datagram.
-const MAX_FACTS: usize = 12;
-/// Most signs of life in one message.
-const MAX_BEATS: usize = 40;
 /// Times that a change is sent before it counts as spread.
 const RUMOR_SENDS: u8 = 8;
-/// Interval at which unknown contacts are asked while no other instance is known.
-const CONTACT_INTERVAL_ALONE: Millis = Millis(200);
-/// Interval at which unknown contacts are asked shortly after the start.
-const CONTACT_INTERVAL_YOUNG: Millis = Millis(400);
-/// Interval at which unknown contacts are asked later on; joins groups that do not know each other.
-const CONTACT_INTERVAL: Millis = Millis(3_000);
 /// Time after the start from which on the known agents are taken to be all.
 const SETTLE_SPAN: Millis = Millis(3_000);
 /// Time after the start for which a process counts as young.
@@ -39,10 +29,6 @@
 const ZONE_WATCHERS: usize = 2;
 /// Watchers that the store answers, below which any instance that notices it watches as well.
 const MIN_WATCHERS: usize = 2;
-/// Contacts that are asked at once.
-const CONTACT_FANOUT: usize = 4;
-/// Contacts that a young process asks at once.
-const CONTACT_FANOUT_YOUNG: usize = 24;
 
 /// What an instance is told at its start.
 #[derive(Clone, Copy, Debug)]
@@ -359,37 +345,6 @@
         }
     }
 
-    fn exchange(&mut self, now: Millis, fanout: usize, asks: bool, effects: &mut Vec<Effect>) {
-        self.exchanged = now;
-        self.advance();
-        for to in self.pick_peers(fanout) {
-            let message = self.exchange_status(false, asks);
-            effects.push(Effect::Send { to, message });
-        }
-    }
-
-    /// What goes to another instance in an exchange; one that lacks facts gets some more of them.
-    fn exchange_status(&mut self, lacks: bool, asks: bool) -> Message {
-        let mut facts = self.pick_rumors();
-        if lacks {
-            self.add_facts(&mut facts);
-        }
-        let beats = self.pick_beats();
-        self.status(facts, beats, asks)
-    }
-
-    fn status(&self, facts: Vec<Fact>, beats: Vec<Beat>, asks: bool) -> Message {
-        Message::Status(Status {
-            from: self.own,
-            version: self.version,
-            zones: self.zones.iter().copied().collect(),
-            facts,
-            beats,
-            known: u32::try_from(self.roster.len()).unwrap_or(u32::MAX),
-            asks,
-        })
-    }
-
     /// Takes a sign of life over; an instance or a start that is not known is asked for its fact.
     fn hear(&mut self, beat: &Beat, now: Millis) {
         let ip = Ipv4Addr::from_bits(beat.ip);
@@ -398,92 +353,6 @@
         }
     }
 
-    /// Facts that have changed.
-    fn pick_rumors(&mut self) -> Vec<Fact> {
-        let mut facts = Vec::new();
-        for rumor in self.rumors.iter_mut().take(MAX_FACTS) {
-            rumor.left -= 1;
-            facts.extend(self.roster.get(rumor.ip).map(|m| m.fact));
-        }
-        self.rumors.retain(|r| r.left > 0);
-        facts
-    }
-
-    /// The freshest signs of life.
-    fn pick_beats(&self) -> Vec<Beat> {
-        let others = self.roster.iter().filter(|m| m.fact.ip != self.own.ip);
-        let mut members: Vec<&Member> = others.collect();
-        if members.len() > MAX_BEATS {
-            members.sort_unstable_by_key(|m| std::cmp::Reverse(m.heard));
-            members.truncate(MAX_BEATS);
-        }
-        let beat = |m: &&Member| Beat {
-            seq: m.beat,
-            ..Beat::of(&m.fact)
-        };
-        members.iter().map(beat).collect()
-    }
-
-    /// Adds facts of all instances in turn.
-    fn add_facts(&mut self, facts: &mut Vec<Fact>) {
-        let total = self.roster.len();
-        let rest = MAX_FACTS.saturating_sub(facts.len()).min(total);
-        let start = self.cursor % total;
-        let others = self.roster.iter().skip(start).chain(self.roster.iter());
-        for member in others.take(rest) {
-            if member.fact.ip != self.own.ip && !facts.contains(&member.fact) {
-                facts.push(member.fact);
-            }
-        }
-        self.cursor = (self.cursor + rest) % total;
-    }
-
-    /// Random running instances other than this one; a single one is of the own zone every other
-    /// time, to spare bytes between zones.
-    fn pick_peers(&mut self, count: usize) -> Vec<Ipv4Addr> {
-        let is_local = count == 1 && self.own.seq.is_multiple_of(2);
-        let own = self.own;
-        let is_peer = |f: &Fact| f.ip != own.ip && f.phase.is_running();
-        let facts = || self.roster.iter().map(|m| m.fact).filter(is_peer);
-        let mut ips: Vec<Ipv4Addr> = facts()
-            .filter(|f| !is_local || f.zone == own.zone)
-            .map(|f| f.ip)
-            .collect();
-        if ips.is_empty() {
-            ips = facts().map(|f| f.ip).collect();
-        }
-        shuffle(&mut ips, count, &mut self.rng);
-        ips
-    }
-
-    /// Asks some of the contacts that are not known as instances.
-    fn ask_contacts(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let interval = if !self.has_peers() {
-            CONTACT_INTERVAL_ALONE
-        } else if self.is_young(now) {
-            CONTACT_INTERVAL_YOUNG
-        } else {
-            CONTACT_INTERVAL
-        };
-        if self.contacted.is_some_and(|at| now.since(at) < interval) {
-            return;
-        }
-        self.contacted = Some(now);
-        let is_live = |ip| self.roster.get(ip).is_some_and(|m| !m.suspect);
-        let contacts = self.contacts.iter().copied();
-        let mut ips: Vec<Ipv4Addr> = contacts.filter(|&ip| !is_live(ip)).collect();
-        let fanout = if self.is_young(now) {
-            CONTACT_FANOUT_YOUNG
-        } else {
-            CONTACT_FANOUT
-        };
-        shuffle(&mut ips, fanout, &mut self.rng);
-        for to in ips {
-            let message = self.exchange_status(false, true);
-            effects.push(Effect::Send { to, message });
-        }
-    }
-
     /// Starts to watch the store if this instance is one of the first balancers of its zone, or if
     /// it knows of too few others that the store answers; stops when neither holds any longer.
     fn choose_watchers(&mut self, effects: &mut Vec<Effect>) {
@@ -519,13 +388,3 @@
         })
     }
 }
-
-/// Moves `count` random items to the front and drops the rest.
-fn shuffle(ips: &mut Vec<Ipv4Addr>, count: usize, rng: &mut Pcg64Mcg) {
-    for i in 0..count.min(ips.len()) {
-        let rest = (ips.len() - i) as u64;
-        let offset = usize::try_from(rng.next_u64() % rest).unwrap_or(0);
-        ips.swap(i, i + offset);
-    }
-    ips.truncate(count);
-}
--- a/buckthornlink-fakes/src/datagram/world.rs
+++ b/buckthornlink-fakes/src/datagram/world.rs
@@ -2,14 +2,13 @@
 
 mod check;
 mod faults;
+mod site;
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use buckthornlink_core::datagram::{
-    Effect, Event, Flow, Packet, Role, Route, ServiceLimits, ServiceTag, Source, Table, Target,
-};
+use buckthornlink_core::datagram::{Effect, Event, Flow, Packet, Role, Source, Table};
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_core::{Millis, Version, ZoneTag};
 use rand::rngs::SmallRng;
@@ -21,6 +20,7 @@
 use super::process::{Instance, Process};
 use super::{Outcome, Plan};
 use check::Watched;
+use site::{address, service, table, zone_tag};
 
 /// Steps in which time passes.
 const STEP: Millis = Millis(10);
@@ -467,35 +467,3 @@
         tag: buckthornlink_core::datagram::Tag::direct(),
     }
 }
-
-fn service(index: usize) -> ServiceTag {
-    ServiceTag::of(["token", "ledger"][index])
-}
-
-fn zone_tag(index: u8) -> ZoneTag {
-    ZoneTag::of(&format!("zone-{index}"))
-}
-
-fn address(index: usize) -> SocketAddrV4 {
-    let port = 443 + u16::try_from(index).unwrap_or(0);
-    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
-}
-
-/// A configuration in which each of the two routes goes to one service.
-fn table(version: u64, services: [ServiceTag; 2]) -> Table {
-    let routes = services.iter().enumerate().map(|(index, &service)| {
-        let targets = vec![Target { service, weight: 1 }];
-        (address(index), Route { targets })
-    });
-    let limits = ServiceLimits {
-        connections: 2_000,
-        cold_rate: 10_000,
-        cold_span: Millis(2_000),
-    };
-    Table {
-        version: Version(version),
-        idle: Millis(15_000),
-        routes: routes.collect(),
-        services: [0, 1].map(|i| (service(i), limits)).into(),
-    }
-}
--- a/buckthornlink-fakes/src/datagram/world/faults.rs
+++ b/buckthornlink-fakes/src/datagram/world/faults.rs
@@ -8,7 +8,8 @@
 use buckthornlink_core::{Millis, ZoneTag};
 use rand::Rng;
 
-use super::{World, service, table};
+use super::World;
+use super::site::{service, table};
 use crate::datagram::Fault;
 use crate::datagram::backend::Backend;
 use crate::datagram::process::Instance;
