--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -15,7 +15,7 @@
 /// Time beyond the idle time of flows after which an agent has seen all flows.
 const IDLE_MARGIN: Millis = Millis(1_000);
 /// Time after the start within which every searched packet is tried.
-const RECOVERY_SPAN: Millis = Millis(4_000);
+const RECOVERY_SPAN: Millis = Millis(12_000);
 /// Groups of agents that take turns in trying searched packets.
 const TRY_GROUPS: u8 = 8;
 /// Most agents that are asked for one flow.
