--- /dev/null
+++ b/buckthornlink-core/tests/datagram_allocations.rs
@@ -0,0 +1,63 @@
+//! An established packet costs no allocation at either role.
+
+mod datagram;
+
+use std::net::Ipv4Addr;
+
+use buckthornlink_core::datagram::{Event, Load, Mode, Phase, Reducer, Source, Tag};
+
+use datagram::{AgentDriver, BALANCER, BalancerDriver, answer, data, fact, opening};
+
+#[global_allocator]
+static ALLOC: dhat::Alloc = dhat::Alloc;
+
+const PACKETS: usize = 1_000;
+const AGENT: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 2);
+
+/// Allocations of `PACKETS` calls.
+fn allocations(mut f: impl FnMut()) -> u64 {
+    let before = dhat::HeapStats::get().total_blocks;
+    for _ in 0..PACKETS {
+        f();
+    }
+    dhat::HeapStats::get().total_blocks - before
+}
+
+#[test]
+fn established_packets_allocate_nothing() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[fact(AGENT, Phase::Ready, Load::default())]);
+    balancer.caller(opening(1));
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    let mut request = data(1);
+    request.tag = Tag::new(Mode::Known, BALANCER);
+    let now = agent.now;
+    let mut effects = Vec::with_capacity(64);
+    let _profiler = dhat::Profiler::builder().testing().build();
+    let forwarded = allocations(|| {
+        let event = Event::Packet {
+            source: Source::Fabric,
+            packet: data(1),
+        };
+        balancer.balancer.reduce(event, balancer.now, &mut effects);
+        effects.clear();
+    });
+    let delivered = allocations(|| {
+        let event = Event::Packet {
+            source: Source::Peer(BALANCER),
+            packet: request,
+        };
+        agent.agent.reduce(event, now, &mut effects);
+        effects.clear();
+    });
+    let answered = allocations(|| {
+        let event = Event::Packet {
+            source: Source::Backend,
+            packet: answer(1),
+        };
+        agent.agent.reduce(event, now, &mut effects);
+        effects.clear();
+    });
+    assert_eq!([forwarded, delivered, answered], [0, 0, 0]);
+}
