--- a/buckthornlink-platform/src/etcd.rs
+++ b/buckthornlink-platform/src/etcd.rs
@@ -216,7 +216,12 @@
     }
 }
 
-async fn check_status(response: reqwest::Response) -> Result<reqwest::Response, StoreError> {
+/// Passes a response with a status of success on.
+///
+/// # Errors
+///
+/// Returns an error with the status and the body of any other response.
+pub async fn check_status(response: reqwest::Response) -> Result<reqwest::Response, StoreError> {
     let status = response.status();
     if status.is_success() {
         return Ok(response);
--- a/buckthornlink-platform/src/lib.rs
+++ b/buckthornlink-platform/src/lib.rs
@@ -26,5 +26,5 @@
     Accepted, BALANCERS_PREFIX, BalancerEntry, CONFIG_KEY, Catalog, ConfigRecord, Current,
     EditError, INSTANCES_PREFIX, InstanceEntry, ROOT_PREFIX, ZONES_PREFIX, ZoneEntry,
 };
-pub use etcd::EtcdStore;
+pub use etcd::{EtcdStore, check_status};
 pub use store::{Change, Entry, LeaseId, Revision, Store, StoreError, Swap, Watch};
