fix(core): judge dead flows where there are more than 64 agents

Ruled out: agents that take turns in trying (all were young). Seen in the logs, which now name the agent that a search still waits for.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -5,13 +5,16 @@
 use super::Agent;
 use super::own::reset;
 use crate::datagram::{
-    Effect, Flow, Holding, Measure, Member, Message, Mode, Note, Packet, Reason, Tag,
+    Decision, Effect, Flow, FlowState, Holding, Measure, Member, Message, Mode, Note, Packet,
+    Reason, Tag,
 };
 use crate::id::BootId;
 use crate::time::Millis;
 
 /// A flow is searched for at most this often.
 const SEARCH_INTERVAL: Millis = Millis(150);
+/// Time without a search after which earlier denials no longer count.
+const DENIAL_SPAN: Millis = Millis(2_000);
 /// Time beyond the idle time of flows after which an agent has seen all flows.
 const IDLE_MARGIN: Millis = Millis(1_000);
 /// Time after the start within which every searched packet is tried.
@@ -19,7 +22,7 @@
 /// Groups of agents that take turns in trying searched packets.
 const TRY_GROUPS: u8 = 8;
 /// Most agents that are asked for one flow.
-const MAX_ASKED: usize = 64;
+const MAX_ASKED: usize = 160;
 
 impl Agent {
     /// Takes notes of other owners over.
@@ -83,28 +86,26 @@
         }
     }
 
-    /// Asks all agents that may own a flow.
+    /// Asks the agents that may own a flow and have not denied it yet.
     pub(super) fn search(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
         let is_due = self.flows.change(&packet.flow, |s| {
             let is_due = s.searched.is_none_or(|at| now.since(at) >= SEARCH_INTERVAL);
             if is_due {
-                s.searched = Some(now);
-                s.seen = now;
-                s.acked = packet.ack;
-                s.denied.clear();
+                s.begin_search(packet, now);
             }
             is_due
         });
         if !is_due || packet.tag.hops >= Tag::MAX_HOPS {
             return;
         }
-        out.push(self.decision(Reason::Searched, Some(packet.flow), Millis(0)));
+        let undecided = self.undecided(&packet.flow);
+        out.push(self.searched(&packet.flow, undecided.first().copied(), now));
         let mut tag = packet.tagged(Mode::Search);
         tag.hops = self.flows.change(&packet.flow, |s| {
             s.rounds = s.rounds.wrapping_add(1);
             s.rounds % TRY_GROUPS
         });
-        for to in self.suspects(&packet.flow) {
+        for to in undecided {
             if let Some(member) = self.mesh.roster_mut().get_mut(to) {
                 member.ask(now);
             }
@@ -113,6 +114,19 @@
         self.judge(&packet.flow, now, out);
     }
 
+    /// The decision to search, with the first agent that is still to answer and its age.
+    fn searched(&self, flow: &Flow, undecided: Option<Ipv4Addr>, now: Millis) -> Effect {
+        let member = undecided.and_then(|ip| self.mesh.roster().get(ip));
+        Effect::Log(Decision {
+            reason: Reason::Searched,
+            flow: Some(*flow),
+            peer: undecided,
+            version: self.table.version,
+            age: member.map_or(Millis(0), |m| now.since(m.heard)),
+            phase: member.map(|m| m.fact.phase),
+        })
+    }
+
     /// Another agent denies a flow that was searched for.
     pub(super) fn denied(
         &mut self,
@@ -143,10 +157,8 @@
             return;
         };
         let seq = state.acked;
-        let is_denied = self
-            .suspects(flow)
-            .iter()
-            .all(|ip| state.denied.contains(ip) || self.is_silent(*ip, now));
+        let undecided = self.undecided(flow);
+        let is_denied = undecided.iter().all(|ip| self.is_silent(*ip, now));
         if is_denied {
             let age = now.since(state.searched.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
@@ -178,7 +190,16 @@
         now.since(self.started) < RECOVERY_SPAN || group == u64::from(packet.tag.hops)
     }
 
-    /// The other agents that are asked for a flow.
+    /// The other agents that may own a flow and have not denied it.
+    fn undecided(&self, flow: &Flow) -> Vec<Ipv4Addr> {
+        let state = self.flows.get(flow);
+        let denied = state.map(|s| s.denied.as_slice()).unwrap_or_default();
+        let mut ips = self.suspects(flow);
+        ips.retain(|ip| !denied.contains(ip));
+        ips
+    }
+
+    /// The other agents that may own a flow.
     ///
     /// A flow stays at its backend server when its route changes to other services, so all agents
     /// are asked where that is feasible, else those of the route's present services.
@@ -207,3 +228,16 @@
         self.mesh.roster().all_agents().nth(MAX_ASKED).is_none()
     }
 }
+
+impl FlowState {
+    /// Notes that all agents are asked; denials of the last rounds still count.
+    fn begin_search(&mut self, packet: &Packet, now: Millis) {
+        let is_old = self.searched.is_none_or(|at| now.since(at) >= DENIAL_SPAN);
+        if is_old {
+            self.denied.clear();
+        }
+        self.searched = Some(now);
+        self.seen = now;
+        self.acked = packet.ack;
+    }
+}
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -19,6 +19,11 @@
 const ANSWER_SPAN: Millis = Millis(1_000);
 /// Unanswered requests from which on an instance may count as silent.
 const MIN_UNANSWERED: u16 = 3;
+/// Time without an answer after which an instance counts as silent although signs of its life still
+/// come round: those of an instance that is gone do so for seconds in a large system.
+const DEAF_SPAN: Millis = Millis(2_000);
+/// Unanswered requests that go with [`DEAF_SPAN`].
+const DEAF_UNANSWERED: u16 = 6;
 /// Points of one agent on the ring of homes.
 const RING_POINTS: u8 = 16;
 /// An instance that owes an answer for this long gets no new flows while others do.
@@ -65,6 +70,10 @@
         }
         let old = *member;
         *member = Member::new(fact, now);
+        if old.fact.boot == fact.boot {
+            member.asked = old.asked;
+            member.unanswered = old.unanswered;
+        }
         if old.fact.boot == fact.boot && fact.seq <= old.beat {
             member.heard = old.heard;
             member.beat = old.beat;
@@ -261,12 +270,15 @@
         self.unanswered = 0;
     }
 
-    /// Whether the instance neither answers nor gives a sign of life to others.
+    /// Whether the instance is not to be waited for: it answers nothing, and either gives no sign of
+    /// life to others, or had no backend server any more.
     #[must_use]
     pub fn is_silent(&self, now: Millis) -> bool {
-        let is_due = self.asked.is_some_and(|at| now.since(at) >= ANSWER_SPAN);
+        let owed = self.asked.map_or(Millis(0), |at| now.since(at));
+        let is_due = owed >= ANSWER_SPAN && self.unanswered >= MIN_UNANSWERED;
+        let is_deaf = owed >= DEAF_SPAN && self.unanswered >= DEAF_UNANSWERED;
         let is_quiet = now.since(self.heard) >= ANSWER_SPAN;
-        self.suspect || is_due && is_quiet && self.unanswered >= MIN_UNANSWERED
+        self.suspect || is_deaf || is_due && (is_quiet || self.fact.phase.is_over())
     }
 
     /// Whether the flows that `backend` held there are known to be over.
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -4,7 +4,7 @@
 
 use std::net::Ipv4Addr;
 
-use buckthornlink_core::datagram::{Effect, Event, Message, Mode, Note};
+use buckthornlink_core::datagram::{Effect, Event, Message, Mode, Note, Load, Phase, Role};
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{AgentDriver, PEER, answer, beat, bounce, data, opening, syn_ack};
@@ -221,6 +221,96 @@
     assert_eq!(resets.first(), Some(&5), "{resets:?}");
 }
 
+/// Rounds of 200 ms until a flow is reset that only [`PEER`] may hold, which answers nothing while
+/// others pass on signs of its life and this last phase.
+fn rounds_until_reset(phase: Phase) -> Option<u32> {
+    let mut agent = AgentDriver::ready();
+    for round in 1..20 {
+        let mut fact = datagram::fact(PEER, phase, Load::default());
+        fact.seq = round;
+        let mut relayed = datagram::fact(datagram::BALANCER, Phase::Ready, Load::default());
+        relayed.role = Role::Balancer;
+        let mut status = datagram::status(relayed);
+        if let Message::Status(status) = &mut status {
+            status.facts.push(fact);
+        }
+        let from = datagram::BALANCER;
+        agent.reduce(Event::Message {
+            from,
+            message: status,
+        });
+        agent.reduce(Event::Agents(vec![datagram::OWN, PEER]));
+        let effects = agent.relayed(data(1), Mode::Lookup);
+        if effects.iter().any(datagram::is_reset) {
+            return Some(round);
+        }
+        agent.wait(Millis(200));
+    }
+    None
+}
+
+#[test]
+fn an_agent_that_lost_its_backend_server_and_answers_nothing_denies() {
+    assert_eq!(rounds_until_reset(Phase::Over), Some(6));
+}
+
+#[test]
+fn an_agent_whose_signs_of_life_outlive_it_is_given_up_later() {
+    assert_eq!(rounds_until_reset(Phase::Ready), Some(11));
+}
+
+#[test]
+fn denials_of_several_rounds_count_together() {
+    let mut agent = AgentDriver::ready();
+    let others = [3, 4].map(|host| Ipv4Addr::new(10, 1, 0, host));
+    for ip in others {
+        agent.meet(ip, datagram::service());
+    }
+    agent.reduce(Event::Agents(vec![datagram::OWN, others[0], others[1]]));
+    let mut effects = Vec::new();
+    for from in others {
+        agent.wait(Millis(200));
+        agent.relayed(data(1), Mode::Lookup);
+        let message = Message::Denied(data(1).flow);
+        effects = agent.reduce(Event::Message { from, message });
+    }
+    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
+}
+
+#[test]
+fn an_agent_that_denied_a_flow_is_not_asked_again() {
+    let mut agent = AgentDriver::ready();
+    agent.meet(PEER, datagram::service());
+    agent.relayed(data(1), Mode::Lookup);
+    agent.message(Message::Denied(data(1).flow));
+    agent.wait(Millis(200));
+    let next = agent.relayed(data(1), Mode::Lookup);
+    assert!(
+        !next.iter().any(|e| matches!(e, Effect::Relay { .. })),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn a_flow_is_reset_where_there_are_a_hundred_agents() {
+    let mut agent = AgentDriver::ready();
+    let others: Vec<Ipv4Addr> = (20..120)
+        .map(|host| Ipv4Addr::new(10, 1, 0, host))
+        .collect();
+    for &ip in &others {
+        agent.meet(ip, datagram::service());
+    }
+    let known = others.iter().copied().chain([datagram::OWN]);
+    agent.reduce(Event::Agents(known.collect()));
+    agent.relayed(data(1), Mode::Lookup);
+    let mut effects = Vec::new();
+    for from in others {
+        let message = Message::Denied(data(1).flow);
+        effects = agent.reduce(Event::Message { from, message });
+    }
+    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
+}
+
 #[test]
 fn the_owner_of_a_searched_flow_tells_the_searcher() {
     let mut agent = AgentDriver::ready();
