feat(core): follow searches between the copies of a packet

Cause: a search was judged only when a copy came, and copies come ever more seldom (200 ms to 1.6 s). Agents probe on each tick whoever still owes an answer. A test failed first.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -8,6 +8,7 @@
 mod own;
 mod search;
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -34,6 +35,7 @@
     table: Arc<Table>,
     backend: Backend,
     flows: Flows,
+    searches: BTreeSet<Flow>,
     heartbeat: Millis,
     started: Millis,
     swept: Millis,
@@ -50,6 +52,7 @@
             table: Arc::default(),
             backend: Backend::default(),
             flows: Flows::default(),
+            searches: BTreeSet::new(),
             heartbeat: setup.heartbeat,
             started: now,
             swept: now,
@@ -149,6 +152,7 @@
         self.refresh(now, out);
         self.mesh.tick(now, out);
         self.note_homes(now, out);
+        self.follow_searches(now, out);
         if now.since(self.swept) >= SWEEP_INTERVAL {
             self.swept = now;
             self.flows.expire(self.table.idle + IDLE_SLACK, now);
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -21,6 +21,8 @@
 const RECOVERY_SPAN: Millis = Millis(12_000);
 /// Groups of agents that take turns in trying searched packets.
 const TRY_GROUPS: u8 = 8;
+/// Most searches that are followed between the packets of their flows.
+const MAX_SEARCHES: usize = 4_096;
 /// Most agents that are asked for one flow.
 const MAX_ASKED: usize = 160;
 
@@ -100,6 +102,9 @@
         }
         let undecided = self.undecided(&packet.flow);
         out.push(self.searched(&packet.flow, undecided.first().copied(), now));
+        if self.searches.len() < MAX_SEARCHES {
+            self.searches.insert(packet.flow);
+        }
         let mut tag = packet.tagged(Mode::Search);
         tag.hops = self.flows.change(&packet.flow, |s| {
             s.rounds = s.rounds.wrapping_add(1);
@@ -147,6 +152,39 @@
         self.judge(flow, now, out);
     }
 
+    /// Probes the agents that open searches wait for, and ends flows that no live agent may own.
+    ///
+    /// The caller's copies come ever more seldom, so a search does not wait for them.
+    pub(super) fn follow_searches(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let mut searches = std::mem::take(&mut self.searches);
+        searches.retain(|flow| self.is_searching(flow, now));
+        let mut late: Vec<Ipv4Addr> = Vec::new();
+        for flow in &searches {
+            late.extend(self.undecided(flow));
+        }
+        late.sort_unstable();
+        late.dedup();
+        for ip in late {
+            self.mesh.probe(ip, now, out);
+        }
+        self.searches = searches;
+        for flow in self.searches.clone() {
+            self.judge(&flow, now, out);
+        }
+    }
+
+    /// Whether a flow was searched for of late and is not known to live somewhere.
+    fn is_searching(&self, flow: &Flow, now: Millis) -> bool {
+        let state = self.flows.get(flow);
+        state.is_some_and(|s| {
+            let is_lost = matches!(
+                s.holding,
+                Holding::Unknown | Holding::Foreign { owner: None }
+            );
+            is_lost && s.searched.is_some_and(|at| now.since(at) < DENIAL_SPAN)
+        })
+    }
+
     /// Ends a flow that every agent which might own it denies.
     fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) {
         let is_settled = self.mesh.is_settled(now) && self.is_small();
@@ -164,6 +202,7 @@
             out.push(Effect::Measure(Measure::Search, age));
             out.push(self.decision(Reason::DeniedByAll, Some(*flow), age));
             out.push(Effect::Reset { flow: *flow, seq });
+            self.searches.remove(flow);
         }
     }
 
--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -217,6 +217,15 @@
         effects.push(Effect::Send { to, message });
     }
 
+    /// Asks an instance that owes an answer for its status.
+    pub fn probe(&mut self, ip: Ipv4Addr, now: Millis, effects: &mut Vec<Effect>) {
+        if let Some(member) = self.roster.get_mut(ip) {
+            member.ask(now);
+            let message = self.status(Vec::new(), Vec::new(), true);
+            effects.push(Effect::Send { to: ip, message });
+        }
+    }
+
     /// Handles what another instance knows.
     pub fn receive(&mut self, status: &Status, now: Millis, effects: &mut Vec<Effect>) {
         let from = status.from.ip;
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -4,7 +4,7 @@
 
 use std::net::Ipv4Addr;
 
-use buckthornlink_core::datagram::{Effect, Event, Message, Mode, Note, Load, Phase, Role};
+use buckthornlink_core::datagram::{Effect, Event, Load, Message, Mode, Note, Phase, Role};
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{AgentDriver, PEER, answer, beat, bounce, data, opening, syn_ack};
@@ -259,6 +259,21 @@
     assert_eq!(rounds_until_reset(Phase::Ready), Some(11));
 }
 
+#[test]
+fn a_search_goes_on_between_the_copies_of_a_packet() {
+    let mut agent = AgentDriver::ready();
+    agent.meet(PEER, datagram::service());
+    agent.reduce(Event::Agents(vec![datagram::OWN, PEER]));
+    agent.relayed(data(1), Mode::Lookup);
+    let mut effects = Vec::new();
+    for _ in 0..6 {
+        agent.now = agent.now + Millis(200);
+        effects.extend(agent.reduce(Event::Tick));
+    }
+    let resets = effects.iter().filter(|e| datagram::is_reset(e));
+    assert_eq!(resets.count(), 1, "{effects:?}");
+}
+
 #[test]
 fn denials_of_several_rounds_count_together() {
     let mut agent = AgentDriver::ready();
