--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -6,6 +6,8 @@
 
 /// New flows in one second beyond the rate that a backend server in cold start bears.
 const COLD_BURST: u32 = 2;
+/// Agents that may hand a flow on because their backend servers are busy; the next one takes it.
+const MAX_BUSY_HOPS: u8 = 2;
 
 impl Agent {
     /// Offers an opening packet to the backend server, or gives it back to the balancer.
@@ -79,6 +81,16 @@
                 return Some(Reason::RefusedCold);
             }
         }
-        None
+        self.is_busy(packet.tag.hops).then_some(Reason::RefusedBusy)
+    }
+
+    /// Whether a flow that was handed on `hops` times had better be taken by another agent.
+    ///
+    /// What balancers know of the load is late, so the agent looks at the requests in hand of now:
+    /// the first one hands on if all slots are taken, the next one if as many again wait.
+    fn is_busy(&self, hops: u8) -> bool {
+        let slots = usize::from(self.backend.slots());
+        let limit = slots * (1 + usize::from(hops));
+        slots > 0 && hops < MAX_BUSY_HOPS && self.flows.waiting() >= limit
     }
 }
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -4,7 +4,7 @@
 
 use super::seats::{Opening, Seat};
 use super::{Balancer, reset};
-use crate::datagram::{Effect, Flow, Member, Mode, Packet, Reason, ServiceLoad, ServiceTag};
+use crate::datagram::{Effect, Flow, Member, Mode, Packet, Reason, ServiceLoad, ServiceTag, Tag};
 use crate::time::Millis;
 
 /// A copy of an opening packet that comes this long after the last one goes to another agent.
@@ -75,6 +75,7 @@
             return;
         };
         out.push(self.decision(reason, packet, Some(owner), now));
+        let hops = u8::try_from(tried.len()).unwrap_or(u8::MAX);
         tried.push(owner);
         let member = self.mesh.roster_mut().get_mut(owner);
         let backend = member.map_or(crate::BootId(0), |m| {
@@ -84,7 +85,10 @@
         let seat = Seat::Lives { owner, backend };
         self.seats
             .place(&packet.flow, seat, Opening { at: now, tried });
-        let tag = self.tag(Mode::Placed, owner, now);
+        let tag = Tag {
+            hops,
+            ..self.tag(Mode::Placed, owner, now)
+        };
         out.push(Effect::Relay { to: owner, tag });
     }
 
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -65,6 +65,8 @@
     RefusedCold,
     /// Refused: the backend server holds as many flows as it bears.
     RefusedFull,
+    /// Refused: the backend server has its hands full, others may not.
+    RefusedBusy,
     /// Refused: no configuration is known yet.
     RefusedUnready,
     /// All agents of the service are asked for a flow.
@@ -113,6 +115,7 @@
             Self::RefusedZone => "refused_zone",
             Self::RefusedCold => "refused_cold",
             Self::RefusedFull => "refused_full",
+            Self::RefusedBusy => "refused_busy",
             Self::RefusedUnready => "refused_unready",
             Self::Searched => "searched",
             Self::HopsExceeded => "hops_exceeded",
