feat(core): new flows wait for their copies while all agents tried are busy

Cause: after a loss of power all callers return at once, 2,250 new flows a second instead of 300, and what they had open before was already late; they filled the queues, so that requests on flows that were open again were late as well. Agents now refuse beyond three requests in hand for each slot; the balancer leaves such a flow to the caller's next copy, 200 ms or 400 ms later, and resets it after the last. A repeated request that was answered no longer counts as in hand for ever.

--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -6,8 +6,8 @@
 
 /// New flows in one second beyond the rate that a backend server in cold start bears.
 const COLD_BURST: u32 = 2;
-/// Agents that may hand a flow on because their backend servers are busy; the next one takes it.
-const MAX_BUSY_HOPS: u8 = 2;
+/// Requests in hand for each slot from which on a flow that no other agent takes is refused.
+const MAX_DEPTH: usize = 3;
 
 impl Agent {
     /// Offers an opening packet to the backend server, or gives it back to the balancer.
@@ -47,9 +47,13 @@
     ) {
         let age = self.backend.age(now);
         out.push(self.decision(reason, Some(packet.flow), age));
+        let mode = match reason {
+            Reason::RefusedBusy | Reason::RefusedCold => Mode::Busy,
+            _ => Mode::Refused,
+        };
         out.push(Effect::Relay {
             to: packet.tag.origin,
-            tag: packet.tagged(Mode::Refused),
+            tag: packet.tagged(mode),
         });
     }
 
@@ -84,13 +88,14 @@
         self.is_busy(packet.tag.hops).then_some(Reason::RefusedBusy)
     }
 
-    /// Whether a flow that was handed on `hops` times had better be taken by another agent.
+    /// Whether a flow that `hops` busy agents handed on had better be taken by another agent.
     ///
     /// What balancers know of the load is late, so the agent looks at the requests in hand of now:
-    /// the first one hands on if all slots are taken, the next one if as many again wait.
+    /// the first one hands on if all slots are taken, the next one if as many again wait. Beyond
+    /// that, new flows wait for their next copy, so that those that are open are served in time.
     fn is_busy(&self, hops: u8) -> bool {
         let slots = usize::from(self.backend.slots());
-        let limit = slots * (1 + usize::from(hops));
-        slots > 0 && hops < MAX_BUSY_HOPS && self.flows.waiting() >= limit
+        let depth = (1 + usize::from(hops)).min(MAX_DEPTH);
+        slots > 0 && self.flows.waiting() >= slots * depth
     }
 }
--- a/buckthornlink-core/src/datagram/agent/own.rs
+++ b/buckthornlink-core/src/datagram/agent/own.rs
@@ -8,6 +8,8 @@
 
 /// A balancer is told at most this often that a flow lives here.
 const TELL_INTERVAL: Millis = Millis(200);
+/// Half of the range of sequence numbers: a number less than that ahead of another is after it.
+const HALF_RANGE: u32 = 1 << 31;
 
 impl Agent {
     /// Handles a packet of a flow that is not new.
@@ -145,7 +147,8 @@
     fn request(&mut self, packet: &Packet, now: Millis) {
         self.seen = now;
         self.acked = packet.ack;
-        if packet.len > 0 {
+        if packet.len > 0 && self.is_new_data(packet) {
+            self.requested = Some(packet.end());
             self.waiting.get_or_insert(now);
         }
         self.ended[0] |= packet.flags.fin;
@@ -154,6 +157,12 @@
         }
     }
 
+    /// Whether the caller has not sent the data of a packet before.
+    fn is_new_data(&self, packet: &Packet) -> bool {
+        let is_after = |end: u32| packet.end().wrapping_sub(end).wrapping_sub(1) < HALF_RANGE;
+        self.requested.is_none_or(is_after)
+    }
+
     /// Notes a packet of the backend server, which shows that it holds the flow; returns what it
     /// took to answer, if this is the first packet of an answer.
     fn answer(&mut self, packet: &Packet, now: Millis) -> Option<(Measure, Millis)> {
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -9,6 +9,10 @@
 
 /// A copy of an opening packet that comes this long after the last one goes to another agent.
 const COPY_SPAN: Millis = Millis(150);
+/// Busy agents after which an opening packet waits for its next copy.
+const MAX_BUSY: u8 = 3;
+/// Copies of an opening packet that a caller has sent before its last one.
+const LAST_COPY: u32 = 2;
 
 /// Weight of the load of an agent in the balancer's own zone, and in another one: flows stay in
 /// their zone until its agents bear a fifth more than those of the others.
@@ -22,7 +26,7 @@
     /// Places an opening packet; a copy goes to another agent if the first has not answered.
     pub(super) fn place(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
         let Some((opening, seat)) = self.seats.opening(&packet.flow) else {
-            self.try_next(packet, Vec::new(), Reason::Placed, now, out);
+            self.try_next(packet, Opening::default(), Reason::Placed, now, out);
             return;
         };
         let Seat::Lives { owner, .. } = seat;
@@ -31,11 +35,11 @@
             out.push(Effect::Relay { to: owner, tag });
             return;
         }
-        let mut tried = opening.tried.clone();
-        if self.choose(packet, &tried, now).is_none() {
-            tried.clear();
+        let mut opening = opening.clone();
+        if self.choose(packet, &opening.tried, now).is_none() {
+            opening.tried.clear();
         }
-        self.try_next(packet, tried, Reason::PlacedAgain, now, out);
+        self.try_next(packet, opening, Reason::PlacedAgain, now, out);
     }
 
     /// Places an opening packet that an agent refused on the next one.
@@ -46,52 +50,92 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if packet.tag.mode != Mode::Refused || !packet.is_opening() {
+        let is_busy = packet.tag.mode == Mode::Busy;
+        if !packet.is_opening() || !(is_busy || packet.tag.mode == Mode::Refused) {
             return;
         }
         let opening = self.seats.opening(&packet.flow);
-        let mut tried = opening.map(|(o, _)| o.tried.clone()).unwrap_or_default();
-        if !tried.contains(&from) {
-            tried.push(from);
+        let mut opening = opening.map(|(o, _)| o.clone()).unwrap_or_default();
+        if !opening.tried.contains(&from) {
+            opening.tried.push(from);
+        }
+        opening.busy += u8::from(is_busy);
+        if opening.busy >= MAX_BUSY {
+            self.defer(packet, opening, now, out);
+        } else {
+            self.try_next(packet, opening, Reason::HandedOn, now, out);
         }
-        self.try_next(packet, tried, Reason::HandedOn, now, out);
     }
 
     fn try_next(
         &mut self,
         packet: &Packet,
-        mut tried: Vec<Ipv4Addr>,
+        mut opening: Opening,
         reason: Reason,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let Some(owner) = self.choose(packet, &tried, now) else {
-            if tried.is_empty() && now.since(self.started) < ACQUAINT_SPAN {
-                return;
-            }
-            self.seats.remove(&packet.flow);
-            out.push(self.decision(Reason::NoAgent, packet, tried.last().copied(), now));
-            out.push(reset(packet));
+        let Some(owner) = self.choose(packet, &opening.tried, now) else {
+            self.give_up(packet, opening, now, out);
             return;
         };
         out.push(self.decision(reason, packet, Some(owner), now));
-        let hops = u8::try_from(tried.len()).unwrap_or(u8::MAX);
-        tried.push(owner);
+        opening.at = now;
+        opening.tried.push(owner);
         let member = self.mesh.roster_mut().get_mut(owner);
         let backend = member.map_or(crate::BootId(0), |m| {
             m.sent = m.sent.saturating_add(1);
             m.fact.backend
         });
-        let seat = Seat::Lives { owner, backend };
-        self.seats
-            .place(&packet.flow, seat, Opening { at: now, tried });
         let tag = Tag {
-            hops,
+            hops: opening.busy,
             ..self.tag(Mode::Placed, owner, now)
         };
+        let seat = Seat::Lives { owner, backend };
+        self.seats.place(&packet.flow, seat, opening);
         out.push(Effect::Relay { to: owner, tag });
     }
 
+    /// No further agent is left for an opening packet.
+    fn give_up(&mut self, packet: &Packet, opening: Opening, now: Millis, out: &mut Vec<Effect>) {
+        if opening.busy > 0 {
+            self.defer(packet, opening, now, out);
+            return;
+        }
+        if opening.tried.is_empty() && now.since(self.started) < ACQUAINT_SPAN {
+            return;
+        }
+        self.refuse(packet, opening.tried.last().copied(), now, out);
+    }
+
+    /// All agents that were tried are busy: the caller's next copy is placed anew, and the flow is
+    /// refused if there is none to come.
+    fn defer(&mut self, packet: &Packet, opening: Opening, now: Millis, out: &mut Vec<Effect>) {
+        let last = opening.tried.last().copied();
+        if packet.ack >= LAST_COPY {
+            self.refuse(packet, last, now, out);
+            return;
+        }
+        out.push(self.decision(Reason::Deferred, packet, last, now));
+        let opening = Opening {
+            at: now,
+            ..Opening::default()
+        };
+        self.seats.reopen(&packet.flow, opening);
+    }
+
+    fn refuse(
+        &mut self,
+        packet: &Packet,
+        last: Option<Ipv4Addr>,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        self.seats.remove(&packet.flow);
+        out.push(self.decision(Reason::NoAgent, packet, last, now));
+        out.push(reset(packet));
+    }
+
     /// The least loaded agent that is not tried yet: of the service that the flow's hash picks, or
     /// of another one of the route if that has none.
     fn choose(&self, packet: &Packet, tried: &[Ipv4Addr], now: Millis) -> Option<Ipv4Addr> {
--- a/buckthornlink-core/src/datagram/balancer/seats.rs
+++ b/buckthornlink-core/src/datagram/balancer/seats.rs
@@ -30,6 +30,8 @@
     pub at: Millis,
     /// Agents that were tried.
     pub tried: Vec<Ipv4Addr>,
+    /// How many of them were busy.
+    pub busy: u8,
 }
 
 #[derive(Clone, Debug)]
@@ -75,6 +77,13 @@
         self.entries.insert(*flow, entry);
     }
 
+    /// Notes that a flow's opening packet is to be placed anew.
+    pub(super) fn reopen(&mut self, flow: &Flow, opening: Opening) {
+        if let Some(entry) = self.entries.get_mut(flow) {
+            entry.opening = opening;
+        }
+    }
+
     /// Takes the word of an owner over.
     pub(super) fn learn(&mut self, note: &Note, now: Millis) {
         let seat = Seat::Lives {
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -35,6 +35,8 @@
     PlacedAgain,
     /// An agent refused the flow, so the next one is asked.
     HandedOn,
+    /// All agents that were tried are busy; the flow waits for the next copy of its opening packet.
+    Deferred,
     /// No agent takes the flow; the caller is told at once.
     NoAgent,
     /// The route does not exist in the version in force.
@@ -100,6 +102,7 @@
             Self::Placed => "placed",
             Self::PlacedAgain => "placed_again",
             Self::HandedOn => "handed_on",
+            Self::Deferred => "deferred",
             Self::NoAgent => "no_agent",
             Self::NoRoute => "no_route",
             Self::LookedUp => "looked_up",
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -49,6 +49,8 @@
     pub seen: Millis,
     /// Since when the backend server owes an answer, if it does.
     pub waiting: Option<Millis>,
+    /// Sequence number after the last data of the caller.
+    pub requested: Option<u32>,
     /// Whether the caller, or the backend server, has sent its end.
     pub ended: [bool; 2],
     /// The agent that was told that the flow lives here.
--- a/buckthornlink-core/src/datagram/packet.rs
+++ b/buckthornlink-core/src/datagram/packet.rs
@@ -18,7 +18,8 @@
     pub flags: Flags,
     /// The sender's sequence number.
     pub seq: u32,
-    /// The sequence number that the sender acknowledges.
+    /// The sequence number that the sender acknowledges; of an opening packet, the copies of it that
+    /// were sent before.
     pub ack: u32,
     /// Bytes of data.
     pub len: u16,
@@ -73,6 +74,8 @@
     Search,
     /// An agent did not admit the flow and gives the packet back to the balancer.
     Refused,
+    /// As [`Mode::Refused`], for a moment only: the backend server has its hands full.
+    Busy,
 }
 
 impl Packet {
@@ -82,6 +85,12 @@
         self.flags.syn && !self.flags.ack
     }
 
+    /// The sequence number after the packet's data.
+    #[must_use]
+    pub const fn end(&self) -> u32 {
+        self.seq.wrapping_add(self.len as u32)
+    }
+
     /// Whether the packet acknowledges the handshake of a backend server that answered with `seq`.
     #[must_use]
     pub const fn acknowledges(&self, seq: u32) -> bool {
@@ -151,6 +160,7 @@
             4 => Mode::Noted,
             5 => Mode::Search,
             6 => Mode::Refused,
+            7 => Mode::Busy,
             _ => Mode::Direct,
         };
         Self {
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -299,9 +299,14 @@
         self.reduce(Event::Packet { source, packet })
     }
 
+    /// An agent refuses an opening packet.
+    pub fn refused(&mut self, from: Ipv4Addr, packet: Packet) -> Vec<Effect> {
+        self.give_back(from, packet, Mode::Refused)
+    }
+
     /// An agent gives an opening packet back.
-    pub fn refused(&mut self, from: Ipv4Addr, mut packet: Packet) -> Vec<Effect> {
-        packet.tag = Tag::new(Mode::Refused, BALANCER);
+    pub fn give_back(&mut self, from: Ipv4Addr, mut packet: Packet, mode: Mode) -> Vec<Effect> {
+        packet.tag = Tag::new(mode, BALANCER);
         let source = Source::Peer(from);
         self.reduce(Event::Packet { source, packet })
     }
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -4,7 +4,9 @@
 
 use std::net::Ipv4Addr;
 
-use buckthornlink_core::datagram::{Effect, Event, Load, Message, Mode, Note, Phase, Role};
+use buckthornlink_core::datagram::{
+    Effect, Event, Load, Message, Mode, Note, Phase, Role, Source, Tag,
+};
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{AgentDriver, PEER, answer, beat, bounce, data, opening, syn_ack};
@@ -354,3 +356,42 @@
         "{old:?}"
     );
 }
+
+#[test]
+fn a_busy_backend_server_hands_new_flows_on_and_takes_them_when_others_are_busier() {
+    let mut agent = AgentDriver::ready();
+    (1..=8).for_each(|port| agent.open_flow(port));
+    let outcome = |agent: &mut AgentDriver, hops: u8| {
+        let mut packet = opening(100 + u16::from(hops));
+        packet.tag = Tag {
+            hops,
+            ..Tag::new(Mode::Placed, datagram::BALANCER)
+        };
+        let source = Source::Peer(datagram::BALANCER);
+        match agent.reduce(Event::Packet { source, packet })[..] {
+            [Effect::Deliver(_)] => "taken",
+            [Effect::Relay { tag, .. }] if tag.mode == Mode::Busy => "busy",
+            _ => "other",
+        }
+    };
+    assert_eq!(outcome(&mut agent, 0), "busy");
+    assert_eq!(outcome(&mut agent, 1), "taken");
+    (11..=26).for_each(|port| agent.open_flow(port));
+    let outcomes = [0, 1, 2, 3].map(|hops| outcome(&mut agent, hops));
+    assert_eq!(outcomes, ["busy"; 4]);
+    agent.outbound(answer(1));
+    assert_eq!(outcome(&mut agent, 2), "taken");
+}
+
+#[test]
+fn a_repeated_request_that_was_answered_is_not_in_hand() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.outbound(answer(1));
+    agent.relayed(data(1), Mode::Known);
+    assert_eq!(agent.agent.flows().waiting(), 0);
+    let mut next = data(1);
+    next.seq += 100;
+    agent.relayed(next, Mode::Known);
+    assert_eq!(agent.agent.flows().waiting(), 1);
+}
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -128,3 +128,24 @@
         "{next:?}"
     );
 }
+
+#[test]
+fn a_flow_that_busy_agents_refuse_waits_for_its_copies_and_is_refused_after_the_last() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[
+        fact(BUSY, Phase::Ready, load(9, 90)),
+        fact(CALM, Phase::Ready, load(9, 90)),
+    ]);
+    let mut outcomes = Vec::new();
+    for copy in 0..3 {
+        let mut packet = opening(1);
+        packet.ack = copy;
+        balancer.now = balancer.now + Millis(200);
+        let mut effects = balancer.caller(packet);
+        while let [Effect::Relay { to, .. }] = effects[..] {
+            effects = balancer.give_back(to, packet, Mode::Busy);
+        }
+        outcomes.push(effects.iter().any(is_reset));
+    }
+    assert_eq!(outcomes, [false, false, true]);
+}
