--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -361,8 +361,8 @@
 fn a_busy_backend_server_hands_new_flows_on_and_takes_them_when_others_are_busier() {
     let mut agent = AgentDriver::ready();
     (1..=8).for_each(|port| agent.open_flow(port));
-    let outcome = |agent: &mut AgentDriver, hops: u8| {
-        let mut packet = opening(100 + u16::from(hops));
+    let outcome = |agent: &mut AgentDriver, port: u16, hops: u8| {
+        let mut packet = opening(port);
         packet.tag = Tag {
             hops,
             ..Tag::new(Mode::Placed, datagram::BALANCER)
@@ -374,13 +374,13 @@
             _ => "other",
         }
     };
-    assert_eq!(outcome(&mut agent, 0), "busy");
-    assert_eq!(outcome(&mut agent, 1), "taken");
+    assert_eq!(outcome(&mut agent, 100, 0), "busy");
+    assert_eq!(outcome(&mut agent, 101, 1), "taken");
     (11..=26).for_each(|port| agent.open_flow(port));
-    let outcomes = [0, 1, 2, 3].map(|hops| outcome(&mut agent, hops));
+    let outcomes = [0, 1, 2, 3].map(|hops| outcome(&mut agent, 200, hops));
     assert_eq!(outcomes, ["busy"; 4]);
     agent.outbound(answer(1));
-    assert_eq!(outcome(&mut agent, 2), "taken");
+    assert_eq!(outcome(&mut agent, 102, 2), "taken");
 }
 
 #[test]
