fix(core): agents whose backend server has ended are no homes, and are not waited for

Cause: after the loss of power, agents whose backend servers were gone for good stayed homes of a share of all flows; they ended without a word, and look-ups went there for up to 11 s, since the span of suspicion grows with the number of instances. Searches waited 1 s for each of them at each home. Seen from the times of look-ups, searches and denials of single flows. A home is now an agent that answers and has its backend server; an agent without one that owes two answers for 300 ms counts as denying. A test failed first; the rounds until the reset in another one go from 6 to 3, as stated in it.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -207,7 +207,7 @@
             if now.since(state.opened) < NOTE_AGE {
                 continue;
             }
-            let home = roster.home(flow).filter(|&ip| ip != own);
+            let home = roster.home(flow, now).filter(|&ip| ip != own);
             let home = home.and_then(|ip| Some((ip, roster.get(ip)?.fact.boot)));
             if home.is_some() && home != state.noted {
                 due.extend(home.map(|(ip, _)| (ip, *flow)));
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -98,7 +98,7 @@
 
     /// Sends a packet of an unknown flow to the agent that may have a note about it.
     fn look_up(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
-        let home = self.mesh.roster().home(&packet.flow);
+        let home = self.mesh.roster().home(&packet.flow, now);
         out.push(self.decision(Reason::LookedUp, packet, home, now));
         if let Some(to) = home {
             let tag = self.tag(Mode::Lookup, to, now);
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -19,6 +19,10 @@
 const ANSWER_SPAN: Millis = Millis(1_000);
 /// Unanswered requests from which on an instance may count as silent.
 const MIN_UNANSWERED: u16 = 3;
+/// The same for an agent whose backend server has ended: it holds no flows.
+const EMPTY_SPAN: Millis = Millis(300);
+/// Unanswered requests that go with [`EMPTY_SPAN`].
+const EMPTY_UNANSWERED: u16 = 2;
 /// Time without an answer after which an instance counts as silent although signs of its life still
 /// come round: those of an instance that is gone do so for seconds in a large system.
 const DEAF_SPAN: Millis = Millis(2_000);
@@ -146,13 +150,17 @@
     ///
     /// The home does not depend on the service, since a route may change its services while its
     /// flows stay where they are.
+    /// Agents that are likely to be gone are passed over: those that are silent, and those whose
+    /// backend server has ended, which end soon after it.
     #[must_use]
-    pub fn home(&self, flow: &Flow) -> Option<Ipv4Addr> {
+    pub fn home(&self, flow: &Flow, now: Millis) -> Option<Ipv4Addr> {
         let hash = flow.hash();
         let after = self.ring.range(hash..).chain(self.ring.range(..hash));
         let members = after.filter_map(|(_, ip)| self.members.get(ip));
-        let mut live = members.filter(|m| m.fact.phase.is_running() && !m.suspect);
-        live.next().map(|m| m.fact.ip)
+        let mut running = members.filter(|m| m.fact.phase.is_running());
+        let first = running.clone().next();
+        let home = running.find(|m| m.is_home(now)).or(first);
+        home.map(|m| m.fact.ip)
     }
 
     /// Marks instances that have not been heard, and forgets those silent for long.
@@ -275,10 +283,17 @@
     #[must_use]
     pub fn is_silent(&self, now: Millis) -> bool {
         let owed = self.asked.map_or(Millis(0), |at| now.since(at));
-        let is_due = owed >= ANSWER_SPAN && self.unanswered >= MIN_UNANSWERED;
-        let is_deaf = owed >= DEAF_SPAN && self.unanswered >= DEAF_UNANSWERED;
+        let owes = |span, count| owed >= span && self.unanswered >= count;
         let is_quiet = now.since(self.heard) >= ANSWER_SPAN;
-        self.suspect || is_deaf || is_due && (is_quiet || self.fact.phase.is_over())
+        self.suspect
+            || owes(DEAF_SPAN, DEAF_UNANSWERED)
+            || is_quiet && owes(ANSWER_SPAN, MIN_UNANSWERED)
+            || self.fact.phase.is_over() && owes(EMPTY_SPAN, EMPTY_UNANSWERED)
+    }
+
+    /// Whether the instance may keep notes of flows.
+    fn is_home(&self, now: Millis) -> bool {
+        !self.fact.phase.is_over() && !self.is_silent(now)
     }
 
     /// Whether the flows that `backend` held there are known to be over.
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -253,7 +253,7 @@
 
 #[test]
 fn an_agent_that_lost_its_backend_server_and_answers_nothing_denies() {
-    assert_eq!(rounds_until_reset(Phase::Over), Some(6));
+    assert_eq!(rounds_until_reset(Phase::Over), Some(3));
 }
 
 #[test]
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -100,6 +100,20 @@
     );
 }
 
+#[test]
+fn an_agent_without_its_backend_server_is_no_home_while_there_are_others() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[fact(BUSY, Phase::Over, load(0, 0))]);
+    let home = |balancer: &mut BalancerDriver, port| match balancer.caller(data(port))[..] {
+        [Effect::Relay { to, .. }] => to,
+        ref other => panic!("{other:?}"),
+    };
+    assert_eq!(home(&mut balancer, 1), BUSY);
+    balancer.learn(&[fact(CALM, Phase::Ready, load(0, 0))]);
+    let homes = (1..20).map(|port| home(&mut balancer, port));
+    assert!(homes.into_iter().all(|ip| ip == CALM));
+}
+
 #[test]
 fn the_flow_of_a_backend_server_that_has_ended_is_reset_at_once() {
     let mut balancer = BalancerDriver::ready();
