test(soak): a randomized soak of the real programs on loopback

Real processes against a stand-in of the platform's store, callers and backend servers; seeds draw kills, pauses, restarts, reloads, stalled output, a store and links to it that misbehave, crashes and departures of backend servers, moved routes and zones out. Callers and backend servers judge resets of live flows, packets that miss their owner, requests run twice, departures, zones, versions, changed packets, and service at the end.

--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -61,7 +61,7 @@
         }
         opening.busy += u8::from(is_busy);
         if opening.busy >= MAX_BUSY {
-            self.defer(packet, opening, now, out);
+            self.defer(packet, &opening, now, out);
         } else {
             self.try_next(packet, opening, Reason::HandedOn, now, out);
         }
@@ -76,7 +76,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(owner) = self.choose(packet, &opening.tried, now) else {
-            self.give_up(packet, opening, now, out);
+            self.give_up(packet, &opening, now, out);
             return;
         };
         out.push(self.decision(reason, packet, Some(owner), now));
@@ -97,7 +97,7 @@
     }
 
     /// No further agent is left for an opening packet.
-    fn give_up(&mut self, packet: &Packet, opening: Opening, now: Millis, out: &mut Vec<Effect>) {
+    fn give_up(&mut self, packet: &Packet, opening: &Opening, now: Millis, out: &mut Vec<Effect>) {
         if opening.busy > 0 {
             self.defer(packet, opening, now, out);
             return;
@@ -110,7 +110,7 @@
 
     /// All agents that were tried are busy: the caller's next copy is placed anew, and the flow is
     /// refused if there is none to come.
-    fn defer(&mut self, packet: &Packet, opening: Opening, now: Millis, out: &mut Vec<Effect>) {
+    fn defer(&mut self, packet: &Packet, opening: &Opening, now: Millis, out: &mut Vec<Effect>) {
         let last = opening.tried.last().copied();
         if packet.ack >= LAST_COPY {
             self.refuse(packet, last, now, out);
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -282,8 +282,8 @@
     /// life to others, or had no backend server any more.
     #[must_use]
     pub fn is_silent(&self, now: Millis) -> bool {
-        let owed = self.asked.map_or(Millis(0), |at| now.since(at));
-        let owes = |span, count| owed >= span && self.unanswered >= count;
+        let silence = self.asked.map_or(Millis(0), |at| now.since(at));
+        let owes = |span, count| silence >= span && self.unanswered >= count;
         let is_quiet = now.since(self.heard) >= ANSWER_SPAN;
         self.suspect
             || owes(DEAF_SPAN, DEAF_UNANSWERED)
--- a/buckthornlink-fakes/src/datagram.rs
+++ b/buckthornlink-fakes/src/datagram.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`World`] holds balancers, agents, backend servers and callers, and moves their packets.
 //! * [`Fault`] is something that happens to them; [`Plan`] draws a series of faults from a seed.
+//! * [`Caller`] and [`Backend`] are the ends of flows, also for tests with real processes.
 //! * [`Outcome`] counts what callers and backend servers saw.
 //!
 //! # Example
@@ -23,6 +24,8 @@
 mod process;
 mod world;
 
+pub use backend::{Backend, HEARTBEAT, Reaction};
+pub use caller::{Caller, News};
 pub use outcome::Outcome;
 pub use plan::{Fault, Plan};
 pub use world::{World, WorldSetup};
--- a/buckthornlink-fakes/src/datagram/backend.rs
+++ b/buckthornlink-fakes/src/datagram/backend.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 /// Interval of heartbeats.
-pub(super) const HEARTBEAT: Millis = Millis(1_200);
+pub const HEARTBEAT: Millis = Millis(1_200);
 /// Length of a cold start.
 const COLD_SPAN: Millis = Millis(2_000);
 /// New flows in one second that a backend server in cold start bears at most.
@@ -15,11 +15,16 @@
 
 /// One start of a backend server.
 #[derive(Clone, Debug)]
-pub(super) struct Backend {
+pub struct Backend {
+    /// Its service.
     pub service: ServiceTag,
+    /// Names the start.
     pub born: u64,
+    /// When it started.
     pub started: Millis,
+    /// Since when it leaves.
     pub draining: Option<Millis>,
+    /// Heartbeats that it has sent.
     pub seq: u64,
     half: HashMap<Flow, u32>,
     open: HashMap<Flow, u32>,
@@ -28,17 +33,27 @@
 
 /// What a backend server does with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Reaction {
+pub enum Reaction {
     /// Answers an opening packet; `is_overload` if it came on top of what it bears.
-    Opened { answer: Packet, is_overload: bool },
+    Opened {
+        /// The answer.
+        answer: Packet,
+        /// Whether it bears no more.
+        is_overload: bool,
+    },
     /// Takes a packet of a flow that it holds, and answers it if it carries a request.
-    Took { answer: Option<Packet> },
+    Took {
+        /// The answer, if any.
+        answer: Option<Packet>,
+    },
     /// Gives the packet back.
     Bounced(Packet),
 }
 
 impl Backend {
-    pub(super) fn new(service: ServiceTag, born: u64, now: Millis) -> Self {
+    /// A backend server that starts now.
+    #[must_use]
+    pub fn new(service: ServiceTag, born: u64, now: Millis) -> Self {
         Self {
             service,
             born,
@@ -51,11 +66,20 @@
         }
     }
 
-    pub(super) fn holds(&self, flow: &Flow) -> bool {
+    /// Whether it holds a flow.
+    #[must_use]
+    pub fn holds(&self, flow: &Flow) -> bool {
         self.open.contains_key(flow)
     }
 
-    pub(super) fn heartbeat(&mut self, now: Millis) -> Heartbeat {
+    /// Whether it holds a flow, or has answered its opening packet.
+    #[must_use]
+    pub fn knows(&self, flow: &Flow) -> bool {
+        self.half.contains_key(flow) || self.open.contains_key(flow)
+    }
+
+    /// Its next heartbeat.
+    pub fn heartbeat(&mut self, now: Millis) -> Heartbeat {
         self.seq += 1;
         Heartbeat {
             id: format!("i-{}", self.born),
@@ -68,7 +92,8 @@
         }
     }
 
-    pub(super) fn receive(&mut self, packet: &Packet, now: Millis, rng: &mut impl Rng) -> Reaction {
+    /// Handles a packet.
+    pub fn receive(&mut self, packet: &Packet, now: Millis, rng: &mut impl Rng) -> Reaction {
         if packet.is_opening() {
             return self.offer(packet, now, rng);
         }
@@ -93,7 +118,7 @@
     }
 
     fn offer(&mut self, packet: &Packet, now: Millis, rng: &mut impl Rng) -> Reaction {
-        let is_known = self.half.contains_key(&packet.flow) || self.open.contains_key(&packet.flow);
+        let is_known = self.knows(&packet.flow);
         let is_overload = !is_known && self.is_overload(now);
         let seq = *self.half.entry(packet.flow).or_insert_with(|| rng.random());
         let mut answer = *packet;
--- a/buckthornlink-fakes/src/datagram/caller.rs
+++ b/buckthornlink-fakes/src/datagram/caller.rs
@@ -30,7 +30,8 @@
 
 /// One caller.
 #[derive(Clone, Debug)]
-pub(super) struct Caller {
+pub struct Caller {
+    /// Its present flow.
     pub flow: Flow,
     stage: Stage,
     ack: u32,
@@ -39,14 +40,19 @@
 
 /// What became of a request or a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum News {
+pub enum News {
+    /// A request was sent for the first time.
     Asked,
+    /// A request was answered.
     Served,
+    /// A flow was opened.
     Opened,
 }
 
 impl Caller {
-    pub(super) fn new(ip: Ipv4Addr, route: SocketAddrV4) -> Self {
+    /// A caller at `ip` that connects to `route`.
+    #[must_use]
+    pub const fn new(ip: Ipv4Addr, route: SocketAddrV4) -> Self {
         let caller = SocketAddrV4::new(ip, FIRST_PORT);
         Self {
             flow: Flow { caller, route },
@@ -57,12 +63,13 @@
     }
 
     /// Whether the caller takes its flow for open.
-    pub(super) const fn is_open(&self) -> bool {
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
         matches!(self.stage, Stage::Open { .. } | Stage::Waiting { .. })
     }
 
     /// Sends what is due.
-    pub(super) fn tick(&mut self, now: Millis, news: &mut Vec<News>) -> Option<Packet> {
+    pub fn tick(&mut self, now: Millis, news: &mut Vec<News>) -> Option<Packet> {
         match self.stage {
             Stage::Idle => {
                 self.renew();
@@ -88,7 +95,7 @@
     }
 
     /// Takes a packet of its flow; returns an acknowledgement of the handshake.
-    pub(super) fn receive(
+    pub fn receive(
         &mut self,
         packet: &Packet,
         now: Millis,
--- /dev/null
+++ b/buckthornlink-soak/src/main.rs
@@ -0,0 +1,124 @@
+//! Runs the real programs as separate processes on loopback, with faults from outside.
+//!
+//! Each seed is a run of its own: processes are killed, paused, restarted and told to reload, the
+//! store and the links to it misbehave, backend servers crash and leave, and operators move routes
+//! and take zones out of service. Callers and backend servers judge the promises meanwhile.
+//!
+//! ```sh
+//! cargo build --release --bins
+//! cargo run --release -p buckthornlink-soak -- --first 1 --seeds 50 --jobs 4
+//! ```
+
+mod ends;
+mod ledger;
+mod link;
+mod plan;
+mod process;
+mod run;
+mod site;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use clap::Parser;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
+use run::{Setup, play};
+
+/// First block of loopback addresses that runs use.
+const FIRST_BLOCK: u8 = 40;
+
+/// Faults against the real programs, on loopback.
+#[derive(Debug, Parser)]
+struct Options {
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// Number of seeds.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Runs at a time.
+    #[arg(long, default_value_t = 2)]
+    jobs: u8,
+    /// Length of a run in seconds.
+    #[arg(long, default_value_t = 40)]
+    seconds: u64,
+    /// Balancers of a run.
+    #[arg(long, default_value_t = 3)]
+    balancers: u8,
+    /// Agents of a run.
+    #[arg(long, default_value_t = 6)]
+    agents: u8,
+    /// Callers of a run.
+    #[arg(long, default_value_t = 24)]
+    callers: u8,
+    /// Prints the faults of the seeds instead of playing them.
+    #[arg(long)]
+    plan: bool,
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    let options = Options::parse();
+    let seeds = options.first..options.first + options.seeds;
+    let length = Duration::from_secs(options.seconds);
+    if options.plan {
+        for seed in seeds {
+            println!("seed {seed}: {:#?}", plan::draw(seed, length));
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
+    let programs = std::env::current_exe()?;
+    let programs = programs.parent().context("no folder of programs")?;
+    let setup = Setup {
+        programs: programs.to_owned(),
+        folder: PathBuf::from("target/soak"),
+        length,
+        sizes: [options.balancers, options.agents, options.callers],
+    };
+    let failed = play_all(setup, seeds.collect(), options.jobs)?;
+    println!("{} passed, {failed} failed", options.seeds - failed);
+    Ok(ExitCode::from(u8::from(failed > 0)))
+}
+
+#[tokio::main]
+async fn play_all(setup: Setup, seeds: Vec<u64>, jobs: u8) -> anyhow::Result<u64> {
+    let setup = Arc::new(setup);
+    let queue = Arc::new(Mutex::new(seeds.into_iter()));
+    let mut players = JoinSet::new();
+    for job in 0..jobs {
+        let (setup, queue) = (Arc::clone(&setup), Arc::clone(&queue));
+        players.spawn(async move {
+            let mut failed = 0;
+            loop {
+                let Some(seed) = queue.lock().await.next() else {
+                    return anyhow::Ok(failed);
+                };
+                failed += u64::from(!play_one(&setup, seed, FIRST_BLOCK + job).await?);
+            }
+        });
+    }
+    let mut failed = 0;
+    while let Some(player) = players.join_next().await {
+        failed += player??;
+    }
+    Ok(failed)
+}
+
+/// Plays a seed and prints what came of it; returns whether all promises were kept.
+async fn play_one(setup: &Setup, seed: u64, block: u8) -> anyhow::Result<bool> {
+    let summary = play(setup, seed, block).await?;
+    let is_good = summary.violations.is_empty();
+    let verdict = if is_good { "passed" } else { "FAILED" };
+    println!(
+        "seed {seed}: {verdict}, {} of {} requests served",
+        summary.served, summary.asked
+    );
+    for violation in &summary.violations {
+        println!("  {violation}");
+    }
+    Ok(is_good)
+}
