--- a/buckthornlink-soak/src/ledger.rs
+++ b/buckthornlink-soak/src/ledger.rs
@@ -267,3 +267,7 @@
         is_stable && now.since(at) > span
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/ledger.rs"]
+mod tests;
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -19,18 +19,19 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use anyhow::Context;
 use clap::Parser;
-use tokio::sync::Mutex;
-use tokio::task::JoinSet;
+use tokio::runtime::Runtime;
 
 use run::{Setup, play};
 
 /// First block of loopback addresses that runs use.
 const FIRST_BLOCK: u8 = 40;
+/// Time in which the tasks of a run are to end.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Faults against the real programs, on loopback.
 #[derive(Debug, Parser)]
@@ -79,38 +80,40 @@
         length,
         sizes: [options.balancers, options.agents, options.callers],
     };
-    let failed = play_all(setup, seeds.collect(), options.jobs)?;
+    let failed = play_all(&setup, seeds.collect(), options.jobs)?;
     println!("{} passed, {failed} failed", options.seeds - failed);
     Ok(ExitCode::from(u8::from(failed > 0)))
 }
 
-#[tokio::main]
-async fn play_all(setup: Setup, seeds: Vec<u64>, jobs: u8) -> anyhow::Result<u64> {
-    let setup = Arc::new(setup);
-    let queue = Arc::new(Mutex::new(seeds.into_iter()));
-    let mut players = JoinSet::new();
-    for job in 0..jobs {
-        let (setup, queue) = (Arc::clone(&setup), Arc::clone(&queue));
-        players.spawn(async move {
-            let mut failed = 0;
-            loop {
-                let Some(seed) = queue.lock().await.next() else {
-                    return anyhow::Ok(failed);
-                };
-                failed += u64::from(!play_one(&setup, seed, FIRST_BLOCK + job).await?);
-            }
-        });
-    }
-    let mut failed = 0;
-    while let Some(player) = players.join_next().await {
-        failed += player??;
-    }
-    Ok(failed)
+/// Plays seeds in some threads; returns how many failed.
+fn play_all(setup: &Setup, seeds: Vec<u64>, jobs: u8) -> anyhow::Result<u64> {
+    let queue = Mutex::new(seeds.into_iter());
+    let next = || queue.lock().ok().and_then(|mut seeds| seeds.next());
+    let work = |job| {
+        let mut failed = 0;
+        while let Some(seed) = next() {
+            failed += u64::from(!play_one(setup, seed, FIRST_BLOCK + job)?);
+        }
+        anyhow::Ok(failed)
+    };
+    std::thread::scope(|scope| {
+        let players: Vec<_> = (0..jobs)
+            .map(|job| scope.spawn(move || work(job)))
+            .collect();
+        let mut failed = 0;
+        for player in players {
+            let outcome = player.join();
+            failed += outcome.map_err(|_| anyhow::anyhow!("a player panicked"))??;
+        }
+        Ok(failed)
+    })
 }
 
 /// Plays a seed and prints what came of it; returns whether all promises were kept.
-async fn play_one(setup: &Setup, seed: u64, block: u8) -> anyhow::Result<bool> {
-    let summary = play(setup, seed, block).await?;
+fn play_one(setup: &Setup, seed: u64, block: u8) -> anyhow::Result<bool> {
+    let runtime = Runtime::new()?;
+    let summary = runtime.block_on(play(setup, seed, block))?;
+    runtime.shutdown_timeout(SHUTDOWN_TIMEOUT);
     let is_good = summary.violations.is_empty();
     let verdict = if is_good { "passed" } else { "FAILED" };
     println!(
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -23,6 +23,9 @@
 const LEAD: Duration = Duration::from_secs(2);
 /// Interval at which programs are looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// A reader stalls, and a zone is out, for this many times as long as other faults last.
+const STALL_FACTOR: u32 = 3;
+const ZONE_FACTOR: u32 = 3;
 /// Time for which a flow may be idle, in milliseconds.
 const IDLE_MS: u64 = 15_000;
 
@@ -247,7 +250,7 @@
 
     async fn stall(&self, index: usize, span: Duration) {
         self.programs[index].lock().await.stall(true);
-        sleep(span).await;
+        sleep(span * STALL_FACTOR).await;
         self.programs[index].lock().await.stall(false);
     }
 
@@ -287,7 +290,7 @@
     async fn zone_out(&self, zone: &str, span: Duration) {
         self.operator.set_zone_out(zone, true);
         self.ledger.set_zone_out(zone, true);
-        sleep(span * 3).await;
+        sleep(span * ZONE_FACTOR).await;
         self.operator.set_zone_out(zone, false);
         self.ledger.set_zone_out(zone, false);
     }
