fix(datagram): take signals over before anything else

Ruled out: a bound port, a panic (nothing on standard error). What remains is the time until the program itself runs; the soak leaves a new process 100 ms.

--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -42,10 +42,13 @@
 ///
 /// Returns an error if the settings cannot stand or an address cannot be bound.
 pub fn run_balancer(adapter: impl Adapter, path: &Path) -> anyhow::Result<()> {
-    let settings: Settings = settings::load(path)?;
-    let setup = setup(&settings, Role::Balancer);
-    let balancer = Balancer::new(&setup, clock::now());
-    block_on(serve(balancer, adapter, &settings, path))
+    block_on(async {
+        let signals = Signals::open()?;
+        let settings: Settings = settings::load(path)?;
+        let setup = setup(&settings, Role::Balancer);
+        let balancer = Balancer::new(&setup, clock::now());
+        serve(balancer, adapter, &settings, path, signals).await
+    })
 }
 
 /// Runs an agent with the settings in the file at `path` until SIGTERM.
@@ -55,12 +58,32 @@
 /// Returns an error if the settings cannot stand, name no backend server, or an address cannot be
 /// bound.
 pub fn run_agent(adapter: impl Adapter, path: &Path) -> anyhow::Result<()> {
-    let settings: Settings = settings::load(path)?;
-    let backend = settings.backend.as_ref();
-    let backend = backend.context("backend: an agent's settings name its backend server")?;
-    let setup = setup(&settings, Role::Agent(ServiceTag::of(&backend.service)));
-    let agent = Agent::new(&setup, clock::now());
-    block_on(serve(agent, adapter, &settings, path))
+    block_on(async {
+        let signals = Signals::open()?;
+        let settings: Settings = settings::load(path)?;
+        let backend = settings.backend.as_ref();
+        let backend = backend.context("backend: an agent's settings name its backend server")?;
+        let setup = setup(&settings, Role::Agent(ServiceTag::of(&backend.service)));
+        let agent = Agent::new(&setup, clock::now());
+        serve(agent, adapter, &settings, path, signals).await
+    })
+}
+
+/// The signals that a process handles.
+///
+/// They are taken over before anything else, since a signal that comes earlier ends the process.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    fn open() -> std::io::Result<Self> {
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+        })
+    }
 }
 
 async fn serve<R: Reducer, A: Adapter>(
@@ -68,6 +91,7 @@
     adapter: A,
     settings: &Settings,
     path: &Path,
+    signals: Signals,
 ) -> anyhow::Result<()> {
     logs::init(&settings.log);
     let sockets = Sockets::bind(settings).await.context("datagram sockets")?;
@@ -82,11 +106,18 @@
     let store = adapter.open_store(&settings.store);
     let registration = register(store.clone(), settings);
     let records = Records::new(&adapter, &inbox, &metrics, &is_watching);
-    reload::spawn(records, settings.clone(), path.to_owned(), inbox.clone())?;
+    let reloaded = settings.clone();
+    reload::spawn(
+        records,
+        reloaded,
+        path.to_owned(),
+        inbox.clone(),
+        signals.hangup,
+    );
     if let Some(backend) = &settings.backend {
         tokio::spawn(vigil::watch(backend.address, inbox.clone()));
     }
-    stop_on_signal(inbox.clone())?;
+    stop_on_signal(inbox.clone(), signals.terminate);
     let boot = reducer.mesh().own().boot.0;
     log::info!(ip:% = settings.ip, zone = settings.zone, boot = boot; "process started");
     logs::flush();
@@ -114,14 +145,12 @@
     Registration::spawn(store, key, &entry)
 }
 
-fn stop_on_signal(inbox: Inbox) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
+fn stop_on_signal(inbox: Inbox, mut terminate: Signal) {
     tokio::spawn(async move {
         terminate.recv().await;
         log::info!("termination requested");
         inbox.stop();
     });
-    Ok(())
 }
 
 fn setup(settings: &Settings, role: Role) -> Setup {
--- a/buckthornlink-datagram/src/process/reload.rs
+++ b/buckthornlink-datagram/src/process/reload.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::time::{MissedTickBehavior, interval};
 
 use buckthornlink_core::datagram::Event;
@@ -24,8 +24,8 @@
     settings: Settings,
     path: PathBuf,
     inbox: Inbox,
-) -> std::io::Result<()> {
-    let hangup = signal(SignalKind::hangup())?;
+    hangup: Signal,
+) {
     records.follow(&settings.store);
     let reloader = Reloader {
         records,
@@ -34,7 +34,6 @@
         inbox,
     };
     tokio::spawn(reloader.run(hangup));
-    Ok(())
 }
 
 struct Reloader<A> {
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -28,6 +28,8 @@
 
 use run::{Setup, play};
 
+/// Seeds that failed once, each with its cause.
+const REGRESSIONS: &str = include_str!("../seeds.txt");
 /// First block of loopback addresses that runs use.
 const FIRST_BLOCK: u8 = 40;
 /// Time in which the tasks of a run are to end.
@@ -57,14 +59,33 @@
     /// Callers of a run.
     #[arg(long, default_value_t = 24)]
     callers: u8,
+    /// Also plays the seeds that failed once.
+    #[arg(long)]
+    regressions: bool,
     /// Prints the faults of the seeds instead of playing them.
     #[arg(long)]
     plan: bool,
 }
 
+impl Options {
+    fn all_seeds(&self) -> Vec<u64> {
+        let mut seeds: Vec<u64> = (self.first..self.first + self.seeds).collect();
+        if self.regressions {
+            seeds.extend(regressions());
+        }
+        seeds
+    }
+}
+
+/// Seeds that failed once.
+fn regressions() -> impl Iterator<Item = u64> {
+    let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#'));
+    lines.filter_map(|line| line.split_whitespace().next()?.parse().ok())
+}
+
 fn main() -> anyhow::Result<ExitCode> {
     let options = Options::parse();
-    let seeds = options.first..options.first + options.seeds;
+    let seeds = options.all_seeds();
     let length = Duration::from_secs(options.seconds);
     if options.plan {
         for seed in seeds {
@@ -80,8 +101,9 @@
         length,
         sizes: [options.balancers, options.agents, options.callers],
     };
-    let failed = play_all(&setup, seeds.collect(), options.jobs)?;
-    println!("{} passed, {failed} failed", options.seeds - failed);
+    let total = seeds.len() as u64;
+    let failed = play_all(&setup, seeds, options.jobs)?;
+    println!("{} passed, {failed} failed", total - failed);
     Ok(ExitCode::from(u8::from(failed > 0)))
 }
 
--- a/buckthornlink-soak/src/process.rs
+++ b/buckthornlink-soak/src/process.rs
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::io::AsyncReadExt;
 use tokio::process::{Child, ChildStdout, Command};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::site::{Instance, Job, Site};
 
@@ -20,6 +20,8 @@
 const SETTINGS_ENV: &str = "BUCKTHORNLINK_SETTINGS";
 /// Time between SIGTERM and the end of a process at the latest.
 const GRACE: Duration = Duration::from_secs(6);
+/// Time that a new process has until it handles signals.
+const EXEC_SPAN: Duration = Duration::from_millis(100);
 /// Interval at which a reader that stalls looks whether it is to go on.
 const STALL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -41,6 +43,7 @@
     log: PathBuf,
     stalled: Arc<AtomicBool>,
     child: Option<Child>,
+    started: Instant,
 }
 
 impl Program {
@@ -68,6 +71,7 @@
             log: folder.join(format!("{}.log", instance.name)),
             stalled: Arc::default(),
             child: None,
+            started: Instant::now(),
         };
         program.start()?;
         Ok(program)
@@ -92,6 +96,7 @@
         let output = child.stdout.take().context("no output")?;
         tokio::spawn(collect(output, log, Arc::clone(&self.stalled)));
         self.child = Some(child);
+        self.started = Instant::now();
         Ok(())
     }
 
@@ -104,6 +109,12 @@
         }
     }
 
+    /// Tells the process that its settings have changed, once it handles signals.
+    pub async fn reload(&self) {
+        sleep_until(self.started + EXEC_SPAN).await;
+        self.signal(Signal::HUP);
+    }
+
     /// Kills the process and waits for its end.
     pub async fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -113,6 +124,7 @@
 
     /// Asks the process to end, and kills it after the grace time.
     pub async fn stop(&mut self) -> Ending {
+        sleep_until(self.started + EXEC_SPAN).await;
         self.signal(Signal::TERM);
         let Some(mut child) = self.child.take() else {
             return Ending::InTime;
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -170,7 +170,7 @@
             Fault::KillAll => self.kill_all(entry.span).await,
             Fault::Restart => self.restart(index).await,
             Fault::Pause => self.pause(index, entry.span).await,
-            Fault::Reload => self.programs[index].lock().await.signal(Signal::HUP),
+            Fault::Reload => self.programs[index].lock().await.reload().await,
             Fault::Stall => self.stall(index, entry.span).await,
             Fault::StoreBusy => self.weather(Weather::Busy, entry.span).await,
             Fault::StoreSilent => self.weather(Weather::Silent, entry.span).await,
