fix(core): an instance that is heard but does not answer gets no new flows

Whatever such an instance said on its own account counted as an answer, and facts that others passed on kept it from being asked. A test failed first.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -99,9 +99,7 @@
     }
 
     fn message(&mut self, from: Ipv4Addr, message: Message, now: Millis, out: &mut Vec<Effect>) {
-        if let Some(member) = self.mesh.roster_mut().get_mut(from) {
-            member.answer();
-        }
+        self.mesh.note_answer(from, &message, now);
         match message {
             Message::Status(status) => self.mesh.receive(&status, now, out),
             Message::Notes(notes) => self.learn(&notes, now),
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -18,6 +18,9 @@
 const LONELY_SPAN: Millis = Millis(1_500);
 /// Age of a fact from which on its instance is asked for its status.
 const STATUS_AGE: Millis = Millis(250);
+/// Time without an answer after which an instance is asked although others pass its facts on, since
+/// it may not hear what it is sent.
+const ANSWER_AGE: Millis = Millis(1_000);
 /// Time until an instance that has not answered is asked again.
 const ASK_INTERVAL: Millis = Millis(100);
 
@@ -117,13 +120,9 @@
     }
 
     fn message(&mut self, from: Ipv4Addr, message: Message, now: Millis, out: &mut Vec<Effect>) {
+        self.mesh.note_answer(from, &message, now);
         match message {
-            Message::Status(status) => {
-                self.mesh.receive(&status, now, out);
-                if let Some(member) = self.mesh.roster_mut().get_mut(from) {
-                    member.answer();
-                }
-            }
+            Message::Status(status) => self.mesh.receive(&status, now, out),
             Message::Notes(notes) => {
                 for note in notes {
                     self.seats.learn(&note, now);
@@ -170,7 +169,9 @@
         };
         let interval = Millis(ASK_INTERVAL.0 * u64::from(member.unanswered));
         let is_due = member.asked.is_none_or(|at| now.since(at) >= interval);
-        if now.since(member.told) >= STATUS_AGE && is_due {
+        let is_stale = now.since(member.told) >= STATUS_AGE;
+        let is_unproved = now.since(member.answered) >= ANSWER_AGE;
+        if (is_stale || is_unproved) && is_due {
             tag.asks = true;
             member.ask(now);
         }
--- a/buckthornlink-core/src/datagram/mesh.rs
+++ b/buckthornlink-core/src/datagram/mesh.rs
@@ -8,7 +8,9 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::{Beat, Decision, Effect, Fact, Load, Merge, Phase, Reason, Role, Roster, Status};
+use super::{
+    Beat, Decision, Effect, Fact, Load, Merge, Message, Phase, Reason, Role, Roster, Status,
+};
 use crate::id::{BootId, Version, ZoneTag, stable_hash};
 use crate::member::{ZoneBook, ZoneRecord};
 use crate::time::Millis;
@@ -217,6 +219,13 @@
         effects.push(Effect::Send { to, message });
     }
 
+    /// Notes that an instance answers, if a message shows that it does.
+    pub fn note_answer(&mut self, from: Ipv4Addr, message: &Message, now: Millis) {
+        if let Some(member) = self.roster.get_mut(from).filter(|_| message.is_answer()) {
+            member.answer(now);
+        }
+    }
+
     /// Asks an instance that owes an answer for its status.
     pub fn probe(&mut self, ip: Ipv4Addr, now: Millis, effects: &mut Vec<Effect>) {
         if let Some(member) = self.roster.get_mut(ip) {
--- a/buckthornlink-core/src/datagram/message.rs
+++ b/buckthornlink-core/src/datagram/message.rs
@@ -21,6 +21,16 @@
     Denied(Flow),
 }
 
+impl Message {
+    /// Whether the message may answer one of the receiver's.
+    ///
+    /// An instance that asks speaks on its own account: it may hear nothing of what it is sent.
+    #[must_use]
+    pub const fn is_answer(&self) -> bool {
+        !matches!(self, Self::Status(Status { asks: true, .. }))
+    }
+}
+
 /// What an instance knows about itself and about others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -46,6 +46,8 @@
     pub beat: u32,
     /// When this process first asked it for its status without an answer so far.
     pub asked: Option<Millis>,
+    /// When it last answered, or became known.
+    pub answered: Millis,
     /// Unanswered requests for its status.
     pub unanswered: u16,
     /// Flows placed on it since its last fact.
@@ -76,6 +78,7 @@
         *member = Member::new(fact, now);
         if old.fact.boot == fact.boot {
             member.asked = old.asked;
+            member.answered = old.answered;
             member.unanswered = old.unanswered;
         }
         if old.fact.boot == fact.boot && fact.seq <= old.beat {
@@ -254,6 +257,7 @@
             told: now,
             beat: fact.seq,
             asked: None,
+            answered: now,
             unanswered: 0,
             sent: 0,
             suspect: false,
@@ -273,7 +277,8 @@
     }
 
     /// Notes that the instance answered.
-    pub const fn answer(&mut self) {
+    pub const fn answer(&mut self, now: Millis) {
+        self.answered = now;
         self.asked = None;
         self.unanswered = 0;
     }
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -285,6 +285,11 @@
         }
     }
 
+    /// A control message comes.
+    pub fn hear(&mut self, from: Ipv4Addr, message: Message) {
+        self.reduce(Event::Message { from, message });
+    }
+
     /// Effects of an event, without log lines.
     pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -163,3 +163,28 @@
     }
     assert_eq!(outcomes, [false, false, true]);
 }
+
+#[test]
+fn an_agent_that_is_heard_but_does_not_answer_gets_no_new_flow_while_others_do() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.learn(&[
+        fact(BUSY, Phase::Ready, load(9, 90)),
+        fact(CALM, Phase::Ready, load(0, 0)),
+    ]);
+    let mut last = None;
+    for round in 0..10 {
+        balancer.now = balancer.now + Millis(200);
+        let mut own = datagram::status(fact(BUSY, Phase::Ready, load(9, 90)));
+        balancer.hear(BUSY, own.clone());
+        own = datagram::status(fact(CALM, Phase::Ready, load(0, 0)));
+        if let Message::Status(status) = &mut own {
+            status.asks = true;
+            status.from.seq = 100 + round;
+        }
+        balancer.hear(CALM, own);
+        let port = 50 + u16::try_from(round).unwrap();
+        last = balancer.caller(opening(port)).into_iter().next();
+    }
+    let is_sound = matches!(last, Some(Effect::Relay { to: BUSY, .. }));
+    assert!(is_sound, "{last:?}");
+}
