--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -18,6 +18,10 @@
 /// their zone until its agents bear a fifth more than those of the others.
 const LOCAL_PERCENT: u64 = 100;
 const REMOTE_PERCENT: u64 = 120;
+/// Agents of the own zone, and of others, among which the least loaded is chosen. Since reports are
+/// late, an agent that looks idle would else get the new flows of all balancers.
+const NEAR_SAMPLE: usize = 3;
+const FAR_SAMPLE: usize = 3;
 /// Time after the start within which a balancer that knows no agent for a flow does not refuse it:
 /// the caller sends a copy, and agents are heard of meanwhile.
 const ACQUAINT_SPAN: Millis = Millis(3_000);
@@ -159,17 +163,29 @@
         let open = agents.filter(|m| m.fact.phase.is_open() && !zones.is_out(m.fact.zone));
         let load = ServiceLoad::of(self.mesh.roster().agents(service));
         let fresh = open.filter(|m| !tried.contains(&m.fact.ip));
+        let is_doubtful = |m: &&Member| m.suspect || m.is_mute(now);
+        let (doubtful, sound): (Vec<&Member>, Vec<&Member>) = fresh.partition(is_doubtful);
+        let pool = if sound.is_empty() { doubtful } else { sound };
         let own_zone = self.mesh.own().zone;
-        let cost = |m: &&Member| {
-            let is_doubtful = m.suspect || m.is_mute(now);
-            let pressure = load.pressure(m);
-            let distance = if m.fact.zone == own_zone {
-                LOCAL_PERCENT
-            } else {
-                REMOTE_PERCENT
-            };
-            (is_doubtful, pressure * distance, flow.rank(m.fact.ip))
-        };
-        fresh.min_by_key(cost).map(|m| m.fact.ip)
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            pool.into_iter().partition(|m| m.fact.zone == own_zone);
+        let near = sample(near, flow, NEAR_SAMPLE);
+        let far = sample(far, flow, FAR_SAMPLE);
+        let near = near.map(|m| (LOCAL_PERCENT * load.pressure(m), m));
+        let far = far.map(|m| (REMOTE_PERCENT * load.pressure(m), m));
+        let best = near
+            .chain(far)
+            .min_by_key(|(cost, m)| (*cost, flow.rank(m.fact.ip)));
+        best.map(|(_, m)| m.fact.ip)
     }
 }
+
+/// Some agents of a pool, which differ from flow to flow.
+fn sample<'a>(
+    mut pool: Vec<&'a Member>,
+    flow: &Flow,
+    count: usize,
+) -> impl Iterator<Item = &'a Member> {
+    pool.sort_by_cached_key(|m| flow.rank(m.fact.ip));
+    pool.into_iter().take(count)
+}
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -188,3 +188,16 @@
     let is_sound = matches!(last, Some(Effect::Relay { to: BUSY, .. }));
     assert!(is_sound, "{last:?}");
 }
+
+#[test]
+fn an_idle_newcomer_does_not_get_all_new_flows() {
+    let mut balancer = BalancerDriver::ready();
+    let mut facts: Vec<_> = (20..40)
+        .map(|host| fact(Ipv4Addr::new(10, 1, 0, host), Phase::Ready, load(30, 30)))
+        .collect();
+    facts.push(fact(CALM, Phase::Ready, load(0, 0)));
+    balancer.learn(&facts);
+    let placed = placements(&mut balancer, 100);
+    let share = placed.get(&CALM).copied().unwrap_or_default();
+    assert!((1..=30).contains(&share), "{placed:?}");
+}
