feat(core): log the owner of a searched flow once it is learnt, and packets that passed too many instances

Two reasons were never logged and one can not arise; the span of a search was measured only when it ended with a reset.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -102,7 +102,7 @@
         self.mesh.note_answer(from, &message, now);
         match message {
             Message::Status(status) => self.mesh.receive(&status, now, out),
-            Message::Notes(notes) => self.learn(&notes, now),
+            Message::Notes(notes) => self.learn(&notes, now, out),
             Message::Denied(flow) => self.denied(from, &flow, now, out),
         }
     }
--- a/buckthornlink-core/src/datagram/agent/own.rs
+++ b/buckthornlink-core/src/datagram/agent/own.rs
@@ -37,7 +37,7 @@
                 out.push(reset(packet));
             }
             Holding::Foreign { owner: Some(owner) } if owner.0 != from => {
-                self.pass_on(owner, packet, out);
+                self.pass_on(owner, packet, now, out);
             }
             _ => self.find(from, packet, now, out),
         }
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -28,15 +28,14 @@
 
 impl Agent {
     /// Takes notes of other owners over.
-    pub(super) fn learn(&mut self, notes: &[Note], now: Millis) {
+    pub(super) fn learn(&mut self, notes: &[Note], now: Millis, out: &mut Vec<Effect>) {
         for note in notes {
-            self.flows.change(&note.flow, |s| {
-                let owner = Some((note.owner, note.backend));
-                if !matches!(s.holding, Holding::Open | Holding::Offered | Holding::Over) {
-                    s.holding = Holding::Foreign { owner };
-                    s.seen = now;
-                }
-            });
+            let searched = self.flows.change(&note.flow, |s| s.learn(note, now));
+            if let Some(since) = searched {
+                let age = now.since(since);
+                out.push(Effect::Measure(Measure::Search, age));
+                out.push(self.about(Reason::OwnerLearnt, &note.flow, note.owner, age));
+            }
         }
     }
 
@@ -45,6 +44,7 @@
         &mut self,
         owner: (Ipv4Addr, BootId),
         packet: &Packet,
+        now: Millis,
         out: &mut Vec<Effect>,
     ) {
         let member = self.mesh.roster().get(owner.0);
@@ -56,6 +56,9 @@
                 to: owner.0,
                 tag: packet.tagged(Mode::Noted),
             });
+        } else {
+            let age = member.map_or(Millis(0), |m| now.since(m.heard));
+            out.push(self.about(Reason::HopsExceeded, &packet.flow, owner.0, age));
         }
     }
 
@@ -121,13 +124,23 @@
 
     /// The decision to search, with the first agent that is still to answer and its age.
     fn searched(&self, flow: &Flow, undecided: Option<Ipv4Addr>, now: Millis) -> Effect {
-        let member = undecided.and_then(|ip| self.mesh.roster().get(ip));
+        let Some(ip) = undecided else {
+            return self.decision(Reason::Searched, Some(*flow), Millis(0));
+        };
+        let member = self.mesh.roster().get(ip);
+        let age = member.map_or(Millis(0), |m| now.since(m.heard));
+        self.about(Reason::Searched, flow, ip, age)
+    }
+
+    /// A decision about a flow that depends on another instance.
+    fn about(&self, reason: Reason, flow: &Flow, peer: Ipv4Addr, age: Millis) -> Effect {
+        let member = self.mesh.roster().get(peer);
         Effect::Log(Decision {
-            reason: Reason::Searched,
+            reason,
             flow: Some(*flow),
-            peer: undecided,
+            peer: Some(peer),
             version: self.table.version,
-            age: member.map_or(Millis(0), |m| now.since(m.heard)),
+            age,
             phase: member.map(|m| m.fact.phase),
         })
     }
@@ -269,6 +282,23 @@
 }
 
 impl FlowState {
+    /// Takes the word of another owner over; returns since when the flow was searched for, if it was
+    /// not known to live anywhere.
+    fn learn(&mut self, note: &Note, now: Millis) -> Option<Millis> {
+        if matches!(
+            self.holding,
+            Holding::Open | Holding::Offered | Holding::Over
+        ) {
+            return None;
+        }
+        let is_news = !matches!(self.holding, Holding::Foreign { owner: Some(_) });
+        self.holding = Holding::Foreign {
+            owner: Some((note.owner, note.backend)),
+        };
+        self.seen = now;
+        self.searched.filter(|_| is_news)
+    }
+
     /// Notes that all agents are asked; denials of the last rounds still count.
     fn begin_search(&mut self, packet: &Packet, now: Millis) {
         let is_old = self.searched.is_none_or(|at| now.since(at) >= DENIAL_SPAN);
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -47,8 +47,6 @@
     OwnerLearnt,
     /// The backend server that held the flow has ended.
     BackendOver,
-    /// The agent of the flow has been silent for too long.
-    AgentLost,
     /// Every agent of the service denies the flow.
     DeniedByAll,
     /// The backend server gave the opening packet back.
@@ -90,6 +88,38 @@
 }
 
 impl Reason {
+    /// All reasons, in the order of their declaration.
+    pub const ALL: [Self; 28] = [
+        Self::Placed,
+        Self::PlacedAgain,
+        Self::HandedOn,
+        Self::Deferred,
+        Self::NoAgent,
+        Self::NoRoute,
+        Self::LookedUp,
+        Self::OwnerLearnt,
+        Self::BackendOver,
+        Self::DeniedByAll,
+        Self::Bounced,
+        Self::FlowLost,
+        Self::Admitted,
+        Self::RefusedRoute,
+        Self::RefusedPhase,
+        Self::RefusedZone,
+        Self::RefusedCold,
+        Self::RefusedFull,
+        Self::RefusedBusy,
+        Self::RefusedUnready,
+        Self::Searched,
+        Self::HopsExceeded,
+        Self::Configured,
+        Self::ZoneOut,
+        Self::ZoneIn,
+        Self::MemberChanged,
+        Self::MemberLost,
+        Self::BackendChanged,
+    ];
+
     /// Name in logs and metrics.
     ///
     /// ```
@@ -108,7 +138,6 @@
             Self::LookedUp => "looked_up",
             Self::OwnerLearnt => "owner_learnt",
             Self::BackendOver => "backend_over",
-            Self::AgentLost => "agent_lost",
             Self::DeniedByAll => "denied_by_all",
             Self::Bounced => "bounced",
             Self::FlowLost => "flow_lost",
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::datagram::{
-    Effect, Event, Load, Message, Mode, Note, Phase, Role, Source, Tag,
+    Effect, Event, Load, Message, Mode, Note, Phase, Reason, Reducer, Role, Source, Tag,
 };
 use buckthornlink_core::{BootId, Millis};
 
@@ -395,3 +395,32 @@
     agent.relayed(next, Mode::Known);
     assert_eq!(agent.agent.flows().waiting(), 1);
 }
+
+#[test]
+fn the_owner_of_a_searched_flow_is_logged_once_it_is_learnt() {
+    let mut agent = AgentDriver::ready();
+    agent.meet(PEER, datagram::service());
+    agent.relayed(data(1), Mode::Lookup);
+    agent.now = agent.now + Millis(30);
+    let note = Note {
+        flow: data(1).flow,
+        owner: PEER,
+        backend: BootId(1),
+    };
+    let mut effects = Vec::new();
+    for _ in 0..2 {
+        let message = Message::Notes(vec![note]);
+        let event = Event::Message {
+            from: PEER,
+            message,
+        };
+        agent.agent.reduce(event, agent.now, &mut effects);
+    }
+    let mut logged = effects.iter().filter_map(|e| match e {
+        Effect::Log(decision) => Some((decision.reason, decision.peer, decision.age)),
+        _ => None,
+    });
+    let learnt = (Reason::OwnerLearnt, Some(PEER), Millis(30));
+    assert_eq!(logged.next(), Some(learnt));
+    assert_eq!(logged.next(), None);
+}
--- a/buckthornlink-datagram/src/journal.rs
+++ b/buckthornlink-datagram/src/journal.rs
@@ -68,3 +68,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/journal.rs"]
+mod tests;
