fix(core): only unanswered requests for its status make an agent deaf

An agent keeps silent about a searched flow that it may not try; when others owned those flows, its silence added up to six unanswered searches in 2 s, and it counted as gone although signs of its life came round. Searches and requests for the status, which are always answered, are now counted apart.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -115,7 +115,7 @@
         });
         for to in undecided {
             if let Some(member) = self.mesh.roster_mut().get_mut(to) {
-                member.ask(now);
+                member.seek(now);
             }
             out.push(Effect::Relay { to, tag });
         }
--- a/buckthornlink-core/src/datagram/roster.rs
+++ b/buckthornlink-core/src/datagram/roster.rs
@@ -50,6 +50,10 @@
     pub answered: Millis,
     /// Unanswered requests for its status.
     pub unanswered: u16,
+    /// When it was first searched for flows without any answer so far.
+    pub sought: Option<Millis>,
+    /// Unanswered searches. An agent may keep silent about a flow, but not about its status.
+    pub searches: u16,
     /// Flows placed on it since its last fact.
     pub sent: u16,
     /// Whether it is suspected to be gone.
@@ -80,6 +84,8 @@
             member.asked = old.asked;
             member.answered = old.answered;
             member.unanswered = old.unanswered;
+            member.sought = old.sought;
+            member.searches = old.searches;
         }
         if old.fact.boot == fact.boot && fact.seq <= old.beat {
             member.heard = old.heard;
@@ -259,6 +265,8 @@
             asked: None,
             answered: now,
             unanswered: 0,
+            sought: None,
+            searches: 0,
             sent: 0,
             suspect: false,
         }
@@ -270,30 +278,41 @@
         self.asked.is_some_and(|at| now.since(at) > MUTE_SPAN) && self.unanswered > 1
     }
 
-    /// Notes that the instance was asked something.
+    /// Notes that the instance was asked for its status.
     pub fn ask(&mut self, now: Millis) {
         self.asked.get_or_insert(now);
         self.unanswered = self.unanswered.saturating_add(1);
     }
 
+    /// Notes that the instance was asked for a flow.
+    pub fn seek(&mut self, now: Millis) {
+        self.sought.get_or_insert(now);
+        self.searches = self.searches.saturating_add(1);
+    }
+
     /// Notes that the instance answered.
     pub const fn answer(&mut self, now: Millis) {
         self.answered = now;
         self.asked = None;
         self.unanswered = 0;
+        self.sought = None;
+        self.searches = 0;
     }
 
     /// Whether the instance is not to be waited for: it answers nothing, and either gives no sign of
     /// life to others, or had no backend server any more.
     #[must_use]
     pub fn is_silent(&self, now: Millis) -> bool {
-        let silence = self.asked.map_or(Millis(0), |at| now.since(at));
-        let owes = |span, count| silence >= span && self.unanswered >= count;
+        let owes = |since: Option<Millis>, count: u16, span, min| {
+            count >= min && since.is_some_and(|at| now.since(at) >= span)
+        };
+        let owes_status = |span, min| owes(self.asked, self.unanswered, span, min);
+        let owes_flows = owes(self.sought, self.searches, ANSWER_SPAN, MIN_UNANSWERED);
         let is_quiet = now.since(self.heard) >= ANSWER_SPAN;
         self.suspect
-            || owes(DEAF_SPAN, DEAF_UNANSWERED)
-            || is_quiet && owes(ANSWER_SPAN, MIN_UNANSWERED)
-            || self.fact.phase.is_over() && owes(EMPTY_SPAN, EMPTY_UNANSWERED)
+            || owes_status(DEAF_SPAN, DEAF_UNANSWERED)
+            || is_quiet && (owes_flows || owes_status(ANSWER_SPAN, MIN_UNANSWERED))
+            || self.fact.phase.is_over() && owes_status(EMPTY_SPAN, EMPTY_UNANSWERED)
     }
 
     /// Whether the instance may keep notes of flows.
