test(core): all orders of packets and messages for two balancers, three agents and one flow

Copies of an opening packet at two balancers that favour any two agents, a balancer that does not know the flow, and agents that have restarted, each with one loss: data only at the agent whose answer the caller acknowledged, no reset while the backend server lives, and delivery in every order without losses.

--- /dev/null
+++ b/buckthornlink-core/tests/datagram_orders.rs
@@ -0,0 +1,359 @@
+//! All orders in which packets and messages may come, for two balancers, three agents and one flow.
+
+mod datagram;
+
+use std::collections::{BTreeSet, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use buckthornlink_core::datagram::{
+    Agent, Balancer, Effect, Event, Fact, Load, Message, Packet, Phase, Reducer, Role, Source, Tag,
+};
+use buckthornlink_core::{BootId, Millis};
+
+use datagram::{beat, data, fact, opening, service, setup, status, syn_ack, table};
+
+const BALANCERS: [Ipv4Addr; 2] = [Ipv4Addr::new(10, 1, 0, 8), Ipv4Addr::new(10, 1, 0, 9)];
+const AGENTS: [Ipv4Addr; 3] = [
+    Ipv4Addr::new(10, 1, 0, 1),
+    Ipv4Addr::new(10, 1, 0, 2),
+    Ipv4Addr::new(10, 1, 0, 3),
+];
+const NOW: Millis = Millis(40_000);
+/// States after which a search counts as endless.
+const MAX_STATES: usize = 200_000;
+
+/// What a backend server knows of the flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Held {
+    Nothing,
+    Half,
+    Open,
+}
+
+/// Something on its way.
+#[derive(Clone, Debug)]
+enum Cargo {
+    Packet(Ipv4Addr, Source, Packet),
+    Message(Ipv4Addr, Ipv4Addr, Message),
+    ToCaller(Packet),
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    balancers: [Balancer; 2],
+    agents: [Agent; 3],
+    held: [Held; 3],
+    transit: Vec<Cargo>,
+    /// The balancer that the caller's next packets reach.
+    entry: usize,
+    acknowledged: Option<usize>,
+    delivered: BTreeSet<usize>,
+    resets: usize,
+}
+
+/// Sequence number with which a backend server answers an opening packet.
+fn seq_of(index: usize) -> u32 {
+    0x1000_0000 * (u32::try_from(index).unwrap() + 1)
+}
+
+/// The caller's data after the answer of a backend server.
+fn data_to(index: usize) -> Packet {
+    let mut packet = data(1);
+    packet.ack = seq_of(index) + 1;
+    packet
+}
+
+impl World {
+    /// All know each other, and all backend servers have just started.
+    fn new() -> Self {
+        let agents = AGENTS.map(|ip| {
+            let mut agent = new_agent(ip, BootId(1));
+            reduce(&mut agent, Event::Heartbeat(beat(1)));
+            agent
+        });
+        let balancers = BALANCERS.map(|ip| new_balancer(ip, BootId(1)));
+        let mut world = Self {
+            balancers,
+            agents,
+            held: [Held::Nothing; 3],
+            transit: Vec::new(),
+            entry: 0,
+            acknowledged: None,
+            delivered: BTreeSet::new(),
+            resets: 0,
+        };
+        world.introduce();
+        world
+    }
+
+    /// A world in which the flow is open at an agent.
+    fn open_at(index: usize) -> Self {
+        let mut world = Self::new();
+        let ip = AGENTS[index];
+        let mut first = opening(1);
+        first.tag = Tag::new(buckthornlink_core::datagram::Mode::Placed, BALANCERS[0]);
+        let from = Source::Peer(BALANCERS[0]);
+        world.deliver(Cargo::Packet(ip, from, first));
+        world.acknowledged = Some(index);
+        world.transit.clear();
+        world.deliver(Cargo::Packet(ip, Source::Backend, answer_of(index)));
+        let mut next = data_to(index);
+        next.tag = first.tag;
+        world.deliver(Cargo::Packet(ip, from, next));
+        world.transit.clear();
+        assert_eq!(world.held[index], Held::Open);
+        world.delivered.clear();
+        world
+    }
+
+    /// Each instance hears the facts of all others.
+    fn introduce(&mut self) {
+        let facts = self.facts();
+        for fact in facts {
+            let message = status(fact);
+            for ip in BALANCERS.into_iter().chain(AGENTS) {
+                if ip != fact.ip {
+                    self.reduce(
+                        ip,
+                        Event::Message {
+                            from: fact.ip,
+                            message: message.clone(),
+                        },
+                    );
+                }
+            }
+        }
+        self.transit.clear();
+    }
+
+    fn facts(&self) -> Vec<Fact> {
+        let balancers = BALANCERS.iter().map(|&ip| {
+            let mut own = fact(ip, Phase::Ready, Load::default());
+            own.role = Role::Balancer;
+            own
+        });
+        let agents = self.agents.iter().map(|agent| Fact {
+            seq: agent.mesh().own().seq + 1,
+            ..*agent.mesh().own()
+        });
+        balancers.chain(agents).collect()
+    }
+
+    /// Lets a balancer believe that all agents but one are loaded.
+    fn favour(&mut self, balancer: usize, agent: usize) {
+        let loaded = Load {
+            waiting: 300,
+            flows: 50,
+            slots: 8,
+        };
+        for (index, fact) in self.facts().into_iter().skip(2).enumerate() {
+            let load = if index == agent {
+                Load::default()
+            } else {
+                loaded
+            };
+            let seq = fact.seq + 1;
+            let message = status(Fact { load, seq, ..fact });
+            let from = fact.ip;
+            self.reduce(BALANCERS[balancer], Event::Message { from, message });
+        }
+    }
+
+    fn reduce(&mut self, ip: Ipv4Addr, event: Event) -> Vec<Effect> {
+        let agent = AGENTS.iter().position(|&a| a == ip);
+        let balancer = BALANCERS.iter().position(|&b| b == ip);
+        match (agent, balancer) {
+            (Some(index), _) => reduce(&mut self.agents[index], event),
+            (_, Some(index)) => reduce(&mut self.balancers[index], event),
+            _ => Vec::new(),
+        }
+    }
+
+    fn deliver(&mut self, cargo: Cargo) {
+        match cargo {
+            Cargo::Packet(to, source, packet) => {
+                let effects = self.reduce(to, Event::Packet { source, packet });
+                self.perform(to, &packet, effects);
+            }
+            Cargo::Message(to, from, message) => {
+                let effects = self.reduce(to, Event::Message { from, message });
+                self.perform(to, &data(1), effects);
+            }
+            Cargo::ToCaller(packet) => self.caller(&packet),
+        }
+    }
+
+    fn perform(&mut self, ip: Ipv4Addr, packet: &Packet, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Relay { to, tag } => {
+                    let packet = Packet { tag, ..*packet };
+                    self.transit
+                        .push(Cargo::Packet(to, Source::Peer(ip), packet));
+                }
+                Effect::Deliver(tag) => self.backend(ip, Packet { tag, ..*packet }),
+                Effect::Answer => self.transit.push(Cargo::ToCaller(*packet)),
+                Effect::Reset { .. } => self.resets += 1,
+                Effect::Send { to, message } => self.transit.push(Cargo::Message(to, ip, message)),
+                _ => {}
+            }
+        }
+    }
+
+    /// A backend server handles a packet and sends its reaction to its agent.
+    fn backend(&mut self, ip: Ipv4Addr, mut packet: Packet) {
+        let index = AGENTS.iter().position(|&a| a == ip).unwrap();
+        let is_acknowledged = packet.ack == seq_of(index) + 1;
+        let reaction = if packet.is_opening() {
+            if self.held[index] == Held::Nothing {
+                self.held[index] = Held::Half;
+            }
+            answer_of(index)
+        } else if self.held[index] != Held::Nothing && is_acknowledged {
+            self.held[index] = Held::Open;
+            self.delivered.insert(index);
+            return;
+        } else {
+            packet.flags.bounced = true;
+            packet
+        };
+        self.transit
+            .push(Cargo::Packet(ip, Source::Backend, reaction));
+    }
+
+    /// The caller takes the first answer to its opening packet, and sends data after it.
+    fn caller(&mut self, packet: &Packet) {
+        if packet.flags.syn && self.acknowledged.is_none() {
+            let index = (0..3).find(|&i| seq_of(i) == packet.seq).unwrap();
+            self.acknowledged = Some(index);
+            self.send(data_to(index));
+        }
+    }
+
+    /// The caller sends a packet.
+    fn send(&mut self, packet: Packet) {
+        let to = BALANCERS[self.entry];
+        self.transit.push(Cargo::Packet(to, Source::Fabric, packet));
+    }
+
+    /// Checks what must hold at all times.
+    fn check(&self) {
+        assert!(
+            self.delivered.iter().all(|i| Some(*i) == self.acknowledged),
+            "data at {:?}, the flow is at {:?}",
+            self.delivered,
+            self.acknowledged
+        );
+        assert_eq!(self.resets, 0, "a flow whose backend server lives is reset");
+    }
+}
+
+fn answer_of(index: usize) -> Packet {
+    syn_ack(1, seq_of(index))
+}
+
+fn new_agent(ip: Ipv4Addr, boot: BootId) -> Agent {
+    let mut setup = setup(ip, Role::Agent(service()));
+    setup.boot = boot;
+    let mut agent = Agent::new(&setup, Millis(30_000));
+    reduce(&mut agent, Event::Table(Arc::new(table(1))));
+    reduce(&mut agent, Event::Agents(AGENTS.to_vec()));
+    agent
+}
+
+fn new_balancer(ip: Ipv4Addr, boot: BootId) -> Balancer {
+    let mut setup = setup(ip, Role::Balancer);
+    setup.boot = boot;
+    let mut balancer = Balancer::new(&setup, Millis(30_000));
+    reduce(&mut balancer, Event::Table(Arc::new(table(1))));
+    balancer
+}
+
+fn reduce(reducer: &mut impl Reducer, event: Event) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    reducer.reduce(event, NOW, &mut effects);
+    effects
+}
+
+/// Delivers what is on its way in all orders, once as it comes and once lost if `losses` remain;
+/// returns the number of states and the ends in which the data was delivered, and was not.
+fn explore(start: World, losses: usize) -> [usize; 3] {
+    let mut seen = HashSet::new();
+    let mut open = vec![(start, losses)];
+    let mut ends = [0; 2];
+    while let Some((world, losses)) = open.pop() {
+        let mut hasher = DefaultHasher::new();
+        format!("{world:?}{losses}").hash(&mut hasher);
+        if !seen.insert(hasher.finish()) {
+            continue;
+        }
+        assert!(seen.len() < MAX_STATES, "the search does not end");
+        world.check();
+        if world.transit.is_empty() {
+            ends[usize::from(world.delivered.is_empty())] += 1;
+        }
+        for index in 0..world.transit.len() {
+            let mut next = world.clone();
+            let cargo = next.transit.remove(index);
+            if losses > 0 {
+                open.push((next.clone(), losses - 1));
+            }
+            next.deliver(cargo);
+            open.push((next, losses));
+        }
+    }
+    [seen.len(), ends[0], ends[1]]
+}
+
+#[test]
+fn copies_of_an_opening_packet_at_two_balancers_open_one_flow() {
+    for (first, second) in (0..3).flat_map(|a| (0..3).map(move |b| (a, b))) {
+        let mut world = World::new();
+        world.favour(0, first);
+        world.favour(1, second);
+        world.send(opening(1));
+        world.entry = 1;
+        let mut copy = opening(1);
+        copy.ack = 1;
+        world.send(copy);
+        let [states, delivered, lost] = explore(world, 0);
+        assert!(states > 10 && delivered > 0, "{first}, {second}: {states}");
+        assert_eq!(lost, 0, "{first}, {second}");
+    }
+}
+
+#[test]
+fn a_balancer_that_does_not_know_a_flow_finds_its_owner_and_resets_nothing() {
+    for owner in 0..3 {
+        let mut world = World::open_at(owner);
+        world.entry = 1;
+        world.send(data_to(owner));
+        let [_, delivered, lost] = explore(world.clone(), 0);
+        assert!(delivered > 0 && lost == 0, "{owner}: {delivered} {lost}");
+        world.send(data_to(owner));
+        let [_, delivered, _] = explore(world, 1);
+        assert!(delivered > 0, "{owner}");
+    }
+}
+
+#[test]
+fn agents_that_restart_beside_their_backend_servers_reset_nothing() {
+    for (owner, restarted) in (0..3).flat_map(|o| (0..3).map(move |r| (o, r))) {
+        let mut world = World::open_at(owner);
+        world.agents[restarted] = new_agent(AGENTS[restarted], BootId(2));
+        let event = Event::Heartbeat(beat(9));
+        reduce(&mut world.agents[restarted], event);
+        world.introduce();
+        world.entry = 1;
+        world.send(data_to(owner));
+        let [_, delivered, lost] = explore(world.clone(), 0);
+        assert!(
+            delivered > 0 && lost == 0,
+            "{owner}, {restarted}: {delivered} {lost}"
+        );
+        let [_, delivered, _] = explore(world, 1);
+        assert!(delivered > 0, "{owner}, {restarted}");
+    }
+}
