--- a/buckthornlink-soak/src/ledger.rs
+++ b/buckthornlink-soak/src/ledger.rs
@@ -231,7 +231,9 @@
         let sum = |counts: &BTreeMap<u64, u64>| counts.range(from..last).map(|(_, n)| n).sum();
         let (asked, served): (u64, u64) = (sum(&state.asked), sum(&state.served));
         if asked == 0 || served * 100 < asked * MIN_SERVED {
-            state.violate(now, format!("{served} of {asked} served at the end"));
+            let missed: Vec<u64> = (from..last).map(|second| state.missed(second)).collect();
+            let what = format!("{served} of {asked} served at the end, by second {missed:?} not");
+            state.violate(now, what);
         }
         Summary {
             asked: state.asked.values().sum(),
@@ -251,6 +253,12 @@
             .push(format!("{} ms: {}", now.0, what.into()));
     }
 
+    /// Requests of a second that were not served.
+    fn missed(&self, second: u64) -> u64 {
+        let count = |counts: &BTreeMap<u64, u64>| counts.get(&second).copied().unwrap_or(0);
+        count(&self.asked).saturating_sub(count(&self.served))
+    }
+
     /// Whether an instance has not been disturbed of late.
     fn is_calm(&self, ip: Ipv4Addr, now: Millis) -> bool {
         let last = self.disturbed.get(&ip);
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -32,8 +32,6 @@
 const REGRESSIONS: &str = include_str!("../seeds.txt");
 /// First block of loopback addresses that runs use.
 const FIRST_BLOCK: u8 = 40;
-/// Time in which the tasks of a run are to end.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Faults against the real programs, on loopback.
 #[derive(Debug, Parser)]
@@ -135,7 +133,8 @@
 fn play_one(setup: &Setup, seed: u64, block: u8) -> anyhow::Result<bool> {
     let runtime = Runtime::new()?;
     let summary = runtime.block_on(play(setup, seed, block))?;
-    runtime.shutdown_timeout(SHUTDOWN_TIMEOUT);
+    // Waits until all tasks are gone, and with them their sockets.
+    drop(runtime);
     let is_good = summary.violations.is_empty();
     let verdict = if is_good { "passed" } else { "FAILED" };
     println!(
