refactor(core): a search's judge says whether it ended the flow

The searches that go on were copied on each tick, since the judge took those that it ended out of the same set. It now returns whether it did, and the set is kept by that.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -180,10 +180,8 @@
         for ip in late {
             self.mesh.probe(ip, now, out);
         }
+        searches.retain(|flow| !self.judge(flow, now, out));
         self.searches = searches;
-        for flow in self.searches.clone() {
-            self.judge(&flow, now, out);
-        }
     }
 
     /// Whether a flow was searched for of late and is not known to live somewhere.
@@ -198,14 +196,14 @@
         })
     }
 
-    /// Ends a flow that every agent which might own it denies.
-    fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) {
+    /// Ends a flow that every agent which might own it denies; returns whether it did.
+    fn judge(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) -> bool {
         let is_settled = self.mesh.is_settled(now) && self.is_small();
         if !is_settled || !self.denies(flow, now) || self.table.route(flow).is_none() {
-            return;
+            return false;
         }
         let Some(state) = self.flows.get(flow) else {
-            return;
+            return false;
         };
         let seq = state.acked;
         let undecided = self.undecided(flow);
@@ -217,6 +215,7 @@
             out.push(Effect::Reset { flow: *flow, seq });
             self.searches.remove(flow);
         }
+        is_denied
     }
 
     /// Whether the backend server is known not to hold a flow.
