test(core): count allocations of the measured thread only

Cause: the heap profiler counted the whole process, so four blocks of the test harness's main thread counted as the reducer's. Change: allocation-counter counts per thread; the bound stays at zero, and a second test shows that the measured thread's allocations are counted.

--- a/buckthornlink-core/tests/datagram_allocations.rs
+++ b/buckthornlink-core/tests/datagram_allocations.rs
@@ -8,19 +8,13 @@
 
 use datagram::{AgentDriver, BALANCER, BalancerDriver, answer, data, fact, opening};
 
-#[global_allocator]
-static ALLOC: dhat::Alloc = dhat::Alloc;
-
 const PACKETS: usize = 1_000;
 const AGENT: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 2);
 
-/// Heap allocations during `PACKETS` calls of `f`.
+/// Heap allocations of this thread during `PACKETS` calls of `f`.
 fn count_allocations(mut f: impl FnMut()) -> u64 {
-    let before = dhat::HeapStats::get().total_blocks;
-    for _ in 0..PACKETS {
-        f();
-    }
-    dhat::HeapStats::get().total_blocks - before
+    let run_all = || (0..PACKETS).for_each(|_| f());
+    allocation_counter::measure(run_all).count_total
 }
 
 #[test]
@@ -34,7 +28,6 @@
     request.tag = RelayTag::new(Mode::Known, BALANCER);
     let now = agent.now;
     let mut effects = Vec::with_capacity(64);
-    let _profiler = dhat::Profiler::builder().testing().build();
     let forwarded = count_allocations(|| {
         let event = Event::Packet {
             source: Source::Fabric,
@@ -61,3 +54,9 @@
     });
     assert_eq!([forwarded, delivered, answered], [0, 0, 0]);
 }
+
+#[test]
+fn allocations_of_the_measured_thread_are_counted() {
+    let count = count_allocations(|| drop(std::hint::black_box(Box::new(1))));
+    assert_eq!(count, PACKETS as u64);
+}
