fix(soak): bind an address again while other runs start processes

Cause: until its exec is complete, a child process holds a copy of every socket of its parent. A listener that one run closes keeps its address while another run's child starts. Tried and reverted: a lock around the start of processes; a start returns before the kernel closes the copies, so the test still failed.

--- a/buckthornlink-soak/src/endpoints.rs
+++ b/buckthornlink-soak/src/endpoints.rs
@@ -21,6 +21,7 @@
 use buckthornlink_standin::{HEADER_BYTES, HeartbeatClient, encode, is_intact, is_ready};
 
 use crate::invariants::{BackendBoot, InvariantChecker};
+use crate::rebind::rebind;
 use crate::topology::{DATA_PORT, Instance, Topology};
 
 /// Interval at which callers send due requests and retransmissions.
@@ -102,7 +103,7 @@
     seed: u64,
 ) -> anyhow::Result<()> {
     let ip = topology.caller_ip(index);
-    let socket = UdpSocket::bind((ip, DATA_PORT))
+    let socket = rebind(|| UdpSocket::bind((ip, DATA_PORT)))
         .await
         .context("failed to bind the socket of a caller")?;
     let all: Vec<Ipv4Addr> = topology.balancers().collect();
@@ -183,7 +184,7 @@
     checker: InvariantChecker,
     seed: u64,
 ) -> anyhow::Result<()> {
-    let socket = UdpSocket::bind(instance.backend_addr()).await?;
+    let socket = rebind(|| UdpSocket::bind(instance.backend_addr())).await?;
     let socket = Arc::new(socket);
     let mut rng = SmallRng::seed_from_u64(seed ^ u64::from(u32::from(instance.ip)));
     loop {
@@ -220,7 +221,7 @@
         socket: Arc<UdpSocket>,
         checker: &'a InvariantChecker,
     ) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(instance.backend_addr()).await?;
+        let listener = rebind(|| TcpListener::bind(instance.backend_addr())).await?;
         let born = 1_000_000 + checker.now().0;
         let boot = BackendBoot {
             ip: instance.ip,
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -13,6 +13,7 @@
 mod invariants;
 mod plan;
 mod process;
+mod rebind;
 mod run;
 mod tcp_proxy;
 mod topology;
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::invariants::{InvariantChecker, Summary};
 use crate::plan::{Entry, Fault, generate};
 use crate::process::{ManagedProcess, StopOutcome};
+use crate::rebind::rebind;
 use crate::tcp_proxy::{ProxyMode, TcpProxy};
 use crate::topology::{Role, SERVICES, Topology, ZONES};
 
@@ -100,7 +101,7 @@
         work_dir: &Path,
         seed: u64,
     ) -> anyhow::Result<Self> {
-        let store = KvServer::bind(topology.store_addr()).await?;
+        let store = rebind(|| KvServer::bind(topology.store_addr())).await?;
         let checker = InvariantChecker::new(topology.balancers().collect());
         let mut store_proxies = Vec::new();
         let mut running = Vec::new();
--- a/buckthornlink-soak/src/tcp_proxy.rs
+++ b/buckthornlink-soak/src/tcp_proxy.rs
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::rebind::rebind;
+
 /// Delay of each chunk of bytes in [`ProxyMode::Slow`].
 const SLOW_DELAY: Duration = Duration::from_millis(400);
 
@@ -42,7 +44,7 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn bind(from: SocketAddrV4, to: SocketAddrV4) -> io::Result<Self> {
-        let listener = TcpListener::bind(from).await?;
+        let listener = rebind(|| TcpListener::bind(from)).await?;
         let (mode, modes) = watch::channel(ProxyMode::Normal);
         tokio::spawn(accept_connections(listener, to, modes));
         Ok(Self { mode })
