feat(core): keep fresh openings in time during a retry storm

Cause: after a total outage all callers return at once; agents queued up to three requests a slot, fresh and retransmitted openings alike, so that requests that could still have been in time waited behind ones that could not. Change: at most one queued request for each slot; retransmitted openings are admitted to free slots only; a balancer asks up to six busy agents before it waits for the retransmission.

--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -6,8 +6,9 @@
 
 /// New flows per second that are admitted beyond the configured rate of a cold start.
 const COLD_BURST: u32 = 2;
-/// Outstanding requests per slot at which a new flow is refused even if no other agent accepts it.
-const MAX_QUEUE_DEPTH: usize = 3;
+/// Outstanding requests per slot at which a new flow is refused even if no other agent accepts it:
+/// one that is processed and one that is queued.
+const MAX_QUEUE_DEPTH: usize = 2;
 
 impl Agent {
     /// Delivers an opening packet to the backend server, or returns it to the balancer.
@@ -85,17 +86,24 @@
                 return Some(Reason::RefusedCold);
             }
         }
-        self.is_busy(packet.tag.hops).then_some(Reason::RefusedBusy)
+        self.is_busy(packet).then_some(Reason::RefusedBusy)
     }
 
-    /// Whether a new flow that `hops` busy agents have refused is to be refused here as well.
+    /// Whether the backend server has too many outstanding requests for a new flow.
     ///
     /// Load reports reach balancers late, so the agent checks its current outstanding requests: the
-    /// first agent refuses if all slots are taken, the next one if as many again are queued. Beyond
+    /// first agent refuses if all slots are taken, further ones if as many again are queued. Beyond
     /// that, new flows wait for the caller's retransmission, so that open flows are served in time.
-    fn is_busy(&self, hops: u8) -> bool {
+    /// Callers of retransmitted packets have waited already; they get free slots only, so that in a
+    /// retry storm the flows that can still be served in time are not queued behind them.
+    fn is_busy(&self, packet: &Packet) -> bool {
         let slots = usize::from(self.backend.slots());
-        let depth = (1 + usize::from(hops)).min(MAX_QUEUE_DEPTH);
+        let is_retransmission = packet.ack > 0;
+        let depth = if packet.tag.hops == 0 || is_retransmission {
+            1
+        } else {
+            MAX_QUEUE_DEPTH
+        };
         slots > 0 && self.flows.waiting_count() >= slots * depth
     }
 }
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -12,7 +12,7 @@
 /// Time after a placement from which on a retransmitted opening packet goes to another agent.
 const PLACEMENT_TIMEOUT: Millis = Millis(150);
 /// Busy refusals after which an opening packet waits for the caller's next retransmission.
-const MAX_BUSY_AGENTS: u8 = 3;
+const MAX_BUSY_AGENTS: u8 = 6;
 /// Maximum retransmissions of an opening packet by a caller; the packet's `ack` counts them.
 const MAX_RETRANSMISSIONS: u32 = 2;
 
