feat(core): continue searches as agents become known

Change: agents that become known, or learn of their backend server, are queried for the active searches; trial deliveries that a starting backend server missed are denied with its first heartbeat.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -15,7 +15,7 @@
 use super::{
     Backend, BackendHeartbeat, Decision, Effect, Event, Fact, Flow, FlowCounts, Flows, Gossip,
     Load, Message, OwnerRecord, Packet, Phase, Reason, Reducer, Role, ServiceTag, Setup, Source,
-    Table,
+    Status, Table,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -28,6 +28,9 @@
 /// How much longer than the idle timeout of open flows the state of a flow is kept, so that ended
 /// flows are remembered.
 const RETENTION_MARGIN: Millis = Millis(5_000);
+/// Minimum interval between resumptions of active searches because of member changes, of which a
+/// restart of many instances causes hundreds within a second.
+const RESUME_INTERVAL: Millis = Millis(10);
 /// Interval between removals of expired flows.
 const SWEEP_INTERVAL: Millis = Millis(2_000);
 
@@ -43,6 +46,9 @@
     started_at: Millis,
     last_sweep: Millis,
     mean_waiting: u16,
+    /// Member changes up to which active searches have been resumed, and when that was.
+    resumed_changes: u64,
+    last_resume: Millis,
     is_leaving: bool,
 }
 
@@ -60,6 +66,8 @@
             started_at: now,
             last_sweep: now,
             mean_waiting: 0,
+            resumed_changes: 0,
+            last_resume: Millis(0),
             is_leaving: false,
         }
     }
@@ -122,12 +130,31 @@
     ) {
         self.gossip.record_answer(from, &message, now);
         match message {
-            Message::Status(status) => self.gossip.receive_status(&status, now, out),
+            Message::Status(status) => self.receive_status(&status, now, out),
             Message::OwnerRecords(records) => self.apply_owner_records(&records, now, out),
             Message::Denied(flow) => self.handle_denial(from, &flow, now, out),
+            Message::Query(flows) => self.answer_query(from, &flows, now, out),
         }
     }
 
+    /// Merges a status. An agent that became known, or learnt of its backend server, may decide
+    /// active searches.
+    fn receive_status(&mut self, status: &Status, now: Millis, out: &mut Vec<Effect>) {
+        self.gossip.receive_status(status, now, out);
+        let changes = self.gossip.member_changes();
+        let is_due = now.since(self.last_resume) >= RESUME_INTERVAL;
+        if changes > self.resumed_changes && is_due {
+            self.resumed_changes = changes;
+            self.last_resume = now;
+            self.resume_searches(now, out);
+        }
+    }
+
+    fn set_registered_agents(&mut self, ips: Vec<Ipv4Addr>, now: Millis, out: &mut Vec<Effect>) {
+        self.gossip.set_registered_agents(ips, now, out);
+        self.resume_searches(now, out);
+    }
+
     fn configure(&mut self, table: Arc<Table>, now: Millis, out: &mut Vec<Effect>) {
         if table.version > self.table.version {
             self.gossip.set_version(table.version, now, out);
@@ -146,10 +173,15 @@
             return;
         }
         let is_known = boot != BootId::default();
-        if is_known && self.backend.boot() != boot {
+        let has_restarted = self.backend.boot() != boot;
+        if is_known && has_restarted {
             self.flows.end_all();
         }
         self.update_own_fact(now, out);
+        if has_restarted {
+            self.decide_trials(now, out);
+            self.resume_searches(now, out);
+        }
     }
 
     fn end_backend(&mut self, id: &str, now: Millis, out: &mut Vec<Effect>) {
@@ -288,7 +320,7 @@
             Event::Table(table) => self.configure(table, now, out),
             Event::Zone(record) => self.gossip.set_zone(record, now, out),
             Event::Contacts(ips) => self.gossip.add_contacts(ips, now, out),
-            Event::RegisteredAgents(ips) => self.gossip.set_registered_agents(ips, now, out),
+            Event::RegisteredAgents(ips) => self.set_registered_agents(ips, now, out),
             Event::StoreReachable(answers) => self.gossip.set_store_reachable(answers, now, out),
             Event::BackendHeartbeat(heartbeat) => self.receive_heartbeat(&heartbeat, now, out),
             Event::BackendAbsent => self.mark_backend_absent(now, out),
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use super::Agent;
-use crate::datagram::{Effect, FlowState, Measure, Message, Mode, Ownership, Packet, Reason};
+use crate::datagram::{Effect, Flow, FlowState, Measure, Message, Mode, Ownership, Packet, Reason};
 use crate::time::Millis;
 
 /// Minimum interval between owner records of one flow that are sent because of its packets.
@@ -53,7 +53,7 @@
         if packet.flags.rst
             && let Some(Ownership::Trial { requester }) = ownership
         {
-            self.deny_flow(requester, packet, out);
+            self.deny_flow(requester, &packet.flow, out);
             return;
         }
         let measured = self
@@ -126,7 +126,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        self.deny_flow(requester, packet, out);
+        self.deny_flow(requester, &packet.flow, out);
         if requester.is_none() {
             self.search(packet, now, out);
         }
@@ -136,12 +136,17 @@
     ///
     /// A backend server that resets a flow after a trial delivery does not own the flow, so its
     /// reset is not sent to the caller.
-    fn deny_flow(&mut self, requester: Option<Ipv4Addr>, packet: &Packet, out: &mut Vec<Effect>) {
-        self.flows.update(&packet.flow, |s| {
+    pub(super) fn deny_flow(
+        &mut self,
+        requester: Option<Ipv4Addr>,
+        flow: &Flow,
+        out: &mut Vec<Effect>,
+    ) {
+        self.flows.update(flow, |s| {
             s.ownership = Ownership::Remote { owner: None };
         });
         if let Some(to) = requester {
-            let message = Message::Denied(packet.flow);
+            let message = Message::Denied(*flow);
             out.push(Effect::Send { to, message });
         }
     }
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -1,12 +1,13 @@
 //! Search for the owner of a flow that the local backend server does not hold.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
 use super::Agent;
 use super::established::reset;
 use crate::datagram::{
     Decision, Effect, Flow, FlowState, Measure, Member, Message, Mode, OwnerRecord, Ownership,
-    Packet, Reason, RelayTag,
+    Packet, Phase, Reason, RelayTag,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -28,6 +29,8 @@
 const MAX_ACTIVE_SEARCHES: usize = 4_096;
 /// Maximum agents that are queried for one flow.
 const MAX_QUERIED_AGENTS: usize = 160;
+/// Maximum flows in one query, so that it fits into a datagram.
+const MAX_QUERY_FLOWS: usize = 40;
 
 impl Agent {
     /// Stores owner records from other agents, and logs the owner of a searched flow once.
@@ -91,6 +94,7 @@
             self.flows.update(&packet.flow, |s| {
                 s.ownership = Ownership::Trial { requester };
                 s.last_seen = now;
+                s.last_ack = packet.ack;
             });
             out.push(Effect::Deliver(packet.tag));
         } else if is_search {
@@ -128,14 +132,104 @@
             s.search_rounds % TRIAL_GROUPS
         });
         for to in pending {
-            if let Some(member) = self.gossip.membership_mut().get_mut(to) {
-                member.record_query(now);
-            }
+            self.record_query(to, &packet.flow, now);
             out.push(Effect::Relay { to, tag });
         }
         self.reset_if_denied(&packet.flow, now, out);
     }
 
+    /// Continues the active searches after a change of what is known about agents.
+    ///
+    /// The packet that began a search is no longer in hand, and the caller may not retransmit it
+    /// before its deadline.
+    pub(super) fn resume_searches(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let mut searches = std::mem::take(&mut self.active_searches);
+        searches.retain(|flow| !self.reset_if_denied(flow, now, out));
+        self.active_searches = searches;
+        self.query_pending(now, out);
+    }
+
+    /// Ends the trial deliveries that a backend server did not answer before its first heartbeat.
+    ///
+    /// It was not running when the packets were delivered, so it holds none of their flows.
+    pub(super) fn decide_trials(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if !self.backend.is_tracked() {
+            return;
+        }
+        for (flow, requester) in self.flows.pending_trials() {
+            self.deny_flow(requester, &flow, out);
+            if requester.is_none() && self.active_searches.len() < MAX_ACTIVE_SEARCHES {
+                self.flows.update(&flow, |s| s.last_search = Some(now));
+                self.active_searches.insert(flow);
+            }
+        }
+    }
+
+    /// Queries each agent for the active searches that it has not been queried for since it learnt
+    /// of its backend server.
+    fn query_pending(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let mut due: BTreeMap<Ipv4Addr, Vec<Flow>> = BTreeMap::new();
+        for flow in &self.active_searches {
+            let queried = self.flows.get(flow).map(|s| s.queried.as_slice());
+            let queried = queried.unwrap_or_default();
+            for ip in self.pending_candidates(flow) {
+                if !queried.contains(&ip) && self.can_answer_query(ip) {
+                    due.entry(ip).or_default().push(*flow);
+                }
+            }
+        }
+        for (to, flows) in due {
+            for batch in flows.chunks(MAX_QUERY_FLOWS) {
+                for flow in batch {
+                    self.record_query(to, flow, now);
+                }
+                let message = Message::Query(batch.to_vec());
+                out.push(Effect::Send { to, message });
+            }
+        }
+    }
+
+    /// Answers a query for the flows whose ownership is certain.
+    ///
+    /// A flow that only a trial delivery can decide is left to the next packet of the flow.
+    pub(super) fn answer_query(
+        &mut self,
+        from: Ipv4Addr,
+        flows: &[Flow],
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        for flow in flows {
+            let state = self.flows.get(flow);
+            let message = match state.map(|s| s.ownership).unwrap_or_default() {
+                Ownership::Open => Message::OwnerRecords(vec![self.owner_record(flow)]),
+                Ownership::Remote { owner: None } | Ownership::Ended => Message::Denied(*flow),
+                Ownership::Unknown if self.can_deny(flow, now) => Message::Denied(*flow),
+                _ => continue,
+            };
+            out.push(Effect::Send { to: from, message });
+        }
+    }
+
+    fn record_query(&mut self, to: Ipv4Addr, flow: &Flow, now: Millis) {
+        if let Some(member) = self.gossip.membership_mut().get_mut(to) {
+            member.record_query(now);
+        }
+        let can_answer = self.can_answer_query(to);
+        self.flows.update(flow, |s| {
+            if can_answer && !s.queried.contains(&to) {
+                s.queried.push(to);
+            }
+        });
+    }
+
+    /// Whether an agent has heard of its backend server, so that it may know which flows that
+    /// holds.
+    fn can_answer_query(&self, ip: Ipv4Addr) -> bool {
+        let member = self.gossip.membership().get(ip);
+        member.is_some_and(|m| m.fact.phase != Phase::Starting)
+    }
+
     /// Returns the log entry of a search, with the first agent that is yet to answer and the time
     /// since it was last heard.
     fn search_decision(&self, flow: &Flow, pending: Option<Ipv4Addr>, now: Millis) -> Effect {
@@ -199,8 +293,8 @@
         for ip in unanswered {
             self.gossip.probe(ip, now, out);
         }
-        searches.retain(|flow| !self.reset_if_denied(flow, now, out));
         self.active_searches = searches;
+        self.resume_searches(now, out);
     }
 
     /// Whether a flow was searched for recently and its owner is still unknown.
@@ -334,6 +428,7 @@
             .is_none_or(|at| now.since(at) >= DENIAL_RETENTION);
         if is_expired {
             self.denied_by.clear();
+            self.queried.clear();
         }
         self.last_search = Some(now);
         self.last_seen = now;
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -145,7 +145,7 @@
                     self.flow_cache.apply_owner_record(&record, now);
                 }
             }
-            Message::Denied(_) => {}
+            Message::Denied(_) | Message::Query(_) => {}
         }
     }
 
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -61,6 +61,8 @@
     pub last_search: Option<Millis>,
     /// Number of searches for the flow, wrapping.
     pub search_rounds: u8,
+    /// Agents that were queried for the flow in the current search.
+    pub queried: Vec<Ipv4Addr>,
     /// Agents that have denied the flow.
     pub denied_by: Vec<Ipv4Addr>,
     /// Last acknowledgement number from the caller.
@@ -149,6 +151,22 @@
         self.waiting_count = self.states.values().filter(|s| s.counts().1).count();
     }
 
+    /// Returns the flows whose trial delivery the backend server has not answered, in order, with
+    /// the agents that search for them.
+    #[must_use]
+    pub fn pending_trials(&self) -> Vec<(Flow, Option<Ipv4Addr>)> {
+        let trials = self
+            .states
+            .iter()
+            .filter_map(|(flow, s)| match s.ownership {
+                Ownership::Trial { requester } => Some((*flow, requester)),
+                _ => None,
+            });
+        let mut trials: Vec<_> = trials.collect();
+        trials.sort_unstable();
+        trials
+    }
+
     /// Returns the open flows that are not closed on both sides.
     pub fn iter_established(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
         self.states
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -61,6 +61,7 @@
     registered: Option<Vec<Ipv4Addr>>,
     is_watcher: bool,
     fact_queue: VecDeque<QueuedFact>,
+    member_changes: u64,
     cursor: usize,
     last_exchange: Millis,
     last_contact: Option<Millis>,
@@ -102,6 +103,7 @@
             registered: None,
             is_watcher: false,
             fact_queue: VecDeque::new(),
+            member_changes: 0,
             cursor: 0,
             last_exchange: now,
             last_contact: None,
@@ -128,6 +130,12 @@
         &mut self.membership
     }
 
+    /// Number of instances that became known, or whose [`Fact::urgent_fields`] changed, so far.
+    #[must_use]
+    pub const fn member_changes(&self) -> u64 {
+        self.member_changes
+    }
+
     /// The known zone records.
     #[must_use]
     pub const fn zones(&self) -> &ZoneTable {
@@ -348,6 +356,7 @@
             Merge::Replaced(old) => old.urgent_fields() != fact.urgent_fields(),
         };
         if is_change {
+            self.member_changes += 1;
             self.queue_fact(fact.ip);
             let decision = self.member_decision(Reason::MemberChanged, &fact, now);
             effects.push(decision);
--- a/buckthornlink-core/src/datagram/message.rs
+++ b/buckthornlink-core/src/datagram/message.rs
@@ -20,16 +20,21 @@
     OwnerRecords(Vec<OwnerRecord>),
     /// The sender's backend server does not hold the flow.
     Denied(Flow),
+    /// The sender searches for the owners of these flows and has no packet of them in hand.
+    Query(Vec<Flow>),
 }
 
 impl Message {
     /// Whether the message may be an answer to one of the receiver's.
     ///
-    /// A status that asks for another is unsolicited, so it does not show that its sender receives
-    /// anything.
+    /// A status that asks for another and a query are unsolicited, so they do not show that their
+    /// sender receives anything.
     #[must_use]
     pub const fn is_answer(&self) -> bool {
-        !matches!(self, Self::Status(Status { asks: true, .. }))
+        !matches!(
+            self,
+            Self::Status(Status { asks: true, .. }) | Self::Query(_)
+        )
     }
 }
 
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -166,10 +166,10 @@
         driver
     }
 
-    /// Advances the clock and sends a tick.
-    pub fn advance(&mut self, span: Millis) {
+    /// Advances the clock and sends a tick; returns its effects without log lines.
+    pub fn advance(&mut self, span: Millis) -> Vec<Effect> {
         self.now = self.now + span;
-        self.reduce(Event::Tick);
+        self.reduce(Event::Tick)
     }
 
     /// Handles an event; returns its effects without log lines.
@@ -208,11 +208,27 @@
 
     /// Another agent sends its own fact.
     pub fn add_agent(&mut self, ip: Ipv4Addr, service: ServiceTag) {
-        let mut fact = fact(ip, Phase::Ready, Load::default());
+        self.receive_fact(ip, service, Phase::Ready);
+    }
+
+    /// An agent of [`service`] in phase ready sends its own fact; returns the effects without log
+    /// lines.
+    pub fn discover(&mut self, ip: Ipv4Addr) -> Vec<Effect> {
+        self.discover_in(ip, Phase::Ready)
+    }
+
+    /// An agent of [`service`] sends its own fact; returns the effects without log lines.
+    pub fn discover_in(&mut self, ip: Ipv4Addr, phase: Phase) -> Vec<Effect> {
+        self.now = self.now + Millis(10);
+        self.receive_fact(ip, service(), phase)
+    }
+
+    fn receive_fact(&mut self, ip: Ipv4Addr, service: ServiceTag, phase: Phase) -> Vec<Effect> {
+        let mut fact = fact(ip, phase, Load::default());
         fact.role = Role::Agent(service);
         fact.seq = u32::try_from(self.now.0).unwrap();
         let message = status(fact);
-        self.reduce(Event::Message { from: ip, message });
+        self.reduce(Event::Message { from: ip, message })
     }
 
     /// Opens a flow with a complete handshake.
--- a/buckthornlink-core/tests/datagram_overload.rs
+++ b/buckthornlink-core/tests/datagram_overload.rs
@@ -87,7 +87,7 @@
     let mut server = Server::new();
     let start = server.agent.now;
     let (mut offered, mut in_time) = (0, 0);
-    let is_fresh = |port: u16| port % 2 == 0;
+    let is_fresh = |port: u16| port.is_multiple_of(2);
     let interval = 1_000 * 4 / (CAPACITY_PER_SECOND * 3);
     for at in 0..1_000 {
         let ended = server.run_until(start + Millis(at));
