feat(core): keep new flows away from backend servers that reset their requests

Change: an agent counts flows that its backend server resets before an answer; while most are, of three callers or more, it refuses new flows that two other agents have not refused, but for one each 250 ms. Its load report counts the flows admitted within the last second. Answers with status 500 are not seen by an agent and stay lost.

--- a/buckthornlink-core/src/datagram.rs
+++ b/buckthornlink-core/src/datagram.rs
@@ -34,6 +34,7 @@
 mod gossip;
 mod membership;
 mod message;
+mod outlier;
 mod packet;
 mod table;
 
@@ -49,5 +50,6 @@
 pub use gossip::{Gossip, Setup};
 pub use membership::{Member, Membership, Merge, ServiceLoad};
 pub use message::{MemberHeartbeat, Message, OwnerRecord, Status};
+pub use outlier::Outcomes;
 pub use packet::{Flags, Mode, Packet, RelayTag};
 pub use table::{Route, ServiceLimits, Table, Target};
--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -14,8 +14,8 @@
 
 use super::{
     Backend, BackendHeartbeat, Decision, Effect, Event, Fact, Flow, FlowCounts, Flows, Gossip,
-    Load, Message, OwnerRecord, Packet, Phase, Reason, Reducer, Role, ServiceTag, Setup, Source,
-    Status, Table,
+    Load, Message, Outcomes, OwnerRecord, Packet, Phase, Reason, Reducer, Role, ServiceTag, Setup,
+    Source, Status, Table,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -40,6 +40,7 @@
     gossip: Gossip,
     table: Arc<Table>,
     backend: Backend,
+    outcomes: Outcomes,
     flows: Flows,
     active_searches: BTreeSet<Flow>,
     heartbeat_interval: Millis,
@@ -60,6 +61,7 @@
             gossip: Gossip::new(setup, now),
             table: Arc::default(),
             backend: Backend::default(),
+            outcomes: Outcomes::default(),
             flows: Flows::default(),
             active_searches: BTreeSet::new(),
             heartbeat_interval: setup.heartbeat_interval,
@@ -176,6 +178,7 @@
         let has_restarted = self.backend.boot() != boot;
         if is_known && has_restarted {
             self.flows.end_all();
+            self.outcomes.clear();
         }
         self.update_own_fact(now, out);
         if has_restarted {
@@ -227,6 +230,7 @@
     /// Updates this instance's fact and logs a change of its phase.
     fn update_own_fact(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let old = *self.gossip.own();
+        let recent = self.backend.recent_admissions(now);
         let phase = self.backend.phase(self.heartbeat_interval, now);
         let fact = Fact {
             role: self.role(old.role),
@@ -234,7 +238,7 @@
             backend: self.backend.boot(),
             load: Load {
                 waiting: self.mean_waiting,
-                flows: saturating_u16(self.flows.open_count()),
+                flows: saturating_u16(self.flows.open_count() + recent),
                 slots: self.backend.slots(),
             },
             ..old
--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -10,6 +10,10 @@
 /// one that is processed and one that is queued.
 const MAX_QUEUE_DEPTH: usize = 2;
 
+/// Refusals by other agents after which a failing backend server gets a new flow all the same, so
+/// that a fault that all share, or that is only suspected, does not take a service out.
+const MAX_EJECTIONS: u8 = 2;
+
 impl Agent {
     /// Delivers an opening packet to the backend server, or returns it to the balancer.
     pub(super) fn handle_opening(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
@@ -49,7 +53,7 @@
         let age = self.backend.age(now);
         out.push(self.decision(reason, Some(packet.flow), age));
         let mode = match reason {
-            Reason::RefusedBusy | Reason::RefusedCold => Mode::Busy,
+            Reason::RefusedBusy | Reason::RefusedCold | Reason::RefusedFailing => Mode::Busy,
             _ => Mode::Refused,
         };
         out.push(Effect::Relay {
@@ -86,7 +90,11 @@
                 return Some(Reason::RefusedCold);
             }
         }
-        self.is_busy(packet).then_some(Reason::RefusedBusy)
+        if self.is_busy(packet) {
+            return Some(Reason::RefusedBusy);
+        }
+        let is_outlier = self.outcomes.is_failing(now) && packet.tag.hops < MAX_EJECTIONS;
+        (is_outlier && !self.outcomes.take_trial(now)).then_some(Reason::RefusedFailing)
     }
 
     /// Whether the backend server has too many outstanding requests for a new flow.
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -56,6 +56,7 @@
             self.deny_flow(requester, &packet.flow, out);
             return;
         }
+        self.record_outcome(packet, now);
         let measured = self
             .flows
             .update(&packet.flow, |s| s.record_backend_packet(packet, now));
@@ -63,6 +64,21 @@
         out.extend(measured.map(|(measure, duration)| Effect::Measure(measure, duration)));
     }
 
+    /// Records whether a packet of the backend server answers an outstanding request or breaks it
+    /// off.
+    fn record_outcome(&mut self, packet: &Packet, now: Millis) {
+        let state = self.flows.get(&packet.flow);
+        if state.is_none_or(|s| s.waiting_since.is_none() || s.is_closed()) {
+            return;
+        }
+        if packet.flags.rst {
+            let caller = *packet.flow.caller.ip();
+            self.outcomes.record_failure(caller, now);
+        } else if packet.len > 0 {
+            self.outcomes.record_success(now);
+        }
+    }
+
     /// Delivers a packet of a flow that the backend server holds, and sends the owner record to
     /// instances that may not know the owner.
     fn deliver(&mut self, from: Ipv4Addr, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -8,8 +8,8 @@
 use crate::id::BootId;
 use crate::time::Millis;
 
-/// Window over which admissions during a cold start are counted.
-const COLD_WINDOW: Millis = Millis(1_000);
+/// Window over which admissions are counted.
+const ADMISSION_WINDOW: Millis = Millis(1_000);
 /// Time without a heartbeat after which a backend server counts as silent, in tenths of the
 /// heartbeat interval.
 const SILENCE_TIMEOUT_TENTHS: u64 = 16;
@@ -161,14 +161,19 @@
 
     /// Whether a cold start that allows `limit` new flows per second allows one more.
     pub fn has_cold_capacity(&mut self, limit: usize, now: Millis) -> bool {
+        self.recent_admissions(now) < limit
+    }
+
+    /// Flows admitted within the last second, at most 255.
+    pub fn recent_admissions(&mut self, now: Millis) -> usize {
         while self
             .admissions
             .front()
-            .is_some_and(|&at| now.since(at) > COLD_WINDOW)
+            .is_some_and(|&at| now.since(at) > ADMISSION_WINDOW)
         {
             self.admissions.pop_front();
         }
-        self.admissions.len() < limit
+        self.admissions.len()
     }
 
     /// Records the admission of a flow. Only the last 255 are kept, so that
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -70,6 +70,8 @@
     RefusedFull,
     /// Refused: the backend server is busy, but others may have capacity.
     RefusedBusy,
+    /// Refused: the backend server fails most requests; other agents are asked first.
+    RefusedFailing,
     /// Refused: no configuration is known yet.
     RefusedUnready,
     /// The agents that may own a flow were queried for it.
@@ -92,7 +94,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Placed,
         Self::PlacedAgain,
         Self::HandedOn,
@@ -112,6 +114,7 @@
         Self::RefusedCold,
         Self::RefusedFull,
         Self::RefusedBusy,
+        Self::RefusedFailing,
         Self::RefusedUnready,
         Self::Searched,
         Self::HopsExceeded,
@@ -151,6 +154,7 @@
             Self::RefusedCold => "refused_cold",
             Self::RefusedFull => "refused_full",
             Self::RefusedBusy => "refused_busy",
+            Self::RefusedFailing => "refused_failing",
             Self::RefusedUnready => "refused_unready",
             Self::Searched => "searched",
             Self::HopsExceeded => "hops_exceeded",
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -65,7 +65,9 @@
     /// Flows with a request that the backend server has not begun to answer: moving average over
     /// about a second, in tenths.
     pub waiting: u16,
-    /// Open flows, including those that the backend server was only offered.
+    /// Open flows, including those that the backend server was only offered, plus the flows admitted
+    /// within the last second. A backend server that fails its requests fast has few open flows; the
+    /// rate of its admissions keeps it from attracting more than others.
     pub flows: u16,
     /// Requests that the backend server processes concurrently.
     pub slots: u16,
