fix(core): ask others before acting after an absence

Change: a process without a tick for 1 s asks others; until one has answered a question sent after the return and the version it reports is in force, an agent refuses openings and a balancer resets no flow of an unknown route, for 1 s at most.

--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -64,7 +64,7 @@
 
     /// Returns why the backend server must not get a new flow, if there is a reason.
     fn refusal_reason(&mut self, packet: &Packet, now: Millis) -> Option<Reason> {
-        if !self.has_table() {
+        if !self.has_table() || self.gossip.is_catching_up(now) {
             return Some(Reason::RefusedUnready);
         }
         let phase = self.backend.phase(self.heartbeat_interval, now);
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -70,7 +70,7 @@
     fn handle_caller_packet(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
         let cached = self.flow_cache.touch(&packet.flow, now);
         if !self.table.routes.contains_key(&packet.flow.route) {
-            self.handle_missing_route(packet, cached.is_some(), out);
+            self.handle_missing_route(packet, cached.is_some(), now, out);
             return;
         }
         match cached {
@@ -121,8 +121,15 @@
     }
 
     /// Resets new and known flows of a route that is missing in the configuration in force.
-    fn handle_missing_route(&mut self, packet: &Packet, is_known: bool, out: &mut Vec<Effect>) {
-        if self.table.version.0 == 0 || !(packet.is_opening() || is_known) {
+    fn handle_missing_route(
+        &mut self,
+        packet: &Packet,
+        is_known: bool,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_current = self.table.version.0 > 0 && !self.gossip.is_catching_up(now);
+        if !is_current || !(packet.is_opening() || is_known) {
             return;
         }
         self.flow_cache.remove(&packet.flow);
@@ -219,6 +226,7 @@
 
 impl Reducer for Balancer {
     fn reduce(&mut self, event: Event, now: Millis, out: &mut Vec<Effect>) {
+        self.gossip.notice_absence(now, out);
         match event {
             Event::Packet { source, packet } => self.handle_packet(source, &packet, now, out),
             Event::Message { from, message } => self.handle_message(from, message, now, out),
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -72,7 +72,7 @@
     RefusedBusy,
     /// Refused: the backend server fails most requests; other agents are asked first.
     RefusedFailing,
-    /// Refused: no configuration is known yet.
+    /// Refused: no configuration is known yet, or it may have changed while the process was away.
     RefusedUnready,
     /// The agents that may own a flow were queried for it.
     Searched,
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -1,5 +1,6 @@
 //! Gossip of facts, zone records and the configuration version in force.
 
+mod catch_up;
 mod exchange;
 
 use std::collections::VecDeque;
@@ -15,6 +16,7 @@
 use crate::id::{BootId, Version, ZoneTag, stable_hash};
 use crate::member::{ZoneRecord, ZoneTable};
 use crate::time::Millis;
+use catch_up::CatchUp;
 
 /// Interval of gossip exchanges.
 const EXCHANGE_INTERVAL: Millis = Millis(400);
@@ -66,6 +68,8 @@
     last_exchange: Millis,
     last_contact: Option<Millis>,
     started_at: Millis,
+    last_tick: Millis,
+    catch_up: Option<CatchUp>,
     last_fetch: Option<(Version, Millis)>,
     rng: Pcg64Mcg,
 }
@@ -108,6 +112,8 @@
             last_exchange: now,
             last_contact: None,
             started_at: now,
+            last_tick: now,
+            catch_up: None,
             last_fetch: None,
             rng: Pcg64Mcg::seed_from_u64(setup.seed),
         }
@@ -259,6 +265,7 @@
         if from == self.own.ip {
             return;
         }
+        self.record_catch_up(status);
         self.merge_fact(status.from, now, effects);
         for &fact in &status.facts {
             self.merge_fact(fact, now, effects);
@@ -282,6 +289,7 @@
 
     /// Updates suspects, asks contacts, and starts an exchange if one is due.
     pub fn tick(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.last_tick = now;
         for fact in self.membership.update_suspects(self.own.ip, now) {
             let decision = self.member_decision(Reason::MemberLost, &fact, now);
             effects.push(decision);
