--- a/buckthornlink-core/src/balancer/gossip.rs
+++ b/buckthornlink-core/src/balancer/gossip.rs
@@ -22,7 +22,8 @@
 const FANOUT: usize = 5;
 /// Available budget, in bytes, below which no exchange is started.
 const EXCHANGE_RESERVE_BYTES: usize = 400;
-/// Bytes allowed for one fact of a response; a response may use half of the available budget.
+/// Bytes allowed for one fact of a response; a response may use half of the available budget. An
+/// encoded fact is seldom as long as the upper bound that is charged for it.
 const FACT_BUDGET_BYTES: usize = 40;
 /// Time without a datagram from a peer after which the peer is marked silent.
 const PEER_TIMEOUT: Millis = Millis(30_000);
--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -3,9 +3,11 @@
 //! * `admit` accepts or refuses opening packets.
 //! * `established` handles later packets of flows that the backend server holds or may hold.
 //! * `search` finds the owner of all other flows.
+//! * `query` continues searches without a packet.
 
 mod admit;
 mod established;
+mod query;
 mod search;
 
 use std::collections::BTreeSet;
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -1,13 +1,12 @@
 //! Search for the owner of a flow that the local backend server does not hold.
 
-use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
 use super::Agent;
 use super::established::reset;
 use crate::datagram::{
     Decision, Effect, Flow, FlowState, Measure, Member, Message, Mode, OwnerRecord, Ownership,
-    Packet, Phase, Reason, RelayTag,
+    Packet, Reason, RelayTag,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -26,11 +25,9 @@
 /// `hops` field of the tag says which group's turn it is.
 const TRIAL_GROUPS: u8 = 8;
 /// Maximum searches that are also advanced by ticks, between the packets of their flows.
-const MAX_ACTIVE_SEARCHES: usize = 4_096;
+pub(super) const MAX_ACTIVE_SEARCHES: usize = 4_096;
 /// Maximum agents that are queried for one flow.
 const MAX_QUERIED_AGENTS: usize = 160;
-/// Maximum flows in one query, so that it fits into a datagram.
-const MAX_QUERY_FLOWS: usize = 40;
 
 impl Agent {
     /// Stores owner records from other agents, and logs the owner of a searched flow once.
@@ -62,7 +59,7 @@
         out: &mut Vec<Effect>,
     ) {
         let member = self.gossip.membership().get(owner.0);
-        if member.is_some_and(|m| m.has_backend_ended(owner.1)) {
+        if member.is_some_and(|m| m.is_backend_over(owner.1)) {
             out.push(self.decision(Reason::BackendOver, Some(packet.flow), Millis(0)));
             out.push(reset(packet));
         } else if packet.tag.hops < RelayTag::MAX_HOPS {
@@ -138,98 +135,6 @@
         self.reset_if_denied(&packet.flow, now, out);
     }
 
-    /// Continues the active searches after a change of what is known about agents.
-    ///
-    /// The packet that began a search is no longer in hand, and the caller may not retransmit it
-    /// before its deadline.
-    pub(super) fn resume_searches(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let mut searches = std::mem::take(&mut self.active_searches);
-        searches.retain(|flow| !self.reset_if_denied(flow, now, out));
-        self.active_searches = searches;
-        self.query_pending(now, out);
-    }
-
-    /// Ends the trial deliveries that a backend server did not answer before its first heartbeat.
-    ///
-    /// It was not running when the packets were delivered, so it holds none of their flows.
-    pub(super) fn decide_trials(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if !self.backend.is_tracked() {
-            return;
-        }
-        for (flow, requester) in self.flows.pending_trials() {
-            self.deny_flow(requester, &flow, out);
-            if requester.is_none() && self.active_searches.len() < MAX_ACTIVE_SEARCHES {
-                self.flows.update(&flow, |s| s.last_search = Some(now));
-                self.active_searches.insert(flow);
-            }
-        }
-    }
-
-    /// Queries each agent for the active searches that it has not been queried for since it learnt
-    /// of its backend server.
-    fn query_pending(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let mut due: BTreeMap<Ipv4Addr, Vec<Flow>> = BTreeMap::new();
-        for flow in &self.active_searches {
-            let queried = self.flows.get(flow).map(|s| s.queried.as_slice());
-            let queried = queried.unwrap_or_default();
-            for ip in self.pending_candidates(flow) {
-                if !queried.contains(&ip) && self.can_answer_query(ip) {
-                    due.entry(ip).or_default().push(*flow);
-                }
-            }
-        }
-        for (to, flows) in due {
-            for batch in flows.chunks(MAX_QUERY_FLOWS) {
-                for flow in batch {
-                    self.record_query(to, flow, now);
-                }
-                let message = Message::Query(batch.to_vec());
-                out.push(Effect::Send { to, message });
-            }
-        }
-    }
-
-    /// Answers a query for the flows whose ownership is certain.
-    ///
-    /// A flow that only a trial delivery can decide is left to the next packet of the flow.
-    pub(super) fn answer_query(
-        &mut self,
-        from: Ipv4Addr,
-        flows: &[Flow],
-        now: Millis,
-        out: &mut Vec<Effect>,
-    ) {
-        for flow in flows {
-            let state = self.flows.get(flow);
-            let message = match state.map(|s| s.ownership).unwrap_or_default() {
-                Ownership::Open => Message::OwnerRecords(vec![self.owner_record(flow)]),
-                Ownership::Remote { owner: None } | Ownership::Ended => Message::Denied(*flow),
-                Ownership::Unknown if self.can_deny(flow, now) => Message::Denied(*flow),
-                _ => continue,
-            };
-            out.push(Effect::Send { to: from, message });
-        }
-    }
-
-    fn record_query(&mut self, to: Ipv4Addr, flow: &Flow, now: Millis) {
-        if let Some(member) = self.gossip.membership_mut().get_mut(to) {
-            member.record_query(now);
-        }
-        let can_answer = self.can_answer_query(to);
-        self.flows.update(flow, |s| {
-            if can_answer && !s.queried.contains(&to) {
-                s.queried.push(to);
-            }
-        });
-    }
-
-    /// Whether an agent has heard of its backend server, so that it may know which flows that
-    /// holds.
-    fn can_answer_query(&self, ip: Ipv4Addr) -> bool {
-        let member = self.gossip.membership().get(ip);
-        member.is_some_and(|m| m.fact.phase != Phase::Starting)
-    }
-
     /// Returns the log entry of a search, with the first agent that is yet to answer and the time
     /// since it was last heard.
     fn search_decision(&self, flow: &Flow, pending: Option<Ipv4Addr>, now: Millis) -> Effect {
@@ -312,7 +217,12 @@
     }
 
     /// Resets a flow if every responsive candidate owner has denied it; returns whether it did.
-    fn reset_if_denied(&mut self, flow: &Flow, now: Millis, out: &mut Vec<Effect>) -> bool {
+    pub(super) fn reset_if_denied(
+        &mut self,
+        flow: &Flow,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         let is_exhaustive = self.gossip.has_all_agents(now) && self.can_query_all();
         if !is_exhaustive || !self.can_deny(flow, now) || self.table.route(flow).is_none() {
             return false;
@@ -337,13 +247,13 @@
     ///
     /// An agent that has run for longer than an open flow may be idle has seen a packet of every
     /// flow of its backend server, even if it started after the backend server.
-    fn can_deny(&self, flow: &Flow, now: Millis) -> bool {
+    pub(super) fn can_deny(&self, flow: &Flow, now: Millis) -> bool {
         let state = self.flows.get(flow);
         let ownership = state.map(|s| s.ownership).unwrap_or_default();
         let has_seen_all = now.since(self.started_at) > self.table.idle + IDLE_MARGIN;
         ownership != Ownership::Unknown
             || self.backend.is_tracked()
-            || self.backend.is_gone()
+            || self.backend.is_over()
             || self.has_table() && has_seen_all
     }
 
@@ -357,7 +267,7 @@
     }
 
     /// Returns the other agents that may own a flow and have not denied it.
-    fn pending_candidates(&self, flow: &Flow) -> Vec<Ipv4Addr> {
+    pub(super) fn pending_candidates(&self, flow: &Flow) -> Vec<Ipv4Addr> {
         let state = self.flows.get(flow);
         let denied = state.map(|s| s.denied_by.as_slice()).unwrap_or_default();
         let mut ips = self.owner_candidates(flow);
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -111,7 +111,7 @@
 
     /// Whether the backend server is absent or has ended, and so holds no flows.
     #[must_use]
-    pub const fn is_gone(&self) -> bool {
+    pub const fn is_over(&self) -> bool {
         matches!(self.state, BackendState::Absent | BackendState::Ended)
     }
 
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -96,7 +96,7 @@
         out: &mut Vec<Effect>,
     ) {
         let member = self.gossip.membership().get(owner);
-        if member.is_some_and(|m| m.has_backend_ended(backend_boot)) {
+        if member.is_some_and(|m| m.is_backend_over(backend_boot)) {
             self.flow_cache.remove(&packet.flow);
             out.push(self.decision(Reason::BackendOver, packet, Some(owner), now));
             out.push(reset(packet));
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -334,7 +334,7 @@
     /// An agent that starts next to a running backend server does not know its boot id, and uses
     /// zero, until the next heartbeat; nothing is known about the end of such a boot.
     #[must_use]
-    pub fn has_backend_ended(&self, boot: BootId) -> bool {
+    pub fn is_backend_over(&self, boot: BootId) -> bool {
         let is_known = boot != BootId::default();
         let is_newer = self.fact.backend > boot;
         let has_ended = self.fact.backend == boot && self.fact.phase == Phase::Over;
--- a/buckthornlink-core/src/message.rs
+++ b/buckthornlink-core/src/message.rs
@@ -16,6 +16,7 @@
 const DATAGRAM_OVERHEAD_BYTES: usize = 44;
 /// Encoded size of a message without its facts, zone records and digest, rounded up.
 const MESSAGE_BASE_BYTES: usize = 48;
+/// Upper bounds of the encoded sizes of the parts of a message.
 const FACT_BYTES: usize = 50;
 const ZONE_BYTES: usize = 11;
 const DIGEST_BYTES: usize = 80;
--- a/buckthornlink-datagram/src/event_loop.rs
+++ b/buckthornlink-datagram/src/event_loop.rs
@@ -27,7 +27,8 @@
 /// Time without packets after which a terminating process may end; a balancer that receives none is
 /// no longer used by the network fabric.
 const QUIET_PERIOD: Millis = Millis(700);
-/// Minimum time for which a terminating process keeps running, unless its grace period is shorter.
+/// Minimum time for which a terminating process keeps running, unless its grace period is shorter:
+/// the fabric has missed two readiness checks by then.
 const MIN_SHUTDOWN_TIME: Millis = Millis(1_600);
 
 /// Passes events to a reducer and performs its effects.
--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -94,9 +94,7 @@
     signals: Signals,
 ) -> anyhow::Result<()> {
     logs::init(&settings.log);
-    let sockets = Sockets::bind(settings)
-        .await
-        .context("cannot bind the datagram sockets")?;
+    let sockets = Sockets::bind(settings).await?;
     let (sender, inputs) = flume::bounded(QUEUE_CAPACITY);
     let handle = ReducerHandle::new(sender);
     handle.send(Event::Contacts(settings.contact_ips()));
--- a/buckthornlink-datagram/src/sockets.rs
+++ b/buckthornlink-datagram/src/sockets.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
+use anyhow::Context;
 use tokio::net::UdpSocket;
 
 use buckthornlink_core::datagram::Source;
@@ -27,16 +28,16 @@
 
 impl Sockets {
     /// Binds the addresses in the settings.
-    pub(crate) async fn bind(settings: &Settings) -> io::Result<Self> {
+    pub(crate) async fn bind(settings: &Settings) -> anyhow::Result<Self> {
         let at = |port| SocketAddrV4::new(settings.ip, port);
         let (fabric, backend) = match &settings.backend {
-            Some(backend) => (None, Some(UdpSocket::bind(backend.outbound).await?)),
-            None => (Some(UdpSocket::bind(settings.data).await?), None),
+            Some(backend) => (None, Some(bind(backend.outbound).await?)),
+            None => (Some(bind(settings.data).await?), None),
         };
         Ok(Self {
             fabric,
-            relay: UdpSocket::bind(at(settings.relay_port)).await?,
-            link: UdpSocket::bind(at(settings.link_port)).await?,
+            relay: bind(at(settings.relay_port)).await?,
+            link: bind(at(settings.link_port)).await?,
             backend,
         })
     }
@@ -51,6 +52,11 @@
     }
 }
 
+async fn bind(addr: SocketAddrV4) -> anyhow::Result<UdpSocket> {
+    let socket = UdpSocket::bind(addr).await;
+    socket.with_context(|| format!("cannot bind the datagram socket {addr}"))
+}
+
 /// Receives one datagram without waiting.
 pub(crate) fn try_receive(socket: &UdpSocket, buffer: &mut [u8]) -> Received {
     match socket.try_recv_from(buffer) {
