fix(core,datagram): drop late answers of reset flows, and let a stop wait for answers

After an agent had reset a flow, a late packet of its backend server still went to the caller, whose port may be in use again. A process that was asked to stop ended after 0.7 s without packets although a request was outstanding. Change: packets of a flow that was reset are dropped until it is opened again; a stop waits for outstanding answers until the grace period is over. Tests: both fail before; an agent that has left is not used again because of an older fact, which held before. Workspace tests pass.

--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -34,7 +34,7 @@
             Ownership::Ended => {
                 let age = self.backend.age(now);
                 out.push(self.decision(Reason::BackendOver, Some(packet.flow), age));
-                out.push(reset(packet));
+                self.reset_ended(packet, out);
             }
             Ownership::Remote { owner: Some(owner) } if owner.0 != from => {
                 self.forward_to_owner(owner, packet, now, out);
@@ -56,6 +56,10 @@
             self.deny_flow(requester, &packet.flow, out);
             return;
         }
+        let state = self.flows.get(&packet.flow);
+        if state.is_some_and(|s| s.was_reset) && !packet.flags.syn {
+            return;
+        }
         self.record_outcome(packet, now);
         let measured = self
             .flows
@@ -64,6 +68,13 @@
         out.extend(measured.map(|(measure, duration)| Effect::Measure(measure, duration)));
     }
 
+    /// Resets a flow that its backend server no longer holds. A late packet of that flow must not
+    /// reach the caller any more, who may use the port for another flow.
+    fn reset_ended(&mut self, packet: &Packet, out: &mut Vec<Effect>) {
+        self.flows.update(&packet.flow, |s| s.was_reset = true);
+        out.push(reset(packet));
+    }
+
     /// Records whether a packet of the backend server answers an outstanding request or breaks it
     /// off.
     fn record_outcome(&mut self, packet: &Packet, now: Millis) {
@@ -127,7 +138,7 @@
                     .update(&packet.flow, |s| s.ownership = Ownership::Ended);
                 let age = self.backend.age(now);
                 out.push(self.decision(Reason::FlowLost, Some(packet.flow), age));
-                out.push(reset(packet));
+                self.reset_ended(packet, out);
             }
             Ownership::Trial { requester } => self.handle_failed_trial(requester, packet, now, out),
             _ => {}
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -65,6 +65,8 @@
     pub queried: Vec<Ipv4Addr>,
     /// Agents that have denied the flow.
     pub denied_by: Vec<Ipv4Addr>,
+    /// Whether the caller was sent a reset.
+    pub was_reset: bool,
     /// Last acknowledgement number from the caller.
     pub last_ack: u32,
 }
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -477,3 +477,16 @@
     let effects = answer(&mut agent, Message::Denied(data(20).flow));
     assert!(!effects.iter().any(datagram::is_reset), "{effects:?}");
 }
+
+// The caller may use its port for another flow once it has been told that the first one is over.
+#[test]
+fn a_late_answer_of_a_flow_that_was_reset_does_not_reach_the_caller() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    let lost = agent.packet_from_backend(bounced(data(1)));
+    assert!(lost.iter().any(datagram::is_reset), "{lost:?}");
+    assert_eq!(agent.packet_from_backend(answer(1)), []);
+    agent.packet_from_peer(opening(1), Mode::Placed);
+    let accepted = agent.packet_from_backend(syn_ack(1, 900));
+    assert!(accepted.contains(&Effect::SendToCaller), "{accepted:?}");
+}
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use buckthornlink_core::datagram::{Effect, Event, Load, Message, Mode, OwnerRecord, Phase};
+use buckthornlink_core::datagram::{Effect, Event, Fact, Load, Message, Mode, OwnerRecord, Phase};
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{BalancerDriver, data, fact, is_reset, opening};
@@ -204,3 +204,23 @@
     let share = placed.get(&AGENT_B).copied().unwrap_or_default();
     assert!((1..=30).contains(&share), "{placed:?}");
 }
+
+// A restarted process may hear of an instance from a peer that has missed its departure.
+#[test]
+fn an_agent_that_has_left_is_not_used_again_because_of_an_older_fact() {
+    let mut balancer = BalancerDriver::ready();
+    balancer.receive_facts(&[fact(AGENT_B, Phase::Ready, load(0, 0))]);
+    let with_seq = |seq, phase| Fact {
+        seq,
+        ..fact(AGENT_A, phase, load(0, 0))
+    };
+    balancer.message(AGENT_A, datagram::status(with_seq(9, Phase::Left)));
+    balancer.message(AGENT_A, datagram::status(with_seq(8, Phase::Ready)));
+    for port in 1..=50 {
+        let placed = balancer.packet_from_caller(opening(port));
+        assert!(
+            matches!(placed[..], [Effect::Relay { to: AGENT_B, .. }]),
+            "{placed:?}"
+        );
+    }
+}
--- a/buckthornlink-datagram/src/event_loop.rs
+++ b/buckthornlink-datagram/src/event_loop.rs
@@ -67,6 +67,26 @@
     backend_addr: Option<SocketAddrV4>,
 }
 
+/// Progress of a requested termination.
+#[derive(Clone, Copy, Debug)]
+struct Shutdown {
+    /// Time since the request.
+    elapsed: Millis,
+    /// Time since the last packet.
+    quiet: Millis,
+    /// Flows with a request that the backend server has not begun to answer.
+    waiting: usize,
+}
+
+impl Shutdown {
+    /// Whether the process may end: no more packets arrive and no request is left without its
+    /// answer, or the grace period is over.
+    fn is_complete(self, grace_period: Millis) -> bool {
+        let is_idle = self.quiet >= QUIET_PERIOD && self.waiting == 0;
+        self.elapsed >= grace_period || self.elapsed >= MIN_SHUTDOWN_TIME && is_idle
+    }
+}
+
 impl<R: Reducer, A: Adapter> EventLoop<R, A> {
     /// Creates an event loop; [`Self::run`] starts it.
     pub(crate) fn new(
@@ -139,9 +159,12 @@
     /// Whether a process that was asked to terminate at `since` may end.
     fn can_stop(&self, since: Millis) -> bool {
         let now = clock::now();
-        let elapsed = now.since(since);
-        let is_quiet = now.since(self.last_packet) >= QUIET_PERIOD;
-        elapsed >= self.grace_period || elapsed >= MIN_SHUTDOWN_TIME && is_quiet
+        let shutdown = Shutdown {
+            elapsed: now.since(since),
+            quiet: now.since(self.last_packet),
+            waiting: self.reducer.flow_counts().waiting,
+        };
+        shutdown.is_complete(self.grace_period)
     }
 
     /// Publishes readiness and configuration to other tasks.
@@ -298,3 +321,7 @@
         });
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/event_loop.rs"]
+mod tests;
