feat(core): end searches without the store once no further agents appear

Cause: after a return of all, dead flows are reset only when all agents are known: those that the store lists, or 3 s after the start. Change: the known agents are also taken for all when no instance has become known for 1 s, nobody reports to know more, and two other agents are known. Test: datagram_restart, two cases.

--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -28,6 +28,12 @@
 const FACT_SENDS: u8 = 8;
 /// Time after the start from which on the known agents are assumed to be all.
 const DISCOVERY_TIMEOUT: Millis = Millis(3_000);
+/// Time without a newly known instance after which the known agents are assumed to be all, if no
+/// other instance knows more of them. Longer than two exchanges, in which instances that start at
+/// the same time hear of each other.
+const STABLE_TIME: Millis = Millis(1_000);
+/// Minimum number of other agents for that: a process that is cut off knows few.
+const MIN_STABLE_AGENTS: usize = 2;
 /// Time after the start during which contacts are asked sooner, more often and in greater number.
 const STARTUP_PERIOD: Millis = Millis(6_000);
 /// Balancers of each zone that watch the store.
@@ -64,6 +70,8 @@
     is_watcher: bool,
     fact_queue: VecDeque<QueuedFact>,
     member_changes: u64,
+    last_new_member: Millis,
+    max_known: u32,
     cursor: usize,
     last_exchange: Millis,
     last_contact: Option<Millis>,
@@ -108,6 +116,8 @@
             is_watcher: false,
             fact_queue: VecDeque::new(),
             member_changes: 0,
+            last_new_member: now,
+            max_known: 0,
             cursor: 0,
             last_exchange: now,
             last_contact: None,
@@ -186,14 +196,17 @@
 
     /// Whether all agents that may hold flows are known.
     ///
-    /// That is so once every agent with an entry in the store is known, if there are at least two,
-    /// or, for example without the store, `DISCOVERY_TIMEOUT` after the start.
+    /// That is so once every agent with an entry in the store is known, if there are at least two.
+    /// Without the store, or while it lists agents that have failed, it is so once the known
+    /// instances are stable, or `DISCOVERY_TIMEOUT` after the start.
     #[must_use]
     pub fn has_all_agents(&self, now: Millis) -> bool {
         let is_known = |ip: &Ipv4Addr| self.membership.get(*ip).is_some();
         let registered = self.registered.as_ref();
         let is_complete = registered.is_some_and(|ips| ips.len() > 1 && ips.iter().all(is_known));
-        is_complete || now.since(self.started_at) >= DISCOVERY_TIMEOUT
+        is_complete
+            || self.is_membership_stable(now)
+            || now.since(self.started_at) >= DISCOVERY_TIMEOUT
     }
 
     /// Sets the version in force and sends it to others at once.
@@ -266,6 +279,7 @@
             return;
         }
         self.record_catch_up(status);
+        self.max_known = self.max_known.max(status.known);
         self.merge_fact(status.from, now, effects);
         for &fact in &status.facts {
             self.merge_fact(fact, now, effects);
@@ -336,6 +350,15 @@
         })
     }
 
+    /// Whether no instance has become known for a while, and nobody knows more instances.
+    fn is_membership_stable(&self, now: Millis) -> bool {
+        let others = self.membership.all_agents();
+        let agents = others.filter(|m| m.fact.ip != self.own.ip).count();
+        agents >= MIN_STABLE_AGENTS
+            && self.membership.len() >= self.max_known as usize
+            && now.since(self.last_new_member) >= STABLE_TIME
+    }
+
     fn insert_contacts(&mut self, ips: impl IntoIterator<Item = Ipv4Addr>) {
         for ip in ips {
             if ip != self.own.ip && !self.contacts.contains(&ip) {
@@ -360,7 +383,10 @@
         }
         let is_change = match self.membership.merge(fact, now) {
             Merge::Stale => return,
-            Merge::New => true,
+            Merge::New => {
+                self.last_new_member = now;
+                true
+            }
             Merge::Replaced(old) => old.urgent_fields() != fact.urgent_fields(),
         };
         if is_change {
--- a/buckthornlink-core/tests/datagram_restart.rs
+++ b/buckthornlink-core/tests/datagram_restart.rs
@@ -83,6 +83,52 @@
     assert!(registered.iter().any(is_reset), "{registered:?}");
 }
 
+// The store does not answer, so it lists no agents.
+#[test]
+fn without_the_store_a_denied_search_ends_once_no_further_agents_appear() {
+    let mut agent = AgentDriver::ready();
+    agent.discover(PEER);
+    agent.discover(LATE);
+    agent.packet_from_peer(data(1), Mode::Lookup);
+    agent.message(Message::Denied(flow(1)));
+    let denied = agent.reduce(Event::Message {
+        from: LATE,
+        message: Message::Denied(flow(1)),
+    });
+    assert!(!denied.iter().any(is_reset), "{denied:?}");
+    agent.advance(Millis(500));
+    let early = agent.advance(Millis(400));
+    assert!(!early.iter().any(is_reset), "{early:?}");
+    let stable = agent.advance(Millis(100));
+    assert!(stable.iter().any(is_reset), "{stable:?}");
+}
+
+#[test]
+fn a_search_does_not_end_while_others_know_more_instances() {
+    let mut agent = AgentDriver::ready();
+    agent.discover(PEER);
+    agent.discover(LATE);
+    let Message::Status(mut status) = datagram::status(datagram::fact(
+        PEER,
+        Phase::Ready,
+        buckthornlink_core::datagram::Load::default(),
+    )) else {
+        return;
+    };
+    status.known = 9;
+    agent.message(Message::Status(status));
+    agent.packet_from_peer(data(1), Mode::Lookup);
+    for from in [PEER, LATE] {
+        agent.reduce(Event::Message {
+            from,
+            message: Message::Denied(flow(1)),
+        });
+    }
+    agent.advance(Millis(700));
+    let later = agent.advance(Millis(700));
+    assert!(!later.iter().any(is_reset), "{later:?}");
+}
+
 #[test]
 fn trials_that_a_starting_backend_server_missed_are_denied_with_its_first_heartbeat() {
     let mut agent = AgentDriver::without_backend();
