--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -1,6 +1,7 @@
 //! Gossip of facts, zone records and the configuration version in force.
 
 mod catch_up;
+mod discovery;
 mod exchange;
 
 use std::collections::VecDeque;
@@ -26,14 +27,6 @@
 const EXCHANGE_FANOUT: usize = 1;
 /// Times that a changed fact is sent before it leaves the queue.
 const FACT_SENDS: u8 = 8;
-/// Time after the start from which on the known agents are assumed to be all.
-const DISCOVERY_TIMEOUT: Millis = Millis(3_000);
-/// Time without a newly known instance after which the known agents are assumed to be all, if no
-/// other instance knows more of them. Longer than two exchanges, in which instances that start at
-/// the same time hear of each other.
-const STABLE_TIME: Millis = Millis(1_000);
-/// Minimum number of other agents for that: a process that is cut off knows few.
-const MIN_STABLE_AGENTS: usize = 2;
 /// Time after the start during which contacts are asked sooner, more often and in greater number.
 const STARTUP_PERIOD: Millis = Millis(6_000);
 /// Balancers of each zone that watch the store.
@@ -170,45 +163,6 @@
         self.membership.len() > 1
     }
 
-    /// Adds addresses of instances to contact; a recently started process asks them at once.
-    pub fn add_contacts(
-        &mut self,
-        ips: impl IntoIterator<Item = Ipv4Addr>,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.insert_contacts(ips);
-        if self.is_recently_started(now) {
-            self.ask_contacts(now, effects);
-        }
-    }
-
-    /// Sets the agents that have an entry in the store, and adds them as contacts.
-    pub fn set_registered_agents(
-        &mut self,
-        ips: Vec<Ipv4Addr>,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.add_contacts(ips.iter().copied(), now, effects);
-        self.registered = Some(ips);
-    }
-
-    /// Whether all agents that may hold flows are known.
-    ///
-    /// That is so once every agent with an entry in the store is known, if there are at least two.
-    /// Without the store, or while it lists agents that have failed, it is so once the known
-    /// instances are stable, or `DISCOVERY_TIMEOUT` after the start.
-    #[must_use]
-    pub fn has_all_agents(&self, now: Millis) -> bool {
-        let is_known = |ip: &Ipv4Addr| self.membership.get(*ip).is_some();
-        let registered = self.registered.as_ref();
-        let is_complete = registered.is_some_and(|ips| ips.len() > 1 && ips.iter().all(is_known));
-        is_complete
-            || self.is_membership_stable(now)
-            || now.since(self.started_at) >= DISCOVERY_TIMEOUT
-    }
-
     /// Sets the version in force and sends it to others at once.
     pub fn set_version(&mut self, version: Version, now: Millis, effects: &mut Vec<Effect>) {
         self.version = version;
@@ -350,24 +304,6 @@
         })
     }
 
-    /// Whether no instance has become known for a while, and nobody knows more instances.
-    fn is_membership_stable(&self, now: Millis) -> bool {
-        let others = self.membership.all_agents();
-        let agents = others.filter(|m| m.fact.ip != self.own.ip).count();
-        agents >= MIN_STABLE_AGENTS
-            && self.membership.len() >= self.max_known as usize
-            && now.since(self.last_new_member) >= STABLE_TIME
-    }
-
-    fn insert_contacts(&mut self, ips: impl IntoIterator<Item = Ipv4Addr>) {
-        for ip in ips {
-            if ip != self.own.ip && !self.contacts.contains(&ip) {
-                self.contacts.push(ip);
-                self.last_contact = None;
-            }
-        }
-    }
-
     fn is_recently_started(&self, now: Millis) -> bool {
         now.since(self.started_at) < STARTUP_PERIOD
     }
--- a/buckthornlink-core/tests/datagram_overload.rs
+++ b/buckthornlink-core/tests/datagram_overload.rs
@@ -124,3 +124,29 @@
     assert!(!server.offer(100, 1));
     assert!(server.offer(101, 0));
 }
+
+#[test]
+fn a_busy_agent_refuses_new_flows_and_accepts_them_when_others_are_busy_too() {
+    let mut agent = AgentDriver::ready();
+    (1..=8).for_each(|port| agent.open_flow(port));
+    let outcome = |agent: &mut AgentDriver, port: u16, hops: u8| {
+        let mut packet = opening(port);
+        packet.tag = RelayTag {
+            hops,
+            ..RelayTag::new(Mode::Placed, BALANCER)
+        };
+        let source = Source::Peer(BALANCER);
+        match agent.reduce(Event::Packet { source, packet })[..] {
+            [Effect::Deliver(_)] => "accepted",
+            [Effect::Relay { tag, .. }] if tag.mode == Mode::Busy => "busy",
+            _ => "other",
+        }
+    };
+    assert_eq!(outcome(&mut agent, 100, 0), "busy");
+    assert_eq!(outcome(&mut agent, 101, 1), "accepted");
+    (11..=18).for_each(|port| agent.open_flow(port));
+    let outcomes = [0, 1, 2, 3].map(|hops| outcome(&mut agent, 200, hops));
+    assert_eq!(outcomes, ["busy"; 4]);
+    agent.packet_from_backend(answer(1));
+    assert_eq!(outcome(&mut agent, 102, 2), "accepted");
+}
