--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::datagram::{
-    Effect, Event, Load, Message, Mode, OwnerRecord, Phase, Reason, Reducer, RelayTag, Role, Source,
+    Effect, Event, Load, Message, Mode, OwnerRecord, Phase, Reason, Reducer, Role,
 };
 use buckthornlink_core::{BootId, Millis};
 
