feat(core,datagram): show the age of what a process knows of the store

Change: the gauges store_age_ms and store_watchers; age_ms in 'store is lost' and 'store is regained', and in the decisions about configuration and zones; failed fetches between instances are logged. An empty answer of a watch counts as an answer. The choice of watchers moves to a module of its own, unchanged.

--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -3,6 +3,7 @@
 mod catch_up;
 mod discovery;
 mod exchange;
+mod store_access;
 
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
@@ -14,10 +15,11 @@
     Decision, Effect, Fact, Load, MemberHeartbeat, Membership, Merge, Message, Phase, Reason, Role,
     Status,
 };
-use crate::id::{BootId, Version, ZoneTag, stable_hash};
+use crate::id::{BootId, Version, ZoneTag};
 use crate::member::{ZoneRecord, ZoneTable};
 use crate::time::Millis;
 use catch_up::CatchUp;
+use store_access::StoreAccess;
 
 /// Interval of gossip exchanges.
 const EXCHANGE_INTERVAL: Millis = Millis(400);
@@ -29,10 +31,6 @@
 const FACT_SENDS: u8 = 8;
 /// Time after the start during which contacts are asked sooner, more often and in greater number.
 const STARTUP_PERIOD: Millis = Millis(6_000);
-/// Balancers of each zone that watch the store.
-const WATCHERS_PER_ZONE: usize = 2;
-/// If fewer other watchers than this are known to reach the store, an instance watches it as well.
-const MIN_WATCHERS: usize = 2;
 
 /// Startup parameters of an instance.
 #[derive(Clone, Copy, Debug)]
@@ -60,7 +58,7 @@
     version: Version,
     contacts: Vec<Ipv4Addr>,
     registered: Option<Vec<Ipv4Addr>>,
-    is_watcher: bool,
+    store_access: StoreAccess,
     fact_queue: VecDeque<QueuedFact>,
     member_changes: u64,
     last_new_member: Millis,
@@ -106,7 +104,7 @@
             version: Version(0),
             contacts: Vec::new(),
             registered: None,
-            is_watcher: false,
+            store_access: StoreAccess::new(now),
             fact_queue: VecDeque::new(),
             member_changes: 0,
             last_new_member: now,
@@ -166,7 +164,7 @@
     /// Sets the version in force and sends it to others at once.
     pub fn set_version(&mut self, version: Version, now: Millis, effects: &mut Vec<Effect>) {
         self.version = version;
-        effects.push(self.decision(Reason::Configured));
+        effects.push(self.decision(Reason::Configured, now));
         self.push_update(now, effects);
     }
 
@@ -181,7 +179,7 @@
         } else {
             Reason::ZoneIn
         };
-        effects.push(self.decision(reason));
+        effects.push(self.decision(reason, now));
         self.push_update(now, effects);
     }
 
@@ -269,37 +267,20 @@
         }
     }
 
-    /// Records whether the store answers this process, if it watches the store; a change is sent to
-    /// others at once.
-    pub fn set_store_reachable(
-        &mut self,
-        is_reachable: bool,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        let fact = Fact {
-            store: is_reachable && self.is_watcher,
-            ..self.own
-        };
-        if fact != self.own {
-            self.set_own(fact, now, effects);
-        }
-    }
-
     /// Sends the own status to a few others at once.
     pub fn push_update(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         self.exchange(now, URGENT_FANOUT, false, effects);
     }
 
-    /// A log effect about this instance.
+    /// A log effect about this instance; its age is that of what is known of the store.
     #[must_use]
-    pub const fn decision(&self, reason: Reason) -> Effect {
+    pub fn decision(&self, reason: Reason, now: Millis) -> Effect {
         Effect::Log(Decision {
             reason,
             flow: None,
             peer: None,
             version: self.version,
-            age: Millis(0),
+            age: self.store_age(now),
             phase: Some(self.own.phase),
         })
     }
@@ -367,30 +348,6 @@
         }
     }
 
-    /// Starts watching the store if this instance is one of the first balancers of its zone, by hash
-    /// of the address, or if too few others are known to reach the store; stops when neither holds
-    /// any longer.
-    fn choose_watchers(&mut self, effects: &mut Vec<Effect>) {
-        let live = || {
-            let others = self.membership.iter().filter(|m| m.fact.ip != self.own.ip);
-            others.filter(|m| m.fact.phase.is_running() && !m.is_suspect)
-        };
-        let watchers = live().filter(|m| m.fact.store).count();
-        let rank = stable_hash(&self.own.ip.octets());
-        let ahead = live().filter(|m| {
-            m.fact.role == Role::Balancer
-                && m.fact.zone == self.own.zone
-                && stable_hash(&m.fact.ip.octets()) < rank
-        });
-        let is_first = self.own.role == Role::Balancer && ahead.count() < WATCHERS_PER_ZONE;
-        let is_watcher = is_first || watchers < MIN_WATCHERS;
-        if is_watcher != self.is_watcher {
-            self.is_watcher = is_watcher;
-            self.own.store &= is_watcher;
-            effects.push(Effect::Watch(is_watcher));
-        }
-    }
-
     fn member_decision(&self, reason: Reason, fact: &Fact, now: Millis) -> Effect {
         let last_heard = self.membership.get(fact.ip).map_or(now, |m| m.last_heard);
         Effect::Log(Decision {
--- a/buckthornlink-datagram/src/event_loop.rs
+++ b/buckthornlink-datagram/src/event_loop.rs
@@ -151,8 +151,9 @@
 
     fn tick(&mut self) {
         self.reduce(Event::Tick, 0);
-        self.decision_log.advance_window(clock::now());
-        self.shared.metrics.update_gauges(&self.reducer);
+        let now = clock::now();
+        self.decision_log.advance_window(now);
+        self.shared.metrics.update_gauges(&self.reducer, now);
         logs::flush();
     }
 
@@ -311,7 +312,7 @@
                 Ok(table) => {
                     handle.send(Event::Table(Arc::new(table)));
                 }
-                Err(err) => log::debug!(
+                Err(err) => log::info!(
                     target: LOG_TARGET,
                     from:% = from,
                     err:% = err;
--- a/buckthornlink-datagram/src/metrics.rs
+++ b/buckthornlink-datagram/src/metrics.rs
@@ -81,9 +81,10 @@
     }
 
     /// Sets the gauges to the reducer's current state.
-    pub(crate) fn update_gauges(&self, reducer: &impl Reducer) {
+    pub(crate) fn update_gauges(&self, reducer: &impl Reducer, now: Millis) {
         let flows = reducer.flow_counts();
-        let membership = reducer.gossip().membership();
+        let gossip = reducer.gossip();
+        let membership = gossip.membership();
         let suspects = membership.iter().filter(|m| m.is_suspect).count();
         let Version(version) = reducer.table().version;
         self.set_gauge("flows_open", flows.open);
@@ -91,6 +92,12 @@
         self.set_gauge("flows_known", flows.known);
         self.set_gauge("members", membership.len());
         self.set_gauge("members_suspect", suspects);
+        self.set_gauge("store_watchers", gossip.store_watchers().count());
+        let Millis(store_age) = gossip.store_age(now);
+        self.set_gauge(
+            "store_age_ms",
+            usize::try_from(store_age).unwrap_or(usize::MAX),
+        );
         self.set_gauge("routes", reducer.table().routes.len());
         self.set_gauge("version", usize::try_from(version).unwrap_or(usize::MAX));
     }
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -46,6 +46,7 @@
         handle,
         metrics,
         zones_out: BTreeSet::new(),
+        last_answer: Instant::now(),
         is_unreachable: false,
     };
     let mut retry_delay = MIN_RETRY_DELAY;
@@ -106,6 +107,8 @@
     handle: ReducerHandle,
     metrics: Metrics,
     zones_out: BTreeSet<ZoneTag>,
+    /// When the store last answered; at first, when the task started.
+    last_answer: Instant,
     is_unreachable: bool,
 }
 
@@ -125,7 +128,7 @@
             Ok(revision) => revision,
             Err(err) => return err,
         };
-        self.log_reachable();
+        self.record_answer();
         *retry_delay = MIN_RETRY_DELAY;
         let _ = timeout(MAX_WATCH_DELAY, watching.wait_for(|&watching| watching)).await;
         self.handle.send(Event::StoreReachable(true));
@@ -139,6 +142,8 @@
                 Ok(changes) => changes.iter().for_each(|change| self.report_change(change)),
                 Err(err) => return err,
             }
+            self.record_answer();
+            self.handle.send(Event::StoreReachable(true));
         }
     }
 
@@ -201,18 +206,24 @@
         self.handle.send(Event::Zone(ZoneRecord { zone, seq, out }));
     }
 
+    /// Logs the first of a series of failures; `age_ms` is the time since the store last answered.
     fn report_unreachable(&mut self, err: &StoreError) {
         if !self.is_unreachable {
             self.is_unreachable = true;
-            log::warn!(target: LOG_TARGET, err:% = err; "store is lost");
+            log::warn!(target: LOG_TARGET, err:% = err, age_ms = self.age_ms(); "store is lost");
         }
         self.handle.send(Event::StoreReachable(false));
     }
 
-    fn log_reachable(&mut self) {
+    fn record_answer(&mut self) {
         if self.is_unreachable {
             self.is_unreachable = false;
-            log::info!(target: LOG_TARGET, "store is regained");
+            log::info!(target: LOG_TARGET, age_ms = self.age_ms(); "store is regained");
         }
+        self.last_answer = Instant::now();
+    }
+
+    fn age_ms(&self) -> u64 {
+        u64::try_from(self.last_answer.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 }
--- a/buckthornlink-platform/src/etcd.rs
+++ b/buckthornlink-platform/src/etcd.rs
@@ -194,20 +194,11 @@
 
 impl Watch for EtcdWatch {
     async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
-        loop {
-            let line = self.next_line().await?;
-            let parsed = serde_json::from_slice::<Streamed<WatchResponse>>(&line);
-            let response = parsed.map_err(|err| StoreError::Malformed(err.to_string()))?;
-            let changes: Vec<_> = response
-                .result
-                .events
-                .into_iter()
-                .map(Change::from)
-                .collect();
-            if !changes.is_empty() {
-                return Ok(changes);
-            }
-        }
+        let line = self.next_line().await?;
+        let parsed = serde_json::from_slice::<Streamed<WatchResponse>>(&line);
+        let response = parsed.map_err(|err| StoreError::Malformed(err.to_string()))?;
+        let events = response.result.events;
+        Ok(events.into_iter().map(Change::from).collect())
     }
 }
 
--- a/buckthornlink-platform/src/store.rs
+++ b/buckthornlink-platform/src/store.rs
@@ -82,7 +82,8 @@
 
 /// A stream of changes to the keys of a store.
 pub trait Watch: Send {
-    /// Waits for the next changes, which are in order.
+    /// Waits for the next changes, which are in order. An empty list is an answer of the store as
+    /// well: nothing has changed.
     ///
     /// # Errors
     ///
