fix(node,datagram,platform): stop using idle connections that may have fallen silent

Callers saw: a version that was confirmed came into force up to 1.7 s later than the store could be read again. Class: a resource that was good long ago is taken as good now.

--- a/buckthornlink-datagram/src/config_transfer.rs
+++ b/buckthornlink-datagram/src/config_transfer.rs
@@ -52,13 +52,17 @@
     }
 }
 
-/// Creates the client for [`fetch_config`].
+/// Creates the client for [`fetch_config`]. It uses each connection once: fetches are rare, and an idle
+/// connection may have fallen silent meanwhile.
 ///
 /// # Errors
 ///
 /// Returns an error if the client cannot be initialized.
 pub(crate) fn http_client() -> reqwest::Result<reqwest::Client> {
-    reqwest::Client::builder().no_proxy().build()
+    reqwest::Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0)
+        .build()
 }
 
 /// Fetches the configuration from another instance.
--- a/buckthornlink-node/src/config_transfer.rs
+++ b/buckthornlink-node/src/config_transfer.rs
@@ -189,11 +189,13 @@
     Ok(out.to_vec())
 }
 
-/// Creates an HTTP client for [`fetch_config`].
+/// Creates an HTTP client for [`fetch_config`]. It uses each connection once: fetches are rare, and an
+/// idle connection may have fallen silent meanwhile.
 #[must_use]
 pub fn http_client() -> reqwest::Client {
     reqwest::Client::builder()
         .no_proxy()
+        .pool_max_idle_per_host(0)
         .build()
         .unwrap_or_default()
 }
--- a/buckthornlink-node/tests/config_fetch.rs
+++ b/buckthornlink-node/tests/config_fetch.rs
@@ -9,7 +9,9 @@
     ConfigHistory, ConfigSource, VersionedConfig, config_router, fetch_config, http_client,
 };
 use buckthornlink_node::metrics::HttpServer;
+use buckthornlink_standin::{SilenceSwitch, SilenceableListener};
 use buckthornlink_wire::KeyRing;
+use tokio::net::TcpListener;
 
 /// Number of services that the system is designed for.
 const SERVICE_COUNT: u16 = 1_900;
@@ -155,3 +157,26 @@
             .is_err()
     );
 }
+
+/// Guards against a fetch that waits on an idle connection which has fallen silent since the last
+/// fetch from the same process.
+#[tokio::test]
+async fn a_fetch_does_not_use_an_idle_connection() {
+    let source = Arc::new(TestConfigSource::default());
+    source.set(config(1, 7));
+    let keys = KeyRing::single(1, &[7; 32]);
+    let router = config_router(source, Arc::new(keys.clone()));
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let switch = SilenceSwitch::default();
+    let listener = SilenceableListener::new(listener, switch.clone());
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let http = http_client();
+    let from = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    let none = VersionedConfig::default();
+    let first = fetch_config(&http, from, None, &none, &keys).await;
+    assert_eq!(first.unwrap(), config(1, 7));
+    switch.silence_connections();
+    let second = fetch_config(&http, from, None, &none, &keys).await;
+    assert_eq!(second.unwrap(), config(1, 7));
+}
--- a/buckthornlink-platform/src/etcd.rs
+++ b/buckthornlink-platform/src/etcd.rs
@@ -18,6 +18,9 @@
 /// Timeout of one call, except for a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an idle connection is not used again, since it may have fallen silent. Shorter
+/// than [`CALL_TIMEOUT`], so that no second call fails after one that timed out.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limit of one line of a watch response, in bytes; a line holds whole values, encoded as base64.
 const MAX_LINE_BYTES: usize = 4_000_000;
 
@@ -40,6 +43,7 @@
     pub fn new(base_url: impl Into<String>) -> Self {
         let builder = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            .pool_idle_timeout(IDLE_TIMEOUT)
             .no_proxy();
         Self {
             base_url: base_url.into().trim_end_matches('/').to_owned(),
