fix(core): let instances join the watchers of the store one after the other

Cause: when fewer than two watchers reach the store, all instances begin to watch it at the same tick: 23,000 calls within 0.2 s at the target size, where the store takes 2,000 reads a second. Change: an instance joins 20 ms after each live one whose address has a smaller hash, and 64 join at most.

--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -262,7 +262,7 @@
         }
         self.ask_contacts(now, effects);
         self.check_store_answers(now, effects);
-        self.choose_watchers(effects);
+        self.choose_watchers(now, effects);
         if now.since(self.last_exchange) >= EXCHANGE_INTERVAL {
             self.exchange(now, EXCHANGE_FANOUT, true, effects);
         }
--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -9,6 +9,11 @@
 const WATCHERS_PER_ZONE: usize = 2;
 /// If fewer other watchers than this are known to reach the store, an instance watches it as well.
 const MIN_WATCHERS: usize = 2;
+/// During such a shortage, instances join the watchers one after the other, in the order of the hash
+/// of their address, so that the store is not called by all of them at once.
+const JOIN_INTERVAL: Millis = Millis(20);
+/// Maximum number of instances that join. If none of these reaches the store, hardly any other does.
+const MAX_JOINING: usize = 64;
 /// A watcher that the store has not answered for this long no longer counts as one. Longer than a
 /// watch goes without an answer, and shorter than a change may take to be in force.
 const MAX_ANSWER_AGE: Millis = Millis(3_500);
@@ -17,6 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StoreAccess {
     is_watcher: bool,
+    /// Since when too few other instances are known to reach the store.
+    shortage_since: Option<Millis>,
     /// When the store last answered this process; at first, when the process started.
     last_answer: Millis,
 }
@@ -26,6 +33,7 @@
     pub(super) const fn new(now: Millis) -> Self {
         Self {
             is_watcher: false,
+            shortage_since: None,
             last_answer: now,
         }
     }
@@ -73,9 +81,15 @@
         self.live_others().filter(|m| m.fact.store)
     }
 
-    /// Starts or stops watching the store, as [`Self::should_watch`] says.
-    pub(super) fn choose_watchers(&mut self, effects: &mut Vec<Effect>) {
-        let is_watcher = self.should_watch();
+    /// Starts watching the store if this instance is one of the first balancers of its zone, by hash
+    /// of the address, or if too few others are known to reach the store; stops when neither holds
+    /// any longer.
+    pub(super) fn choose_watchers(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let has_shortage = self.store_watchers().count() < MIN_WATCHERS;
+        let since = self.store_access.shortage_since.unwrap_or(now);
+        self.store_access.shortage_since = has_shortage.then_some(since);
+        let is_joining = has_shortage && self.may_join(now.since(since));
+        let is_watcher = self.is_first_in_zone() || is_joining;
         if is_watcher != self.store_access.is_watcher {
             self.store_access.is_watcher = is_watcher;
             self.own.store &= is_watcher;
@@ -83,17 +97,23 @@
         }
     }
 
-    /// Whether this instance is one of the first balancers of its zone, by hash of the address, or
-    /// too few others are known to reach the store.
-    fn should_watch(&self) -> bool {
+    fn is_first_in_zone(&self) -> bool {
+        let is_rival = |f: &Fact| f.role == Role::Balancer && f.zone == self.own.zone;
+        self.own.role == Role::Balancer && self.count_ahead(is_rival) < WATCHERS_PER_ZONE
+    }
+
+    /// Whether it is this instance's turn to join the watchers after a shortage of this duration.
+    fn may_join(&self, shortage: Millis) -> bool {
+        let ahead = self.count_ahead(|_| true);
+        let turn = Millis(JOIN_INTERVAL.0 * ahead as u64);
+        ahead < MAX_JOINING && shortage >= turn
+    }
+
+    /// Number of other live instances whose address has a smaller hash, among those that count.
+    fn count_ahead(&self, counts: impl Fn(&Fact) -> bool) -> usize {
         let rank = stable_hash(&self.own.ip.octets());
-        let ahead = self.live_others().filter(|m| {
-            m.fact.role == Role::Balancer
-                && m.fact.zone == self.own.zone
-                && stable_hash(&m.fact.ip.octets()) < rank
-        });
-        let is_first = self.own.role == Role::Balancer && ahead.count() < WATCHERS_PER_ZONE;
-        is_first || self.store_watchers().count() < MIN_WATCHERS
+        let is_ahead = |m: &&Member| counts(&m.fact) && stable_hash(&m.fact.ip.octets()) < rank;
+        self.live_others().filter(is_ahead).count()
     }
 
     fn live_others(&self) -> impl Iterator<Item = &Member> {
