fix(datagram): replace the connection that shows whether the backend server lives

Cause: the monitor waits for the end of an idle connection to the backend server. If the connection falls silent, it waits forever, and later ends of the backend server are noticed by missing heartbeats only. Change: the connection is replaced each 10 s.

--- a/buckthornlink-datagram/src/backend_monitor.rs
+++ b/buckthornlink-datagram/src/backend_monitor.rs
@@ -1,7 +1,8 @@
 //! Detects without delay that the backend server has ended without reporting it.
 //!
 //! An idle TCP connection to the backend server is kept open. When it closes, new connection
-//! attempts show whether anything still listens.
+//! attempts show whether anything still listens. The connection is replaced at intervals, since it may
+//! have fallen silent.
 
 use std::io;
 use std::net::SocketAddrV4;
@@ -18,6 +19,8 @@
 /// Target of the log records of this module. Operators name it in the filters of `log.level`, so
 /// it is kept although the module has another name.
 const LOG_TARGET: &str = "buckthornlink_datagram::vigil";
+/// Time after which the connection is replaced.
+const CONNECTION_LIFETIME: Duration = Duration::from_secs(10);
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before the next connection attempt, multiplied by the number of consecutive refusals.
@@ -29,12 +32,17 @@
 
 /// Monitors the backend server at `addr`. Never returns.
 pub(crate) async fn run(addr: SocketAddrV4, handle: ReducerHandle) {
+    monitor(addr, CONNECTION_LIFETIME, handle).await;
+}
+
+/// Monitors the backend server with connections that are replaced after `lifetime`.
+async fn monitor(addr: SocketAddrV4, lifetime: Duration, handle: ReducerHandle) {
     let mut refusals = 0;
     loop {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => {
                 refusals = 0;
-                wait_closed(stream).await;
+                let _ = timeout(lifetime, wait_closed(stream)).await;
             }
             Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
                 refusals += 1;
@@ -58,3 +66,7 @@
     let mut byte = [0];
     while let Ok(1..) = stream.read(&mut byte).await {}
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/backend_monitor.rs"]
+mod tests;
--- a/buckthornlink-datagram/tests/unit/decision_log.rs
+++ b/buckthornlink-datagram/tests/unit/decision_log.rs
@@ -10,7 +10,10 @@
 
 use super::{DecisionLog, MAX_LINES_PER_SECOND};
 
-/// Logger that captures lines as text.
+/// Target of the decision log's lines.
+const TARGET: &str = "buckthornlink_datagram::journal";
+
+/// Logger that captures the decision log's lines as text; other tests of the process log as well.
 #[derive(Debug, Default)]
 struct LogCapture(Mutex<Vec<String>>);
 
@@ -28,7 +31,9 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        assert_eq!(record.target(), "buckthornlink_datagram::journal");
+        if record.target() != TARGET {
+            return;
+        }
         let mut line = Line(record.args().to_string());
         record.key_values().visit(&mut line).unwrap();
         let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
