fix(platform): notice a watch of the etcd gateway that has fallen silent

Cause: a watch is a stream without a timeout; its connection was replaced each two minutes on average, since 'a broken connection may go unnoticed', while an edit must be in force within 6 s. Opening a watch had no timeout either. Change: each 2 s the watch asks the store for the revision of its latest write, and fails if the stream does not deliver that within 0.5 s. Opening a watch times out like any call. Price: 8 reads a second for 16 watchers at the target size.

--- a/buckthornlink-fakes/src/store.rs
+++ b/buckthornlink-fakes/src/store.rs
@@ -25,6 +25,8 @@
     state: Mutex<State>,
     revision: watch::Sender<i64>,
     is_available: watch::Sender<bool>,
+    /// Number of times that the watches so far were silenced.
+    silences: watch::Sender<u64>,
     call_state: Mutex<CallState>,
 }
 
@@ -48,6 +50,7 @@
             state: Mutex::default(),
             revision: watch::Sender::new(0),
             is_available: watch::Sender::new(true),
+            silences: watch::Sender::new(0),
             call_state: Mutex::default(),
         });
         let server = HttpServer::bind(addr, gateway::router(Arc::clone(&shared))).await?;
@@ -66,6 +69,11 @@
         self.shared.is_available.send_replace(is_available);
     }
 
+    /// Silences all existing watches for good, without closing their connections; new calls work.
+    pub fn silence_watches(&self) {
+        self.shared.silences.send_modify(|count| *count += 1);
+    }
+
     /// Delays every call by `delay`.
     pub fn set_delay(&self, delay: Duration) {
         self.shared.with_call_state(|s| s.delay = delay);
--- a/buckthornlink-fakes/src/store/gateway.rs
+++ b/buckthornlink-fakes/src/store/gateway.rs
@@ -37,6 +37,12 @@
     range_end: Option<String>,
     #[serde(default)]
     limit: String,
+    #[serde(default)]
+    sort_order: String,
+    #[serde(default)]
+    sort_target: String,
+    #[serde(default)]
+    keys_only: bool,
 }
 
 #[derive(Deserialize)]
@@ -142,6 +148,7 @@
     let start = decode_base64(&create.key);
     let end = decode_base64(&create.range_end);
     let from = parse_number(&create.start_revision);
+    let opened_after = *shared.silences.borrow();
     let created = "{\"result\":{\"created\":true}}\n".to_owned();
     let first = stream::once(async move { Ok::<_, std::io::Error>(created) });
     let changes = stream::unfold((shared, from), move |(shared, from)| {
@@ -153,6 +160,9 @@
                 .subscribe()
                 .wait_for(|available| *available)
                 .await;
+            if *shared.silences.borrow() > opened_after {
+                std::future::pending::<()>().await;
+            }
             let (found, next) =
                 shared.with_state(|s| (s.changes_since(&start, &end, from), s.revision() + 1));
             let events: Vec<JsonValue> = found.iter().map(event_json).collect();
@@ -200,7 +210,15 @@
 
 fn range_response(state: &State, request: &RangeRequest) -> JsonValue {
     let end = request.range_end.as_deref().map(decode_base64);
-    let found = state.range(&decode_base64(&request.key), end.as_deref());
+    let mut found = state.range(&decode_base64(&request.key), end.as_deref());
+    if (request.sort_order.as_str(), request.sort_target.as_str()) == ("DESCEND", "MOD") {
+        found.sort_by_key(|(_, value)| std::cmp::Reverse(value.modified));
+    }
+    if request.keys_only {
+        for (_, value) in &mut found {
+            value.bytes.clear();
+        }
+    }
     let limit = match parse_number(&request.limit) {
         0 => usize::MAX,
         limit => usize::try_from(limit).unwrap_or(usize::MAX),
--- /dev/null
+++ b/buckthornlink-fakes/tests/store_sync.rs
@@ -0,0 +1,71 @@
+//! Processes that follow the operators' records while the store or the connections to it fail.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use buckthornlink_core::Version;
+use buckthornlink_fakes::{FakeStore, Preset};
+use buckthornlink_node::store_sync::{StoreSync, Update};
+use buckthornlink_platform::{Catalog, EtcdStore};
+use tokio::time::{sleep, timeout};
+
+const EDIT_TIMEOUT: Duration = Duration::from_secs(5);
+const STARTUP_TIME: Duration = Duration::from_secs(1);
+/// Time in which an edit must be in force everywhere (6 s), less the time in which it reaches all
+/// agents from a process that has read it (2.4 s).
+const READ_TIME: Duration = Duration::from_millis(3_600);
+
+/// A process that watches a store, and the versions that it reads.
+struct Follower {
+    store: FakeStore,
+    catalog: Catalog<EtcdStore>,
+    versions: flume::Receiver<Version>,
+    _sync: StoreSync,
+}
+
+impl Follower {
+    async fn start() -> Self {
+        let addr = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let store = FakeStore::spawn(addr).await.unwrap();
+        let (sender, versions) = flume::unbounded();
+        let sync = StoreSync::spawn(EtcdStore::new(store.url()), move |update| {
+            if let Update::Config { version, .. } = update {
+                let _ = sender.send(version);
+            }
+        });
+        sync.set_watching(true);
+        Self {
+            catalog: Catalog::new(EtcdStore::new(store.url())),
+            store,
+            versions,
+            _sync: sync,
+        }
+    }
+
+    async fn apply(&self, edit_id: &str) -> Version {
+        let text = Preset::Carpatia.config_text();
+        let accepted = self
+            .catalog
+            .apply(&text, None, edit_id, "ana", EDIT_TIMEOUT)
+            .await;
+        accepted.unwrap().record.version
+    }
+
+    async fn reads(&self, version: Version) -> bool {
+        let read = async { while self.versions.recv_async().await != Ok(version) {} };
+        timeout(READ_TIME, read).await.is_ok()
+    }
+}
+
+/// Guards against a watch that waits for an event on a silent connection for longer than an edit
+/// may take to be in force.
+#[tokio::test]
+async fn an_edit_is_read_although_the_watch_has_fallen_silent() {
+    let follower = Follower::start().await;
+    let first = follower.apply("e1").await;
+    assert!(follower.reads(first).await);
+    sleep(STARTUP_TIME).await;
+    follower.store.silence_watches();
+    let second = follower.apply("e2").await;
+    assert!(follower.reads(second).await);
+}
--- a/buckthornlink-platform/src/etcd.rs
+++ b/buckthornlink-platform/src/etcd.rs
@@ -1,19 +1,20 @@
 //! Client of the HTTP/JSON gateway of the etcd v3 API.
 
 mod json;
+mod watch;
 
 use std::time::Duration;
 
-use bytes::BytesMut;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
-use crate::store::{Change, Entry, LeaseId, Revision, Store, StoreError, SwapOutcome, Watch};
+use crate::store::{Entry, LeaseId, Revision, Store, StoreError, SwapOutcome};
 use json::{
     Bytes, Compare, GrantRequest, GrantResponse, LeaseRequest, Operation, PutRequest, RangeRequest,
     RangeResponse, RenewResponse, Streamed, TxnRequest, TxnResponse, WatchCreate, WatchRequest,
-    WatchResponse,
 };
+use watch::EtcdWatch;
 
 /// Timeout of one call, except for a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -21,8 +22,6 @@
 /// Time after which an idle connection is not used again, since it may have fallen silent. Shorter
 /// than [`CALL_TIMEOUT`], so that no second call fails after one that timed out.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Limit of one line of a watch response, in bytes; a line holds whole values, encoded as base64.
-const MAX_LINE_BYTES: usize = 4_000_000;
 
 /// A client of one etcd gateway.
 #[derive(Clone, Debug)]
@@ -77,6 +76,22 @@
         ))
     }
 
+    /// Revision of the latest write to a key that starts with `prefix` and exists.
+    async fn latest_write(&self, prefix: &str) -> Result<Revision, StoreError> {
+        let request = RangeRequest {
+            key: Bytes::from(prefix),
+            range_end: Some(prefix_end(prefix)),
+            limit: 1,
+            sort_order: Some("DESCEND"),
+            sort_target: Some("MOD"),
+            keys_only: true,
+        };
+        let (entries, _) = self.read(request).await?;
+        Ok(entries
+            .first()
+            .map_or_else(Revision::default, |e| e.revision))
+    }
+
     async fn transact(&self, request: TxnRequest) -> Result<TxnResponse, StoreError> {
         self.call("/v3/kv/txn", &request).await
     }
@@ -90,6 +105,7 @@
             key: Bytes::from(prefix),
             range_end: Some(prefix_end(prefix)),
             limit: i64::from(limit),
+            ..RangeRequest::default()
         })
         .await
     }
@@ -97,8 +113,8 @@
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         let request = RangeRequest {
             key: Bytes::from(key),
-            range_end: None,
             limit: 1,
+            ..RangeRequest::default()
         };
         let (mut entries, _) = self.read(request).await?;
         Ok(entries.pop())
@@ -115,8 +131,8 @@
             success: vec![Operation::put(PutRequest::new(key, value, None))],
             failure: vec![Operation::range(RangeRequest {
                 key: Bytes::from(key),
-                range_end: None,
                 limit: 1,
+                ..RangeRequest::default()
             })],
         };
         let response = self.transact(request).await?;
@@ -163,46 +179,15 @@
                 start_revision: after.0 + 1,
             },
         };
-        let response = check_status(self.post("/v3/watch", &request).send().await?).await?;
-        Ok(EtcdWatch {
+        let sent = timeout(CALL_TIMEOUT, self.post("/v3/watch", &request).send()).await;
+        let sent = sent.map_err(|_| StoreError::NoResponse("no response to a watch".to_owned()))?;
+        let response = check_status(sent?).await?;
+        Ok(EtcdWatch::new(
+            self.clone(),
+            prefix.to_owned(),
+            after,
             response,
-            buffer: BytesMut::new(),
-        })
-    }
-}
-
-/// A watch, which receives one JSON object per line until the connection ends.
-#[derive(Debug)]
-pub struct EtcdWatch {
-    response: reqwest::Response,
-    buffer: BytesMut,
-}
-
-impl EtcdWatch {
-    /// Waits for the next complete line.
-    async fn next_line(&mut self) -> Result<BytesMut, StoreError> {
-        loop {
-            if let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
-                return Ok(self.buffer.split_to(end + 1));
-            }
-            if self.buffer.len() > MAX_LINE_BYTES {
-                return Err(StoreError::Malformed("watch event is too long".to_owned()));
-            }
-            let chunk = self.response.chunk().await?;
-            let chunk =
-                chunk.ok_or_else(|| StoreError::NoResponse("watch stream ended".to_owned()))?;
-            self.buffer.extend_from_slice(&chunk);
-        }
-    }
-}
-
-impl Watch for EtcdWatch {
-    async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
-        let line = self.next_line().await?;
-        let parsed = serde_json::from_slice::<Streamed<WatchResponse>>(&line);
-        let response = parsed.map_err(|err| StoreError::Malformed(err.to_string()))?;
-        let events = response.result.events;
-        Ok(events.into_iter().map(Change::from).collect())
+        ))
     }
 }
 
--- a/buckthornlink-platform/src/etcd/json.rs
+++ b/buckthornlink-platform/src/etcd/json.rs
@@ -46,13 +46,19 @@
 }
 
 #[serde_as]
-#[derive(Debug, Serialize)]
+#[derive(Debug, Default, Serialize)]
 pub(super) struct RangeRequest {
     pub(super) key: Bytes,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) range_end: Option<Bytes>,
     #[serde_as(as = "DisplayFromStr")]
     pub(super) limit: i64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) sort_order: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) sort_target: Option<&'static str>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(super) keys_only: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
--- a/buckthornlink-platform/src/store.rs
+++ b/buckthornlink-platform/src/store.rs
@@ -47,6 +47,17 @@
     },
 }
 
+impl Change {
+    /// Revision of the write or of the deletion.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Error of a call to the store.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -85,6 +96,9 @@
     /// Waits for the next changes, which are in order. An empty list is an answer of the store as
     /// well: nothing has changed.
     ///
+    /// Returns or fails within a few seconds, also if the connection has fallen silent, so that no
+    /// change is missed for longer.
+    ///
     /// # Errors
     ///
     /// Returns an error once the watch has failed; open a new one then.
