test(soak): let the connections to the store fall silent before a change

Changes were not checked for good if the store had been disturbed before them; nearly no flow opened after the start; any process that started read the store for the others; and no fault silenced connections while new ones worked. A change is checked once the store has been undisturbed for 4 s, also if it was disturbed before (a_change_is_checked_again_once_the_store_has_been_stable failed before).

--- a/buckthornlink-fakes/src/datagram/caller.rs
+++ b/buckthornlink-fakes/src/datagram/caller.rs
@@ -80,6 +80,11 @@
         )
     }
 
+    /// Abandons the flow without closing it; the next one opens at the next tick.
+    pub const fn abandon_flow(&mut self) {
+        self.stage = FlowStage::Idle;
+    }
+
     /// Advances the caller to `now`; returns the packet that is due, if any.
     pub fn tick(&mut self, now: Millis, events: &mut Vec<CallerEvent>) -> Option<Packet> {
         match self.stage {
--- a/buckthornlink-soak/src/endpoints.rs
+++ b/buckthornlink-soak/src/endpoints.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// How a caller uses its flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowUse {
+    /// It sends requests on one flow for as long as the flow lasts.
+    ManyRequests,
+    /// It opens a flow for each request, so that outdated knowledge about routes and zones shows.
+    OneRequest,
+}
+
 /// Runs a caller until the task is aborted.
 ///
 /// # Errors
@@ -98,6 +107,7 @@
     topology: Topology,
     index: u8,
     route: SocketAddrV4,
+    flow_use: FlowUse,
     ready_balancers: ReadyBalancers,
     checker: InvariantChecker,
     seed: u64,
@@ -127,7 +137,12 @@
                     sent_at = now;
                     checker.record_sent();
                 }
-                CallerEvent::RequestAnswered => checker.record_served(sent_at),
+                CallerEvent::RequestAnswered => {
+                    checker.record_served(sent_at);
+                    if flow_use == FlowUse::OneRequest {
+                        caller.abandon_flow();
+                    }
+                }
                 CallerEvent::FlowOpened => {}
             }
         }
--- a/buckthornlink-soak/src/invariants.rs
+++ b/buckthornlink-soak/src/invariants.rs
@@ -45,7 +45,7 @@
 struct State {
     disruptions: HashMap<Ipv4Addr, Millis>,
     balancers: Vec<Ipv4Addr>,
-    store_disruption: Millis,
+    store_disruption: Option<Millis>,
     live_backends: HashMap<Ipv4Addr, u64>,
     owners: HashMap<Flow, BackendBoot>,
     strays: HashMap<Flow, Vec<Millis>>,
@@ -99,7 +99,7 @@
     /// Records that the store, or a connection to it, is disrupted now, or was until now.
     pub fn record_store_disruption(&self) {
         let now = self.now();
-        self.lock().store_disruption = now;
+        self.lock().store_disruption = Some(now);
     }
 
     /// Records that an invariant was violated.
@@ -304,11 +304,12 @@
         self.live_backends.get(&boot.ip) == Some(&boot.born)
     }
 
-    /// Whether a change at `at` must be in force by `now`. It need not be if the store was
-    /// disrupted after the change or within the grace period before it.
+    /// Whether a change at `at` must be in force by `now`: the period is over, and the store has not
+    /// been disrupted within the grace period.
     fn is_overdue(&self, at: Millis, period: Millis, now: Millis) -> bool {
-        let is_store_stable = self.store_disruption + DISRUPTION_GRACE_PERIOD < at
-            || self.store_disruption == Millis(0);
+        let is_store_stable = self
+            .store_disruption
+            .is_none_or(|at| now.since(at) > DISRUPTION_GRACE_PERIOD);
         is_store_stable && now.since(at) > period
     }
 }
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -27,6 +27,7 @@
 use clap::Parser;
 use tokio::runtime::Runtime;
 
+use plan::Scenario;
 use run::{Setup, run_seed};
 
 /// Seeds that failed once, each followed by the cause.
@@ -61,6 +62,10 @@
     /// Also runs the seeds that failed once.
     #[arg(long)]
     regressions: bool,
+    /// Runs store drills, with time for changes to be in force in between, in place of the other
+    /// faults of the store.
+    #[arg(long)]
+    store_drills: bool,
     /// Prints the faults of each seed instead of running it.
     #[arg(long)]
     plan: bool,
@@ -74,6 +79,14 @@
         }
         seeds
     }
+
+    const fn scenario(&self) -> Scenario {
+        if self.store_drills {
+            Scenario::StoreDrills
+        } else {
+            Scenario::Mixed
+        }
+    }
 }
 
 /// Seeds of the lines of [`REGRESSION_SEEDS`] that begin with a number.
@@ -90,7 +103,8 @@
     let duration = Duration::from_secs(options.seconds);
     if options.plan {
         for seed in seeds {
-            println!("seed {seed}: {:#?}", plan::generate(seed, duration));
+            let faults = plan::generate(options.scenario(), seed, duration);
+            println!("seed {seed}: {faults:#?}");
         }
         return Ok(ExitCode::SUCCESS);
     }
@@ -101,6 +115,7 @@
     let setup = Setup {
         program_dir: program_dir.to_owned(),
         work_dir: PathBuf::from("target/soak"),
+        scenario: options.scenario(),
         duration,
         counts: [options.balancers, options.agents, options.callers],
     };
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -14,6 +14,23 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..3_500;
 
+/// Time between the starts of two store drills, in milliseconds: long enough for changes to be
+/// overdue in between.
+const DRILL_INTERVAL_MS: std::ops::Range<u64> = 9_000..12_000;
+
+/// Time after the start of an undisturbed store drill in which no other fault starts.
+const UNDISTURBED_TIME: Duration = Duration::from_secs(8);
+
+/// Which faults a run has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scenario {
+    /// All kinds of faults in [`WEIGHTED_FAULTS`].
+    #[default]
+    Mixed,
+    /// Store drills with time in between, and those other faults that do not affect the store.
+    StoreDrills,
+}
+
 /// A fault or planned change in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -53,8 +70,32 @@
     Move,
     /// A zone is taken out of service and returned to service later.
     ZoneOut,
+    /// All connections to the store fall silent for good, while new ones work; the route moves or a
+    /// zone goes out of service within a second.
+    Silence,
+}
+
+impl Fault {
+    /// Whether the fault affects the store, or the connections of processes to it.
+    const fn affects_store(self) -> bool {
+        matches!(
+            self,
+            Self::StoreBusy
+                | Self::StoreSilent
+                | Self::StoreLossy
+                | Self::StoreLapse
+                | Self::LinkSlow
+                | Self::LinkSilent
+                | Self::LinkOneWay
+                | Self::LinkReset
+                | Self::Silence
+        )
+    }
 }
 
+/// Store drills, drawn uniformly.
+const DRILLS: [Fault; 1] = [Fault::Silence];
+
 /// Faults, drawn uniformly; repeated entries make some kills and planned changes more likely.
 const WEIGHTED_FAULTS: [Fault; 22] = [
     Fault::Kill,
@@ -94,10 +135,41 @@
     pub target: usize,
 }
 
+impl Entry {
+    /// Whether `other` would hide what this store drill shows: a process that starts reads the store
+    /// and tells the others. Every other drill is left undisturbed.
+    fn is_disturbed_by(&self, other: &Self) -> bool {
+        let is_undisturbed = self.target % 4 < 2;
+        let elapsed = other.at.checked_sub(self.at);
+        is_undisturbed && elapsed.is_some_and(|elapsed| elapsed < UNDISTURBED_TIME)
+    }
+}
+
 /// The faults of a run of this duration; the same seed always gives the same faults.
 #[must_use]
-pub fn generate(seed: u64, duration: Duration) -> Vec<Entry> {
+pub fn generate(scenario: Scenario, seed: u64, duration: Duration) -> Vec<Entry> {
     let mut rng = SmallRng::seed_from_u64(seed);
+    let faults = draw(&WEIGHTED_FAULTS, FAULT_INTERVAL_MS, duration, &mut rng);
+    match scenario {
+        Scenario::Mixed => faults,
+        Scenario::StoreDrills => {
+            let drills = draw(&DRILLS, DRILL_INTERVAL_MS, duration, &mut rng);
+            let is_disturbing = |e: &Entry| drills.iter().any(|drill| drill.is_disturbed_by(e));
+            let mut entries = faults;
+            entries.retain(|e| !e.fault.affects_store() && !is_disturbing(e));
+            entries.extend(drills);
+            entries
+        }
+    }
+}
+
+/// Draws faults that start at these intervals.
+fn draw(
+    faults: &[Fault],
+    interval_ms: std::ops::Range<u64>,
+    duration: Duration,
+    rng: &mut SmallRng,
+) -> Vec<Entry> {
     let end = duration.saturating_sub(RECOVERY_TIME);
     let mut at = FIRST_FAULT_TIME;
     let mut entries = Vec::new();
@@ -105,10 +177,10 @@
         entries.push(Entry {
             at,
             span: Duration::from_millis(rng.random_range(FAULT_DURATION_MS)),
-            fault: WEIGHTED_FAULTS[rng.random_range(0..WEIGHTED_FAULTS.len())],
+            fault: faults[rng.random_range(0..faults.len())],
             target: rng.random_range(0..usize::from(u8::MAX)),
         });
-        at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
+        at += Duration::from_millis(rng.random_range(interval_ms.clone()));
     }
     entries
 }
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -12,9 +12,9 @@
 
 use buckthornlink_standin::{KvServer, Operator, ResponseMode, RouteSpec};
 
-use crate::endpoints::{BackendCommand, ReadyBalancers, run_backend, run_caller};
+use crate::endpoints::{BackendCommand, FlowUse, ReadyBalancers, run_backend, run_caller};
 use crate::invariants::{InvariantChecker, Summary};
-use crate::plan::{Entry, Fault, generate};
+use crate::plan::{Entry, Fault, Scenario, generate};
 use crate::process::{ManagedProcess, StopOutcome};
 use crate::rebind::rebind;
 use crate::tcp_proxy::{ProxyMode, TcpProxy};
@@ -28,6 +28,13 @@
 const STALL_DURATION_FACTOR: u32 = 3;
 /// Time for which a zone is out of service, relative to the duration of other faults.
 const ZONE_OUT_DURATION_FACTOR: u32 = 3;
+/// Time from a store drill to the change that follows it: the duration of other faults, divided by
+/// this.
+const CHANGE_DELAY_DIVISOR: u32 = 4;
+/// Time in which all watches are answered.
+const ALIGNMENT_TIME: Duration = Duration::from_millis(200);
+/// Minimum time for which a change lasts after a store drill, so that it is overdue meanwhile.
+const MIN_CHANGE_TIME: Duration = Duration::from_secs(7);
 /// Idle timeout of flows in the configuration, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
 
@@ -38,6 +45,8 @@
     pub program_dir: PathBuf,
     /// Directory under which each seed gets a directory for settings and log files.
     pub work_dir: PathBuf,
+    /// Which faults are injected.
+    pub scenario: Scenario,
     /// Duration of the run.
     pub duration: Duration,
     /// Numbers of balancers, agents and callers.
@@ -57,10 +66,12 @@
     let topology = Topology::new(block, balancers, agents);
     let cluster = Arc::new(Cluster::start(topology, &setup.program_dir, &work_dir, seed).await?);
     let mut endpoints = JoinSet::new();
-    cluster.spawn_endpoints(&mut endpoints, callers, seed).await;
+    cluster
+        .spawn_endpoints(&mut endpoints, callers, setup.scenario, seed)
+        .await;
     let mut faults = JoinSet::new();
     let started_at = tokio::time::Instant::now();
-    for entry in generate(seed, setup.duration) {
+    for entry in generate(setup.scenario, seed, setup.duration) {
         let cluster = Arc::clone(&cluster);
         faults.spawn(async move {
             sleep_until(started_at + entry.at).await;
@@ -129,6 +140,7 @@
         &self,
         endpoints: &mut JoinSet<anyhow::Result<()>>,
         callers: u8,
+        scenario: Scenario,
         seed: u64,
     ) {
         let mut senders = self.backend_commands.lock().await;
@@ -145,10 +157,16 @@
         for index in 0..callers {
             let (topology, ready_balancers) = (self.topology.clone(), ready_balancers.clone());
             let checker = self.checker.clone();
+            let flow_use = if scenario == Scenario::StoreDrills && index % 2 == 1 {
+                FlowUse::OneRequest
+            } else {
+                FlowUse::ManyRequests
+            };
             endpoints.spawn(run_caller(
                 topology,
                 index,
                 route_address(),
+                flow_use,
                 ready_balancers,
                 checker,
                 seed,
@@ -213,7 +231,14 @@
             Fault::Move => self.move_route(entry.span).await,
             Fault::ZoneOut => {
                 let zone = ZONES[entry.target % ZONES.len()];
-                self.take_zone_out(zone, entry.span).await;
+                let duration = entry.span * ZONE_OUT_DURATION_FACTOR;
+                self.take_zone_out(zone, duration).await;
+            }
+            Fault::Silence => {
+                self.align_watches().await;
+                self.checker.record_store_disruption();
+                self.store.silence_connections();
+                self.change_after(entry).await;
             }
         }
     }
@@ -318,11 +343,29 @@
     async fn take_zone_out(&self, zone: &str, duration: Duration) {
         self.operator.set_zone_out(zone, true);
         self.checker.set_zone_out(zone, true);
-        sleep(duration * ZONE_OUT_DURATION_FACTOR).await;
+        sleep(duration).await;
         self.operator.set_zone_out(zone, false);
         self.checker.set_zone_out(zone, false);
     }
 
+    /// Publishes the configuration once more, so that all watches are answered at the same time and
+    /// none of them is due soon after.
+    async fn align_watches(&self) {
+        self.publish_config(SERVICES[0]).await;
+        sleep(ALIGNMENT_TIME).await;
+    }
+
+    /// Moves the route or takes a zone out of service, within a second.
+    async fn change_after(&self, entry: Entry) {
+        sleep(entry.span / CHANGE_DELAY_DIVISOR).await;
+        if entry.target.is_multiple_of(2) {
+            self.move_route(MIN_CHANGE_TIME + entry.span).await;
+        } else {
+            let zone = ZONES[entry.target / 2 % ZONES.len()];
+            self.take_zone_out(zone, MIN_CHANGE_TIME + entry.span).await;
+        }
+    }
+
     /// Kills all processes of the run.
     async fn shut_down(&self) {
         for process in &self.processes {
--- a/buckthornlink-soak/tests/unit/invariants.rs
+++ b/buckthornlink-soak/tests/unit/invariants.rs
@@ -130,6 +130,22 @@
     assert_eq!(violations(&checker).len(), 1);
 }
 
+/// Guards against a checker that lets a change be missed for good if the store or the connections to
+/// it failed just before.
+#[test]
+fn a_change_is_checked_again_once_the_store_has_been_stable() {
+    let mut checker = open_flow_checker();
+    checker.record_store_disruption();
+    checker.set_target(route_address(), "ledger");
+    checker.set_zone_out("brasov-a", true);
+    advance(&mut checker, 4);
+    checker.check_opening(OWNER, "brasov-a", "token", &request().flow);
+    assert_eq!(violations(&checker).len(), 0);
+    advance(&mut checker, 2);
+    checker.check_opening(OWNER, "brasov-a", "token", &request().flow);
+    assert_eq!(violations(&checker).len(), 2);
+}
+
 #[test]
 fn unserved_requests_at_the_end_are_a_violation() {
     let mut checker = open_flow_checker();
