fix(platform,node): notice that the store was restored from an older copy

Cause: revisions and lease ids were taken as good for ever. After a restore they are given out again: a watch goes on from a revision that exists again, pages of one read come from both contents, and a process renews or ends a lease that belongs to another one by now. Class: an identifier that is compared without its scope.

--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -12,7 +12,7 @@
 use buckthornlink_core::datagram::Event;
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_platform::{
-    Change, Entry, INSTANCES_PREFIX, InstanceEntry, Revision, Store, StoreError, Watch,
+    Change, Entry, INSTANCES_PREFIX, InstanceEntry, Position, Revision, Store, StoreError, Watch,
 };
 
 use crate::metrics::Metrics;
@@ -121,12 +121,12 @@
         mut watching: watch::Receiver<bool>,
     ) -> StoreError {
         let result = self.read_until_watching(retry_delay, &mut watching).await;
-        let revision = match result {
-            Ok(revision) => revision,
+        let position = match result {
+            Ok(position) => position,
             Err(err) => return err,
         };
         let prefix = self.adapter.records_prefix();
-        let mut watch = match self.store.watch(prefix, revision).await {
+        let mut watch = match self.store.watch(prefix, position).await {
             Ok(watch) => watch,
             Err(err) => return err,
         };
@@ -145,35 +145,35 @@
         &mut self,
         retry_delay: &mut Duration,
         watching: &mut watch::Receiver<bool>,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<Position, StoreError> {
         loop {
             let is_watching = *watching.borrow_and_update();
             let start = Instant::now();
             let result = self.read_all().await;
             let outcome = if result.is_ok() { "ok" } else { "failed" };
             self.metrics.observe_store(outcome, start.elapsed());
-            let revision = result?;
+            let position = result?;
             *retry_delay = MIN_RETRY_DELAY;
             self.report_answer();
             if is_watching {
-                return Ok(revision);
+                return Ok(position);
             }
             let _ = timeout(jittered(POLL_INTERVAL), watching.wait_for(|&w| w)).await;
         }
     }
 
-    async fn read_all(&mut self) -> Result<Revision, StoreError> {
+    async fn read_all(&mut self) -> Result<Position, StoreError> {
         let prefix = self.adapter.records_prefix();
-        let (entries, revision) = self.store.range(prefix, MAX_ENTRIES).await?;
+        let (entries, position) = self.store.range(prefix, MAX_ENTRIES).await?;
         let mut current = BTreeSet::new();
         for entry in &entries {
             current.extend(self.report_record(entry));
         }
         let restored: Vec<ZoneTag> = self.zones_out.difference(&current).copied().collect();
         for zone in restored {
-            self.report_zone(zone, false, revision);
+            self.report_zone(zone, false, position.revision);
         }
-        Ok(revision)
+        Ok(position)
     }
 
     fn report_change(&mut self, change: &Change) {
--- a/buckthornlink-node/src/store_sync.rs
+++ b/buckthornlink-node/src/store_sync.rs
@@ -16,7 +16,7 @@
 use buckthornlink_core::config::Config;
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_platform::{
-    CONFIG_KEY, Catalog, Change, ConfigRecord, LeaseId, ROOT_PREFIX, Revision, Store, StoreError,
+    CONFIG_KEY, Catalog, Change, ConfigRecord, LeaseId, Position, ROOT_PREFIX, Store, StoreError,
     Watch, ZONES_PREFIX, ZoneEntry,
 };
 
@@ -170,8 +170,8 @@
     on_update: &impl Fn(Update),
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
-    let revision = read_all(catalog, on_update).await?;
-    let mut watch = catalog.store().watch(ROOT_PREFIX, revision).await?;
+    let position = read_all(catalog, on_update).await?;
+    let mut watch = catalog.store().watch(ROOT_PREFIX, position).await?;
     backoff.reset();
     let report_all = async {
         loop {
@@ -188,15 +188,15 @@
 async fn read_all<S: Store>(
     catalog: &Catalog<S>,
     on_update: &impl Fn(Update),
-) -> Result<Revision, StoreError> {
-    let (zones, revision) = catalog.zones().await?;
+) -> Result<Position, StoreError> {
+    let (zones, position) = catalog.zones().await?;
     for zone in &zones {
         on_update(Update::Zone(zone.to_record()));
     }
     if let Some(current) = catalog.config().await? {
         report_config(&current.record, on_update);
     }
-    Ok(revision)
+    Ok(position)
 }
 
 fn report_change(change: &Change, on_update: &impl Fn(Update)) {
@@ -238,8 +238,8 @@
     }
 }
 
-/// Obtains a lease, writes the entry under it and renews the lease until it expires or a call
-/// fails.
+/// Obtains a lease, writes the entry under it and renews the lease until it expires, a call fails or
+/// the store is known to have been restored, which may have lost the entry.
 async fn maintain_entry<S: Store>(
     store: &S,
     key: &str,
@@ -252,7 +252,10 @@
     store.put_leased(key, value, lease).await?;
     backoff.reset();
     loop {
-        sleep(jittered(RENEW_INTERVAL)).await;
+        tokio::select! {
+            () = sleep(jittered(RENEW_INTERVAL)) => {}
+            () = store.wait_restored(lease.epoch) => return Ok(()),
+        }
         if store.renew(lease).await?.is_zero() {
             return Ok(());
         }
--- a/buckthornlink-platform/src/catalog.rs
+++ b/buckthornlink-platform/src/catalog.rs
@@ -10,7 +10,7 @@
 pub use edit::{Accepted, EditError};
 pub use record::{BalancerEntry, ConfigRecord, InstanceEntry, ZoneEntry};
 
-use crate::store::{Entry, Revision, Store, StoreError};
+use crate::store::{Entry, Position, Revision, Store, StoreError};
 
 /// Prefix of all keys of the system.
 pub const ROOT_PREFIX: &str = "/buckthornlink/";
@@ -72,15 +72,15 @@
         decode_entry(self.store.get(&zone_key(name)).await?)
     }
 
-    /// Reads all zone records, and the revision of the store.
+    /// Reads all zone records, and the position of the store.
     ///
     /// # Errors
     ///
     /// Returns an error if the call to the store fails or a value does not parse.
-    pub async fn zones(&self) -> Result<(Vec<ZoneEntry>, Revision), StoreError> {
-        let (entries, revision) = self.store.range(ZONES_PREFIX, MAX_ZONES).await?;
+    pub async fn zones(&self) -> Result<(Vec<ZoneEntry>, Position), StoreError> {
+        let (entries, position) = self.store.range(ZONES_PREFIX, MAX_ZONES).await?;
         let zones = entries.iter().map(|e| decode(&e.value));
-        Ok((zones.collect::<Result<_, _>>()?, revision))
+        Ok((zones.collect::<Result<_, _>>()?, position))
     }
 
     /// Reads the entries of at most `limit` balancers with a valid lease.
--- a/buckthornlink-platform/src/etcd.rs
+++ b/buckthornlink-platform/src/etcd.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use crate::store::{Entry, LeaseId, Revision, Store, StoreError, SwapOutcome};
+use crate::store::{Entry, Epoch, LeaseId, Position, Revision, Store, StoreError, SwapOutcome};
 use json::{
     Bytes, Compare, GrantRequest, GrantResponse, LeaseRequest, Operation, PutRequest, RangeRequest,
     RangeResponse, RenewResponse, Streamed, TxnRequest, TxnResponse, WatchCreate, WatchRequest,
@@ -67,12 +67,16 @@
             .json(request)
     }
 
-    async fn read(&self, request: RangeRequest) -> Result<(Vec<Entry>, Revision), StoreError> {
+    /// Reads a range. The gateway does not tell epochs, so all positions are of epoch 0.
+    async fn read(&self, request: RangeRequest) -> Result<(Vec<Entry>, Position), StoreError> {
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
-        let revision = Revision(response.header.revision);
+        let position = Position {
+            epoch: Epoch(0),
+            revision: Revision(response.header.revision),
+        };
         Ok((
             response.kvs.into_iter().map(Entry::from).collect(),
-            revision,
+            position,
         ))
     }
 
@@ -100,7 +104,7 @@
 impl Store for EtcdStore {
     type Watch = EtcdWatch;
 
-    async fn range(&self, prefix: &str, limit: u32) -> Result<(Vec<Entry>, Revision), StoreError> {
+    async fn range(&self, prefix: &str, limit: u32) -> Result<(Vec<Entry>, Position), StoreError> {
         self.read(RangeRequest {
             key: Bytes::from(prefix),
             range_end: Some(prefix_end(prefix)),
@@ -155,28 +159,31 @@
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let ttl = i64::try_from(ttl.as_secs().max(1)).unwrap_or(i64::MAX);
         let response: GrantResponse = self.call("/v3/lease/grant", &GrantRequest { ttl }).await?;
-        Ok(LeaseId(response.id))
+        Ok(LeaseId {
+            id: response.id,
+            epoch: Epoch(0),
+        })
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<Duration, StoreError> {
-        let request = LeaseRequest { id: lease.0 };
+        let request = LeaseRequest { id: lease.id };
         let response: Streamed<RenewResponse> = self.call("/v3/lease/keepalive", &request).await?;
         let seconds = u64::try_from(response.result.ttl).unwrap_or(0);
         Ok(Duration::from_secs(seconds))
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let request = LeaseRequest { id: lease.0 };
+        let request = LeaseRequest { id: lease.id };
         let _: serde_json::Value = self.call("/v3/lease/revoke", &request).await?;
         Ok(())
     }
 
-    async fn watch(&self, prefix: &str, after: Revision) -> Result<EtcdWatch, StoreError> {
+    async fn watch(&self, prefix: &str, after: Position) -> Result<EtcdWatch, StoreError> {
         let request = WatchRequest {
             create_request: WatchCreate {
                 key: Bytes::from(prefix),
                 range_end: prefix_end(prefix),
-                start_revision: after.0 + 1,
+                start_revision: after.revision.0 + 1,
             },
         };
         let sent = timeout(CALL_TIMEOUT, self.post("/v3/watch", &request).send()).await;
@@ -185,7 +192,7 @@
         Ok(EtcdWatch::new(
             self.clone(),
             prefix.to_owned(),
-            after,
+            after.revision,
             response,
         ))
     }
--- a/buckthornlink-platform/src/etcd/json.rs
+++ b/buckthornlink-platform/src/etcd/json.rs
@@ -82,7 +82,7 @@
         Self {
             key: Bytes::from(key),
             value: Bytes(value.to_vec()),
-            lease: lease.map_or(0, |l| l.0),
+            lease: lease.map_or(0, |l| l.id),
         }
     }
 }
--- a/buckthornlink-platform/src/lib.rs
+++ b/buckthornlink-platform/src/lib.rs
@@ -27,4 +27,6 @@
     INSTANCES_PREFIX, InstanceEntry, ROOT_PREFIX, StoredRecord, ZONES_PREFIX, ZoneEntry,
 };
 pub use etcd::{EtcdStore, check_status};
-pub use store::{Change, Entry, LeaseId, Revision, Store, StoreError, SwapOutcome, Watch};
+pub use store::{
+    Change, Entry, Epoch, LeaseId, Position, Revision, Store, StoreError, SwapOutcome, Watch,
+};
--- a/buckthornlink-platform/src/store.rs
+++ b/buckthornlink-platform/src/store.rs
@@ -9,9 +9,28 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(pub i64);
 
-/// Id of a lease granted by the store.
+/// Epoch of the store's contents. It rises when the store is restored from an older copy, after which
+/// revisions and lease ids may be given out again. Zero if the store does not tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Epoch(pub u32);
+
+/// Position in the history of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Epoch of the contents.
+    pub epoch: Epoch,
+    /// Revision within the epoch.
+    pub revision: Revision,
+}
+
+/// A lease granted by the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub i64);
+pub struct LeaseId {
+    /// Id within the epoch.
+    pub id: i64,
+    /// Epoch in which it was granted.
+    pub epoch: Epoch,
+}
 
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,6 +94,9 @@
         /// Body of the response.
         message: String,
     },
+    /// The store has been restored from an older copy since the position that the call started from.
+    #[error("store has been restored from an older copy")]
+    Restored,
     /// The response violates the protocol, or a value could not be encoded or decoded.
     #[error("malformed response or value: {0}")]
     Malformed(String),
@@ -85,7 +107,7 @@
     #[must_use]
     pub const fn verdict(&self) -> Verdict {
         match self {
-            Self::Unreachable(_) => Verdict::NotRun,
+            Self::Unreachable(_) | Self::Restored => Verdict::NotRun,
             Self::NoResponse(_) | Self::Status { .. } | Self::Malformed(_) => Verdict::MayHaveRun,
         }
     }
@@ -110,12 +132,13 @@
     /// Type of the watches of this store.
     type Watch: Watch;
 
-    /// Reads at most `limit` entries whose keys start with `prefix`, and the revision of the store.
+    /// Reads at most `limit` entries whose keys start with `prefix`, and the position of the store.
+    /// All entries are of one epoch.
     fn range(
         &self,
         prefix: &str,
         limit: u32,
-    ) -> impl Future<Output = Result<(Vec<Entry>, Revision), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(Vec<Entry>, Position), StoreError>> + Send;
 
     /// Reads the entry of one key, or `None` if the key does not exist.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, StoreError>> + Send;
@@ -139,16 +162,26 @@
     /// Grants a lease with this time to live.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
 
-    /// Renews a lease; returns its remaining time to live, or zero if it has expired.
+    /// Renews a lease; returns its remaining time to live, or zero if it has expired or the store has
+    /// been restored since it was granted.
     fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<Duration, StoreError>> + Send;
 
-    /// Revokes a lease, which deletes its keys.
+    /// Revokes a lease, which deletes its keys. Does nothing if the store is known to have been
+    /// restored since it was granted.
     fn revoke(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Watches all keys that start with `prefix` for changes after the revision `after`.
+    /// Waits until the store is known to have been restored since `epoch`; forever if it does not
+    /// tell.
+    fn wait_restored(&self, epoch: Epoch) -> impl Future<Output = ()> + Send {
+        let _ = epoch;
+        std::future::pending()
+    }
+
+    /// Watches all keys that start with `prefix` for changes after `after`. The watch fails once the
+    /// store has been restored.
     fn watch(
         &self,
         prefix: &str,
-        after: Revision,
+        after: Position,
     ) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
 }
