fix(core,datagram): order zone records by the epoch of the store, then by revision

Cause: a zone's record is ordered by the store's revision in the reducer, in gossip and at every peer. After the restore revisions start again below the old ones, and the new record loses. Class: an order that ends with the history that defines it. Evidence: the zone's second evacuation was logged by nobody; revisions 19 after the restore, above 100 before. 'store was restored' and the gauge store_epoch show a restore, zone_ignored a change that is ignored.

--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -86,6 +86,8 @@
     ZoneOut,
     /// A zone was brought back into service.
     ZoneIn,
+    /// The store reported a change of a zone that is older than the known one.
+    ZoneIgnored,
     /// An instance became known, or its phase, role, boot, backend server or store access changed.
     MemberChanged,
     /// An instance is no longer heard from and is suspected to have failed.
@@ -96,7 +98,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 31] = [
         Self::Placed,
         Self::PlacedAgain,
         Self::HandedOn,
@@ -124,6 +126,7 @@
         Self::Configured,
         Self::ZoneOut,
         Self::ZoneIn,
+        Self::ZoneIgnored,
         Self::MemberChanged,
         Self::MemberLost,
         Self::BackendChanged,
@@ -165,6 +168,7 @@
             Self::Configured => "configured",
             Self::ZoneOut => "zone_out",
             Self::ZoneIn => "zone_in",
+            Self::ZoneIgnored => "zone_ignored",
             Self::MemberChanged => "member_changed",
             Self::MemberLost => "member_lost",
             Self::BackendChanged => "backend_changed",
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -183,6 +183,20 @@
         self.push_update(now, effects);
     }
 
+    /// Merges a change that the store reported, and logs it if it is ignored although it contradicts
+    /// the known record.
+    pub fn record_zone_change(
+        &mut self,
+        record: ZoneRecord,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.set_zone(record, now, effects);
+        if self.zones.is_out(record.zone) != record.out {
+            effects.push(self.decision(Reason::ZoneIgnored, now));
+        }
+    }
+
     /// Replaces the own fact; a change of [`Fact::urgent_fields`] is sent at once.
     pub fn set_own(&mut self, fact: Fact, now: Millis, effects: &mut Vec<Effect>) {
         let old = self.own;
--- a/buckthornlink-core/tests/agent.rs
+++ b/buckthornlink-core/tests/agent.rs
@@ -137,7 +137,7 @@
     harness.submit(request(1, "running", 1));
     let record = ZoneRecord {
         zone: ZoneTag(1),
-        seq: 1,
+        seq: 1.into(),
         out: true,
     };
     let effects = harness.ack(|ack| ack.zones = vec![record]);
@@ -157,7 +157,7 @@
     );
     harness.ack(|ack| {
         ack.zones = vec![ZoneRecord {
-            seq: 2,
+            seq: 2.into(),
             out: false,
             ..record
         }];
--- a/buckthornlink-core/tests/agent_properties.rs
+++ b/buckthornlink-core/tests/agent_properties.rs
@@ -183,7 +183,7 @@
                 harness.ack(|ack| {
                     ack.zones = vec![ZoneRecord {
                         zone: ZoneTag(1),
-                        seq,
+                        seq: seq.into(),
                         out,
                     }];
                 })
--- a/buckthornlink-core/tests/balancer.rs
+++ b/buckthornlink-core/tests/balancer.rs
@@ -80,7 +80,7 @@
     send_heartbeat(&mut state, agent(13, 2, Phase::Warm), load(0), now);
     let record = ZoneRecord {
         zone: ZoneTag(2),
-        seq: 1,
+        seq: 1.into(),
         out: true,
     };
     state.reduce(Event::Zone(record), now);
@@ -88,7 +88,7 @@
         assert_eq!(first_candidate(&mut state, flow, now), Some(addr(11)));
     }
     let restored = ZoneRecord {
-        seq: 2,
+        seq: 2.into(),
         out: false,
         ..record
     };
--- a/buckthornlink-core/tests/datagram_absence.rs
+++ b/buckthornlink-core/tests/datagram_absence.rs
@@ -87,7 +87,7 @@
     let mut agent = returned();
     let zone = ZoneRecord {
         zone: ZoneTag::of("a"),
-        seq: 5,
+        seq: 5.into(),
         out: true,
     };
     let seq = agent.agent.gossip().own().seq;
--- a/buckthornlink-datagram/src/metrics.rs
+++ b/buckthornlink-datagram/src/metrics.rs
@@ -106,6 +106,13 @@
         self.set_gauge("version", usize::try_from(version).unwrap_or(usize::MAX));
     }
 
+    /// Sets the gauge of the epoch of the store's contents.
+    pub(crate) fn set_store_epoch(&self, epoch: u32) {
+        self.state
+            .with_label_values(&["store_epoch"])
+            .set(epoch.into());
+    }
+
     fn set_gauge(&self, kind: &str, value: usize) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
         self.state.with_label_values(&[kind]).set(value);
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -10,9 +10,10 @@
 
 use buckthornlink_core::ZoneTag;
 use buckthornlink_core::datagram::Event;
-use buckthornlink_core::member::ZoneRecord;
+use buckthornlink_core::member::{ZoneRecord, ZoneSeq};
 use buckthornlink_platform::{
-    Change, Entry, INSTANCES_PREFIX, InstanceEntry, Position, Revision, Store, StoreError, Watch,
+    Change, Entry, Epoch, INSTANCES_PREFIX, InstanceEntry, Position, Revision, Store, StoreError,
+    Watch,
 };
 
 use crate::metrics::Metrics;
@@ -46,6 +47,7 @@
         handle,
         metrics,
         zones_out: BTreeSet::new(),
+        epoch: Epoch::default(),
         last_answer: Instant::now(),
         is_unreachable: false,
     };
@@ -107,6 +109,8 @@
     handle: ReducerHandle,
     metrics: Metrics,
     zones_out: BTreeSet<ZoneTag>,
+    /// Epoch of the latest read.
+    epoch: Epoch,
     /// When the store last answered; at first, when the task started.
     last_answer: Instant,
     is_unreachable: bool,
@@ -165,6 +169,7 @@
     async fn read_all(&mut self) -> Result<Position, StoreError> {
         let prefix = self.adapter.records_prefix();
         let (entries, position) = self.store.range(prefix, MAX_ENTRIES).await?;
+        self.record_epoch(position.epoch);
         let mut current = BTreeSet::new();
         for entry in &entries {
             current.extend(self.report_record(entry));
@@ -217,10 +222,24 @@
         } else {
             self.zones_out.remove(&zone);
         }
-        let seq = u64::try_from(revision.0).unwrap_or(0);
+        let seq = ZoneSeq {
+            epoch: self.epoch.0,
+            number: u64::try_from(revision.0).unwrap_or(0),
+        };
         self.handle.send(Event::Zone(ZoneRecord { zone, seq, out }));
     }
 
+    /// Takes note of the epoch of a read; logs that the store has been restored.
+    fn record_epoch(&mut self, epoch: Epoch) {
+        let is_restored = self.epoch != Epoch::default() && epoch != self.epoch;
+        if is_restored {
+            let age_ms = self.age_ms();
+            log::warn!(target: LOG_TARGET, epoch = epoch.0, age_ms = age_ms; "store was restored");
+        }
+        self.epoch = epoch;
+        self.metrics.set_store_epoch(epoch.0);
+    }
+
     /// Logs the first of a series of failures; `age_ms` is the time since the store last answered.
     fn report_unreachable(&mut self, err: &StoreError) {
         if !self.is_unreachable {
--- a/buckthornlink-fakes/examples/slopes/reducer.rs
+++ b/buckthornlink-fakes/examples/slopes/reducer.rs
@@ -93,7 +93,7 @@
         zones: vec![
             ZoneRecord {
                 zone: ZoneTag(1),
-                seq: 1,
+                seq: 1.into(),
                 out: false
             };
             8
--- a/buckthornlink-fakes/src/datagram/simulation/faults.rs
+++ b/buckthornlink-fakes/src/datagram/simulation/faults.rs
@@ -165,7 +165,7 @@
     }
 
     fn set_zone(&mut self, zone: ZoneTag, out: bool) {
-        let seq = self.now.0;
+        let seq = self.now.0.into();
         let record = ZoneRecord { zone, seq, out };
         self.zones.insert(zone, (record, self.now));
         self.notify_watchers();
--- a/buckthornlink-platform/src/catalog/record.rs
+++ b/buckthornlink-platform/src/catalog/record.rs
@@ -99,7 +99,7 @@
     pub fn to_record(&self) -> ZoneRecord {
         ZoneRecord {
             zone: ZoneTag::of(&self.name),
-            seq: self.seq,
+            seq: self.seq.into(),
             out: self.out,
         }
     }
--- a/buckthornlink-wire/tests/hostile.rs
+++ b/buckthornlink-wire/tests/hostile.rs
@@ -163,7 +163,7 @@
     let zones = vec![
         ZoneRecord {
             zone: ZoneTag(65_535),
-            seq: 1 << 31,
+            seq: (1 << 31).into(),
             out: true
         };
         8
