fix(core,datagram): compare the store's zone records with what the process believes

Cause: what a read of the store lacked was compared with what the same task had read before, not with what the reducer believed. A process that learnt of an evacuation from others, and missed the return, kept the zone out. After a restore, a record that the copy lacks was taken as removed at once, before operators can write it again. Class: two copies of one belief. Change: a read reaches the reducer as a whole; a zone believed to be out without a record in a later read returns, one of an earlier epoch only 10 s after the first read of the new one. store_sync keeps no zones of its own.

--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -233,6 +233,7 @@
             Event::Message { from, message } => self.handle_message(from, message, now, out),
             Event::Table(table) => self.configure(table, now, out),
             Event::Zone(record) => self.gossip.record_zone_change(record, now, out),
+            Event::Zones(snapshot) => self.gossip.set_zone_snapshot(snapshot, now, out),
             Event::Contacts(ips) => self.gossip.add_contacts(ips, now, out),
             Event::RegisteredAgents(ips) => self.gossip.set_registered_agents(ips, now, out),
             Event::StoreReachable(answers) => self.gossip.set_store_reachable(answers, now, out),
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{BackendHeartbeat, Effect, Gossip, Message, Packet, Table};
-use crate::member::ZoneRecord;
+use crate::member::{ZoneRecord, ZoneSnapshot};
 use crate::time::Millis;
 
 /// An input of a reducer.
@@ -26,8 +26,10 @@
     },
     /// A configuration was read from the store or from another instance.
     Table(Arc<Table>),
-    /// A zone record was read from the store.
+    /// A watch of the store reported a change of a zone.
     Zone(ZoneRecord),
+    /// All zone records were read from the store.
+    Zones(ZoneSnapshot),
     /// Addresses of instances that can be asked for their status.
     Contacts(Vec<Ipv4Addr>),
     /// Agents that have an entry in the store.
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -4,6 +4,7 @@
 mod discovery;
 mod exchange;
 mod store_access;
+mod zone_sync;
 
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
@@ -16,10 +17,11 @@
     Status,
 };
 use crate::id::{BootId, Version, ZoneTag};
-use crate::member::{ZoneRecord, ZoneTable};
+use crate::member::ZoneTable;
 use crate::time::Millis;
 use catch_up::CatchUp;
 use store_access::StoreAccess;
+use zone_sync::ZoneSync;
 
 /// Interval of gossip exchanges.
 const EXCHANGE_INTERVAL: Millis = Millis(400);
@@ -55,6 +57,7 @@
     own: Fact,
     membership: Membership,
     zones: ZoneTable,
+    zone_sync: ZoneSync,
     version: Version,
     contacts: Vec<Ipv4Addr>,
     registered: Option<Vec<Ipv4Addr>>,
@@ -101,6 +104,7 @@
             own,
             membership,
             zones: ZoneTable::default(),
+            zone_sync: ZoneSync::default(),
             version: Version(0),
             contacts: Vec::new(),
             registered: None,
@@ -168,35 +172,6 @@
         self.push_update(now, effects);
     }
 
-    /// Merges a zone record; a zone that went out of or into service is sent to others at once.
-    pub fn set_zone(&mut self, record: ZoneRecord, now: Millis, effects: &mut Vec<Effect>) {
-        let was_out = self.zones.is_out(record.zone);
-        if !self.zones.merge(record) || record.out == was_out {
-            return;
-        }
-        let reason = if record.out {
-            Reason::ZoneOut
-        } else {
-            Reason::ZoneIn
-        };
-        effects.push(self.decision(reason, now));
-        self.push_update(now, effects);
-    }
-
-    /// Merges a change that the store reported, and logs it if it is ignored although it contradicts
-    /// the known record.
-    pub fn record_zone_change(
-        &mut self,
-        record: ZoneRecord,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.set_zone(record, now, effects);
-        if self.zones.is_out(record.zone) != record.out {
-            effects.push(self.decision(Reason::ZoneIgnored, now));
-        }
-    }
-
     /// Replaces the own fact; a change of [`Fact::urgent_fields`] is sent at once.
     pub fn set_own(&mut self, fact: Fact, now: Millis, effects: &mut Vec<Effect>) {
         let old = self.own;
@@ -276,6 +251,7 @@
         }
         self.ask_contacts(now, effects);
         self.check_store_answers(now, effects);
+        self.return_absent_zones(now, effects);
         self.choose_watchers(now, effects);
         if now.since(self.last_exchange) >= EXCHANGE_INTERVAL {
             self.exchange(now, EXCHANGE_FANOUT, true, effects);
--- a/buckthornlink-core/src/member.rs
+++ b/buckthornlink-core/src/member.rs
@@ -13,4 +13,4 @@
 pub use digest::{BUCKET_COUNT, Digest};
 pub use fact::{Fact, Load, Phase, Role};
 pub use table::{Member, MemberKey, Members, Merge};
-pub use zone::{ZoneRecord, ZoneSeq, ZoneTable};
+pub use zone::{ZoneRecord, ZoneSeq, ZoneSnapshot, ZoneTable};
--- a/buckthornlink-core/src/member/zone.rs
+++ b/buckthornlink-core/src/member/zone.rs
@@ -43,6 +43,15 @@
     pub out: bool,
 }
 
+/// All zones that are out of service at one position of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZoneSnapshot {
+    /// Records of the zones out of service.
+    pub zones_out: Vec<ZoneRecord>,
+    /// Position up to which all edits are included.
+    pub seq: ZoneSeq,
+}
+
 /// The latest known record of each zone. A zone without a record is in service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneTable {
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -1,6 +1,5 @@
 //! Reads the operators' records and the registered instances from the store.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,9 +7,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use buckthornlink_core::ZoneTag;
 use buckthornlink_core::datagram::Event;
-use buckthornlink_core::member::{ZoneRecord, ZoneSeq};
+use buckthornlink_core::member::{ZoneRecord, ZoneSeq, ZoneSnapshot};
 use buckthornlink_platform::{
     Change, Entry, Epoch, INSTANCES_PREFIX, InstanceEntry, Position, Revision, Store, StoreError,
     Watch,
@@ -46,7 +44,6 @@
         store,
         handle,
         metrics,
-        zones_out: BTreeSet::new(),
         epoch: Epoch::default(),
         last_answer: Instant::now(),
         is_unreachable: false,
@@ -108,7 +105,6 @@
     store: A::Store,
     handle: ReducerHandle,
     metrics: Metrics,
-    zones_out: BTreeSet<ZoneTag>,
     /// Epoch of the latest read.
     epoch: Epoch,
     /// When the store last answered; at first, when the task started.
@@ -170,41 +166,55 @@
         let prefix = self.adapter.records_prefix();
         let (entries, position) = self.store.range(prefix, MAX_ENTRIES).await?;
         self.record_epoch(position.epoch);
-        let mut current = BTreeSet::new();
-        for entry in &entries {
-            current.extend(self.report_record(entry));
-        }
-        let restored: Vec<ZoneTag> = self.zones_out.difference(&current).copied().collect();
-        for zone in restored {
-            self.report_zone(zone, false, position.revision);
-        }
+        let zones_out = entries.iter().filter_map(|e| self.report_record(e));
+        let snapshot = ZoneSnapshot {
+            zones_out: zones_out.collect(),
+            seq: self.zone_seq(position.revision),
+        };
+        self.handle.send(Event::Zones(snapshot));
         Ok(position)
     }
 
+    /// Takes note of the epoch of a read; logs that the store has been restored.
+    fn record_epoch(&mut self, epoch: Epoch) {
+        let is_restored = self.epoch != Epoch::default() && epoch != self.epoch;
+        if is_restored {
+            let age_ms = self.age_ms();
+            log::warn!(target: LOG_TARGET, epoch = epoch.0, age_ms = age_ms; "store was restored");
+        }
+        self.epoch = epoch;
+        self.metrics.set_store_epoch(epoch.0);
+    }
+
     fn report_change(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => {
-                self.report_record(entry);
+                if let Some(record) = self.report_record(entry) {
+                    self.handle.send(Event::Zone(record));
+                }
             }
             Change::Delete { key, revision } => {
                 if let Some(zone) = self.adapter.zone_of(key) {
-                    self.report_zone(zone, false, *revision);
+                    let seq = self.zone_seq(*revision);
+                    let out = false;
+                    self.handle.send(Event::Zone(ZoneRecord { zone, seq, out }));
                 }
             }
         }
     }
 
-    /// Reports a record; returns the zone that it takes out of service, if any.
-    fn report_record(&mut self, entry: &Entry) -> Option<ZoneTag> {
+    /// Reports a configuration; returns the record of a zone that is out of service.
+    fn report_record(&self, entry: &Entry) -> Option<ZoneRecord> {
         match self.adapter.parse_record(&entry.key, &entry.value) {
             Some(Record::Config(table)) => {
                 self.handle.send(Event::Table(Arc::new(table)));
                 None
             }
-            Some(Record::ZoneOut(zone)) => {
-                self.report_zone(zone, true, entry.revision);
-                Some(zone)
-            }
+            Some(Record::ZoneOut(zone)) => Some(ZoneRecord {
+                zone,
+                seq: self.zone_seq(entry.revision),
+                out: true,
+            }),
             None => {
                 log::warn!(
                     target: LOG_TARGET,
@@ -216,28 +226,12 @@
         }
     }
 
-    fn report_zone(&mut self, zone: ZoneTag, out: bool, revision: Revision) {
-        if out {
-            self.zones_out.insert(zone);
-        } else {
-            self.zones_out.remove(&zone);
-        }
-        let seq = ZoneSeq {
+    /// Position of an edit at this revision of the latest read's epoch.
+    fn zone_seq(&self, revision: Revision) -> ZoneSeq {
+        ZoneSeq {
             epoch: self.epoch.0,
             number: u64::try_from(revision.0).unwrap_or(0),
-        };
-        self.handle.send(Event::Zone(ZoneRecord { zone, seq, out }));
-    }
-
-    /// Takes note of the epoch of a read; logs that the store has been restored.
-    fn record_epoch(&mut self, epoch: Epoch) {
-        let is_restored = self.epoch != Epoch::default() && epoch != self.epoch;
-        if is_restored {
-            let age_ms = self.age_ms();
-            log::warn!(target: LOG_TARGET, epoch = epoch.0, age_ms = age_ms; "store was restored");
         }
-        self.epoch = epoch;
-        self.metrics.set_store_epoch(epoch.0);
     }
 
     /// Logs the first of a series of failures; `age_ms` is the time since the store last answered.
