--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -73,6 +73,9 @@
     /// All connections to the store fall silent for good, while new ones work; the route moves or a
     /// zone goes out of service within a second.
     Silence,
+    /// The store goes away for a moment and comes back from a copy some seconds old; operators write
+    /// again what they wrote since, and the route moves or a zone goes out of service soon after.
+    Restore,
 }
 
 impl Fault {
@@ -89,12 +92,13 @@
                 | Self::LinkOneWay
                 | Self::LinkReset
                 | Self::Silence
+                | Self::Restore
         )
     }
 }
 
 /// Store drills, drawn uniformly.
-const DRILLS: [Fault; 1] = [Fault::Silence];
+const DRILLS: [Fault; 2] = [Fault::Silence, Fault::Restore];
 
 /// Faults, drawn uniformly; repeated entries make some kills and planned changes more likely.
 const WEIGHTED_FAULTS: [Fault; 22] = [
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -33,6 +33,10 @@
 const CHANGE_DELAY_DIVISOR: u32 = 4;
 /// Time in which all watches are answered.
 const ALIGNMENT_TIME: Duration = Duration::from_millis(200);
+/// Age of the copy from which the store is restored.
+const COPY_AGE: Duration = Duration::from_secs(4);
+/// Changes of the configuration between the copy and the restore, which raise the store's revision.
+const EDITS_BEFORE_RESTORE: u32 = 40;
 /// Minimum time for which a change lasts after a store drill, so that it is overdue meanwhile.
 const MIN_CHANGE_TIME: Duration = Duration::from_secs(7);
 /// Idle timeout of flows in the configuration, in milliseconds.
@@ -240,6 +244,10 @@
                 self.store.silence_connections();
                 self.change_after(entry).await;
             }
+            Fault::Restore => {
+                self.restore_store(entry).await;
+                self.change_after(entry).await;
+            }
         }
     }
 
@@ -348,6 +356,23 @@
         self.checker.set_zone_out(zone, false);
     }
 
+    /// Restores the store from a copy that is [`COPY_AGE`] old, after a zone was out of service for a
+    /// part of that time and a moment without the store.
+    async fn restore_store(&self, entry: Entry) {
+        let copy = self.store.copy();
+        let zone = ZONES[entry.target / 2 % ZONES.len()];
+        self.take_zone_out(zone, COPY_AGE / 2).await;
+        for _ in 0..EDITS_BEFORE_RESTORE {
+            self.publish_config(SERVICES[0]).await;
+        }
+        sleep(COPY_AGE / 2).await;
+        self.disrupt_store(ResponseMode::Busy, entry.span / CHANGE_DELAY_DIVISOR)
+            .await;
+        self.store.restore(copy);
+        self.checker.record_store_disruption();
+        self.publish_config(SERVICES[0]).await;
+    }
+
     /// Publishes the configuration once more, so that all watches are answered at the same time and
     /// none of them is due soon after.
     async fn align_watches(&self) {
