fix(platform): leave out malformed zone records and balancers' entries

Change: malformed values are logged and left out. Result: a_malformed_record_does_not_hide_the_others failed before and passes.

--- a/buckthornlink-fakes/tests/store_sync.rs
+++ b/buckthornlink-fakes/tests/store_sync.rs
@@ -6,7 +6,9 @@
 use buckthornlink_core::Version;
 use buckthornlink_fakes::{FakeStore, Preset};
 use buckthornlink_node::store_sync::{StoreSync, Update};
-use buckthornlink_platform::{Catalog, EtcdStore};
+use buckthornlink_platform::{
+    BALANCERS_PREFIX, Catalog, EtcdStore, Revision, Store, SwapOutcome, ZONES_PREFIX,
+};
 use tokio::time::{sleep, timeout};
 
 const EDIT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -69,3 +71,22 @@
     let second = follower.apply("e2").await;
     assert!(follower.reads(second).await);
 }
+
+/// Guards against one malformed record, left by another writer, that ends the reading of all others.
+#[tokio::test]
+async fn a_malformed_record_does_not_hide_the_others() {
+    let follower = Follower::start().await;
+    let value = "[".repeat(200);
+    for prefix in [ZONES_PREFIX, BALANCERS_PREFIX] {
+        let key = format!("{prefix}odd");
+        let store = follower.catalog.store();
+        let written = store
+            .compare_and_swap(&key, value.as_bytes(), Revision(0))
+            .await;
+        assert_eq!(written.unwrap(), SwapOutcome::Done);
+    }
+    let version = follower.apply("e1").await;
+    assert!(follower.reads(version).await);
+    assert_eq!(follower.catalog.zones().await.unwrap().0, []);
+    assert_eq!(follower.catalog.balancers(10).await.unwrap(), []);
+}
--- a/buckthornlink-platform/src/catalog.rs
+++ b/buckthornlink-platform/src/catalog.rs
@@ -72,25 +72,25 @@
         decode_entry(self.store.get(&zone_key(name)).await?)
     }
 
-    /// Reads all zone records, and the position of the store.
+    /// Reads all zone records, and the position of the store. Malformed records are left out.
     ///
     /// # Errors
     ///
-    /// Returns an error if the call to the store fails or a value does not parse.
+    /// Returns an error if the call to the store fails.
     pub async fn zones(&self) -> Result<(Vec<ZoneEntry>, Position), StoreError> {
         let (entries, position) = self.store.range(ZONES_PREFIX, MAX_ZONES).await?;
-        let zones = entries.iter().map(|e| decode(&e.value));
-        Ok((zones.collect::<Result<_, _>>()?, position))
+        Ok((decode_valid(&entries), position))
     }
 
-    /// Reads the entries of at most `limit` balancers with a valid lease.
+    /// Reads the entries of at most `limit` balancers with a valid lease. Malformed entries are left
+    /// out.
     ///
     /// # Errors
     ///
-    /// Returns an error if the call to the store fails or a value does not parse.
+    /// Returns an error if the call to the store fails.
     pub async fn balancers(&self, limit: u32) -> Result<Vec<BalancerEntry>, StoreError> {
         let (entries, _) = self.store.range(BALANCERS_PREFIX, limit).await?;
-        entries.iter().map(|e| decode(&e.value)).collect()
+        Ok(decode_valid(&entries))
     }
 }
 
@@ -111,6 +111,18 @@
     }))
 }
 
+/// Decodes the values of entries; malformed ones are logged and left out.
+fn decode_valid<T: serde::de::DeserializeOwned>(entries: &[Entry]) -> Vec<T> {
+    let decode_entry = |entry: &Entry| match decode(&entry.value) {
+        Ok(record) => Some(record),
+        Err(err) => {
+            log::warn!(key = entry.key, err:% = err; "ignoring a malformed record in the store");
+            None
+        }
+    };
+    entries.iter().filter_map(decode_entry).collect()
+}
+
 fn decode<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, StoreError> {
     serde_json::from_slice(value).map_err(|err| StoreError::Malformed(err.to_string()))
 }
