fix(platform): open a watch of the etcd gateway anew after the store was restored

Cause: a watch of a restored store waits for revisions that the store has yet to give out, and delivers nothing before.

--- a/buckthornlink-fakes/src/lib.rs
+++ b/buckthornlink-fakes/src/lib.rs
@@ -36,4 +36,4 @@
 pub use fleet::{Fleet, FleetSetup, Host};
 pub use preset::{Preset, ServicePreset};
 pub use request_log::{RequestLog, RequestRun};
-pub use store::FakeStore;
+pub use store::{FakeStore, StoreCopy};
--- a/buckthornlink-fakes/src/store.rs
+++ b/buckthornlink-fakes/src/store.rs
@@ -19,6 +19,10 @@
     shared: Arc<Shared>,
 }
 
+/// A copy of a store's contents, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(State);
+
 /// State that the HTTP handlers share with [`FakeStore`].
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -74,6 +78,18 @@
         self.shared.silences.send_modify(|count| *count += 1);
     }
 
+    /// Takes a copy of the contents.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.with_state(|state| state.clone()))
+    }
+
+    /// Restores the contents from a copy: what was written since is gone, and revisions are given out
+    /// again.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.shared.with_state(|state| *state = copy.0);
+    }
+
     /// Delays every call by `delay`.
     pub fn set_delay(&self, delay: Duration) {
         self.shared.with_call_state(|s| s.delay = delay);
--- a/buckthornlink-fakes/src/store/state.rs
+++ b/buckthornlink-fakes/src/store/state.rs
@@ -27,7 +27,7 @@
 }
 
 /// Contents of the store.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct State {
     revision: i64,
     keys: BTreeMap<Vec<u8>, Value>,
--- a/buckthornlink-fakes/tests/store_sync.rs
+++ b/buckthornlink-fakes/tests/store_sync.rs
@@ -90,3 +90,31 @@
     assert_eq!(follower.catalog.zones().await.unwrap().0, []);
     assert_eq!(follower.catalog.balancers(10).await.unwrap(), []);
 }
+
+/// Guards against a watch that waits for revisions which the restored store has yet to give out, and
+/// misses the changes until then.
+#[tokio::test]
+async fn a_watch_of_a_restored_store_is_opened_anew() {
+    let follower = Follower::start().await;
+    let copy = follower.store.copy();
+    for edit_id in ["e1", "e2", "e3", "e4"] {
+        let version = follower.apply(edit_id).await;
+        assert!(follower.reads(version).await);
+    }
+    follower.store.restore(copy);
+    let version = follower.apply("e5").await;
+    assert!(follower.reads(version).await);
+}
+
+/// Guards against an edit that no process puts in force, as its version was given out before the
+/// store was restored.
+#[tokio::test]
+async fn an_edit_after_a_restore_supersedes_the_lost_ones() {
+    let follower = Follower::start().await;
+    follower.apply("e1").await;
+    let copy = follower.store.copy();
+    let lost = follower.apply("e2").await;
+    assert!(follower.reads(lost).await);
+    follower.store.restore(copy);
+    assert!(follower.apply("e3").await > lost);
+}
--- a/buckthornlink-platform/src/etcd.rs
+++ b/buckthornlink-platform/src/etcd.rs
@@ -80,8 +80,8 @@
         ))
     }
 
-    /// Revision of the latest write to a key that starts with `prefix` and exists.
-    async fn latest_write(&self, prefix: &str) -> Result<Revision, StoreError> {
+    /// Revisions of the latest write to a key that starts with `prefix` and exists, and of the store.
+    async fn latest_write(&self, prefix: &str) -> Result<(Revision, Revision), StoreError> {
         let request = RangeRequest {
             key: Bytes::from(prefix),
             range_end: Some(prefix_end(prefix)),
@@ -90,10 +90,11 @@
             sort_target: Some("MOD"),
             keys_only: true,
         };
-        let (entries, _) = self.read(request).await?;
-        Ok(entries
+        let (entries, position) = self.read(request).await?;
+        let latest = entries
             .first()
-            .map_or_else(Revision::default, |e| e.revision))
+            .map_or_else(Revision::default, |e| e.revision);
+        Ok((latest, position.revision))
     }
 
     async fn transact(&self, request: TxnRequest) -> Result<TxnResponse, StoreError> {
--- a/buckthornlink-platform/src/etcd/watch.rs
+++ b/buckthornlink-platform/src/etcd/watch.rs
@@ -1,7 +1,8 @@
 //! A watch, which receives one JSON object per line until the connection ends.
 //!
 //! A stream without events looks the same as one whose connection has fallen silent. So the watch asks
-//! the store at intervals for its latest write, and fails if the stream does not deliver it.
+//! the store at intervals for its latest write, and fails if the stream does not deliver it, or if the
+//! store's revision has gone back because an older copy was restored.
 
 use std::time::Duration;
 
@@ -64,7 +65,10 @@
     /// Asks the store for its latest write. If the stream has not delivered it, waits for it; returns
     /// the changes that arrive meanwhile.
     async fn check(&mut self) -> Result<Vec<Change>, StoreError> {
-        let latest = self.store.latest_write(&self.prefix).await?;
+        let (latest, store) = self.store.latest_write(&self.prefix).await?;
+        if store < self.delivered {
+            return Err(StoreError::Restored);
+        }
         let mut changes = Vec::new();
         let deliver = async {
             while self.delivered < latest {
