fix(datagram): leave the store alone while a process stops

Cause: a process that does not watch waits for being told to, between two reads; once the sender is gone, as while it stops, the wait ends at once and the reads follow each other without a pause.

--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -34,7 +34,7 @@
     Contacts(Vec<Ipv4Addr>),
     /// Agents that have an entry in the store.
     RegisteredAgents(Vec<Ipv4Addr>),
-    /// Whether the store answers this process.
+    /// The store answered this process, or a call to it failed.
     StoreReachable(bool),
     /// The backend server sent a heartbeat.
     BackendHeartbeat(BackendHeartbeat),
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -62,14 +62,14 @@
 
 /// Waits until `watching` changes from true to false; forever if its sender is dropped.
 async fn watching_stopped(watching: &mut watch::Receiver<bool>) {
-    for state in [true, false] {
-        if watching
-            .wait_for(|&watching| watching == state)
-            .await
-            .is_err()
-        {
-            std::future::pending::<()>().await;
-        }
+    wait_for_state(watching, true).await;
+    wait_for_state(watching, false).await;
+}
+
+/// Waits until `watching` is `state`; forever if its sender is dropped, as when the process stops.
+async fn wait_for_state(watching: &mut watch::Receiver<bool>, state: bool) {
+    if watching.wait_for(|&w| w == state).await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
@@ -158,7 +158,7 @@
             if is_watching {
                 return Ok(position);
             }
-            let _ = timeout(jittered(POLL_INTERVAL), watching.wait_for(|&w| w)).await;
+            let _ = timeout(jittered(POLL_INTERVAL), wait_for_state(watching, true)).await;
         }
     }
 
