fix(core): look up the owner of a placed flow instead of believing an older fact

Cause: with a placement, the balancer cached the boot of the backend server from the agent's latest fact, and treated it as that of the flow. A balancer that has just started, or misses gossip, may hold a fact from before a restart. The flow opens at the next boot; once the newer fact arrives, the boot in the cache is over and the balancer resets the flow. The class: a belief that may be old is stored as an observation.

The cache now tells an assumed boot from one that the owner reported with its owner record. Only a reported boot that is over ends a flow at the balancer. For an assumed one, the packet goes to the flow's home agent, which has the owner's own record, or searches.

--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -11,9 +11,8 @@
     Decision, Effect, Event, Flow, FlowCounts, Gossip, Member, Message, Mode, Packet, Phase,
     Reason, Reducer, RelayTag, Setup, Source, Table,
 };
-use crate::id::BootId;
 use crate::time::Millis;
-use flow_cache::{CachedOwner, FlowCache};
+use flow_cache::{CachedOwner, FlowCache, HolderBoot};
 
 /// Maximum time after the start for which a balancer that knows no agent that accepts new
 /// flows is not ready.
@@ -75,43 +74,42 @@
             return;
         }
         match cached {
-            Some(CachedOwner::Agent {
-                owner,
-                backend_boot,
-            }) if !packet.is_opening() => {
-                self.forward_to_owner(owner, backend_boot, packet, now, out);
+            Some(owner) if !packet.is_opening() => {
+                self.forward_to_owner(owner, packet, now, out);
             }
             _ if packet.is_opening() => self.place(packet, now, out),
             _ => self.look_up_owner(packet, now, out),
         }
     }
 
-    /// Relays a packet to the agent that owns its flow. If the agent's backend server has ended,
-    /// the flow is reset; if the agent is unknown or suspect, the owner is looked up.
+    /// Relays a packet to the agent that owns its flow. If the boot of the backend server that the
+    /// owner reported has ended, the flow is reset; if only the boot that was assumed has, or the
+    /// agent is unknown or suspect, the owner is looked up.
     fn forward_to_owner(
         &mut self,
-        owner: Ipv4Addr,
-        backend_boot: BootId,
+        owner: CachedOwner,
         packet: &Packet,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let member = self.gossip.membership().get(owner);
-        if member.is_some_and(|m| m.is_backend_over(backend_boot)) {
+        let agent = owner.agent;
+        let member = self.gossip.membership().get(agent);
+        let is_over = member.is_some_and(|m| m.is_backend_over(owner.backend.boot()));
+        if is_over && matches!(owner.backend, HolderBoot::Reported(_)) {
             self.flow_cache.remove(&packet.flow);
-            out.push(self.decision(Reason::BackendOver, packet, Some(owner), now));
+            out.push(self.decision(Reason::BackendOver, packet, Some(agent), now));
             out.push(reset(packet));
             return;
         }
-        if member.is_none_or(|m| m.is_suspect) {
+        if is_over || member.is_none_or(|m| m.is_suspect) {
             self.look_up_owner(packet, now, out);
             return;
         }
-        if self.detour(owner, packet, now, out) {
+        if self.detour(agent, packet, now, out) {
             return;
         }
-        let tag = self.build_tag(Mode::Known, owner, now);
-        out.push(Effect::Relay { to: owner, tag });
+        let tag = self.build_tag(Mode::Known, agent, now);
+        out.push(Effect::Relay { to: agent, tag });
     }
 
     /// Relays a packet of an unknown flow to its home agent, which may have the owner record.
--- a/buckthornlink-core/src/datagram/balancer/flow_cache.rs
+++ b/buckthornlink-core/src/datagram/balancer/flow_cache.rs
@@ -13,14 +13,30 @@
 
 /// Owner of one flow, as far as the balancer knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CachedOwner {
-    /// This agent, in this boot of its backend server.
-    Agent {
-        /// The agent.
-        owner: Ipv4Addr,
-        /// Boot of its backend server.
-        backend_boot: BootId,
-    },
+pub(super) struct CachedOwner {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// The boot of its backend server that holds the flow.
+    pub backend: HolderBoot,
+}
+
+/// Boot of the backend server that holds a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HolderBoot {
+    /// Taken from the agent's fact when the flow was placed. The backend server may have restarted
+    /// since, so that the flow opened at a later boot.
+    Assumed(BootId),
+    /// Reported by the owner of the flow.
+    Reported(BootId),
+}
+
+impl HolderBoot {
+    /// The boot, however it became known.
+    pub(super) const fn boot(self) -> BootId {
+        match self {
+            Self::Assumed(boot) | Self::Reported(boot) => boot,
+        }
+    }
 }
 
 /// Progress in placing an opening packet.
@@ -91,9 +107,9 @@
 
     /// Stores the owner of a flow from its owner record.
     pub(super) fn apply_owner_record(&mut self, record: &OwnerRecord, now: Millis) {
-        let owner = CachedOwner::Agent {
-            owner: record.owner,
-            backend_boot: record.backend,
+        let owner = CachedOwner {
+            agent: record.owner,
+            backend: HolderBoot::Reported(record.backend),
         };
         let entry = self.entries.entry(record.flow).or_insert(Entry {
             owner,
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -2,11 +2,12 @@
 
 use std::net::Ipv4Addr;
 
-use super::flow_cache::{CachedOwner, Placement};
+use super::flow_cache::{CachedOwner, HolderBoot, Placement};
 use super::{Balancer, reset};
 use crate::datagram::{
     Effect, Flow, Member, Mode, Packet, Reason, RelayTag, ServiceLoad, ServiceTag,
 };
+use crate::id::BootId;
 use crate::time::Millis;
 
 /// Time after a placement from which on a retransmitted opening packet goes to another agent.
@@ -37,10 +38,10 @@
             self.place_on_next(packet, Placement::default(), Reason::Placed, now, out);
             return;
         };
-        let CachedOwner::Agent { owner, .. } = cached;
         if now.since(placement.placed_at) < PLACEMENT_TIMEOUT {
-            let tag = self.build_tag(Mode::Placed, owner, now);
-            out.push(Effect::Relay { to: owner, tag });
+            let to = cached.agent;
+            let tag = self.build_tag(Mode::Placed, to, now);
+            out.push(Effect::Relay { to, tag });
             return;
         }
         let mut placement = placement.clone();
@@ -84,29 +85,29 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let Some(owner) = self.choose_agent(packet, &placement.tried, now) else {
+        let Some(agent) = self.choose_agent(packet, &placement.tried, now) else {
             self.handle_no_agent(packet, &placement, now, out);
             return;
         };
-        out.push(self.decision(reason, packet, Some(owner), now));
+        out.push(self.decision(reason, packet, Some(agent), now));
         placement.placed_at = now;
-        placement.tried.push(owner);
-        let member = self.gossip.membership_mut().get_mut(owner);
-        let backend_boot = member.map_or(crate::BootId(0), |m| {
+        placement.tried.push(agent);
+        let member = self.gossip.membership_mut().get_mut(agent);
+        let backend = member.map_or(BootId::default(), |m| {
             m.placed = m.placed.saturating_add(1);
             m.fact.backend
         });
         let tag = RelayTag {
             hops: placement.busy_count,
-            ..self.build_tag(Mode::Placed, owner, now)
+            ..self.build_tag(Mode::Placed, agent, now)
         };
-        let cached = CachedOwner::Agent {
-            owner,
-            backend_boot,
+        let cached = CachedOwner {
+            agent,
+            backend: HolderBoot::Assumed(backend),
         };
         self.flow_cache
             .record_placement(&packet.flow, cached, placement);
-        out.push(Effect::Relay { to: owner, tag });
+        out.push(Effect::Relay { to: agent, tag });
     }
 
     /// Defers or refuses an opening packet for which no further agent is left.
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -119,6 +119,12 @@
     let mut balancer = BalancerDriver::ready();
     balancer.receive_facts(&[fact(AGENT_B, Phase::Ready, load(0, 0))]);
     balancer.packet_from_caller(opening(1));
+    let reported = OwnerRecord {
+        flow: data(1).flow,
+        owner: AGENT_B,
+        backend: BootId(1),
+    };
+    balancer.message(AGENT_B, Message::OwnerRecords(vec![reported]));
     balancer.receive_facts(&[fact(AGENT_B, Phase::Over, load(0, 0))]);
     let next = balancer.packet_from_caller(data(1));
     assert!(next.iter().any(is_reset), "{next:?}");
--- a/buckthornlink-core/tests/datagram_interleavings.rs
+++ b/buckthornlink-core/tests/datagram_interleavings.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use buckthornlink_core::datagram::{
-    Agent, Balancer, Effect, Event, Fact, Load, Message, Packet, Phase, Reducer, RelayTag, Role,
-    Source,
+    Agent, BackendHeartbeat, Balancer, Effect, Event, Fact, Load, Message, Packet, Phase, Reducer,
+    RelayTag, Role, Source,
 };
 use buckthornlink_core::{BootId, Millis};
 
@@ -365,3 +365,38 @@
         assert!(delivered > 0, "{owner}, {restarted}");
     }
 }
+
+/// A world in which the backend server of an agent has restarted together with the agent, and the
+/// facts that say so are still in flight to the balancers, which place new flows there.
+fn restarted_unheard(index: usize) -> World {
+    let mut world = World::new();
+    for balancer in 0..BALANCERS.len() {
+        world.report_loads(balancer, index);
+    }
+    world.agents[index] = new_agent(AGENTS[index], BootId(2));
+    let first = BackendHeartbeat {
+        id: "i-2".to_owned(),
+        born: Some(6_000),
+        ..heartbeat(1)
+    };
+    reduce(&mut world.agents[index], Event::BackendHeartbeat(first));
+    let message = status(*world.agents[index].gossip().own());
+    for to in BALANCERS {
+        let item = InFlight::Message(to, AGENTS[index], message.clone());
+        world.wire.push(item);
+    }
+    world
+}
+
+/// Guards against the reset of a flow that opens at a restarted backend server before the balancer
+/// hears of the restart.
+#[test]
+fn a_flow_that_opens_before_its_balancer_hears_of_a_restart_is_not_reset() {
+    for restarted in 0..3 {
+        let mut world = restarted_unheard(restarted);
+        world.send(opening(1));
+        let [states, delivered, lost] = explore(world, 0);
+        assert!(states > 10 && delivered > 0, "{restarted}: {states}");
+        assert_eq!(lost, 0, "{restarted}");
+    }
+}
