fix(core): ask agents that are leaving beside a living backend server

Cause: an agent that stops announced the phase Left, and searches pass over agents that have left, so nobody asked the one that held the flow. An announced shutdown says nothing about the backend server beside it.

An agent now announces Leaving while its backend server may hold flows, and Left once that has ended. Searches ask leaving agents. Their silence, which is expected, is no denial until they are suspected to have failed; a successor process answers for the flows before that. They are no home agents and no watchers, as before, and get no new flows. A flow whose owner left after its backend server ended is reset at once.

Failed before: an_agent_that_is_leaving_beside_its_backend_server_is_asked_in_searches and a_flow_outlives_the_restart_of_the_agent_that_may_hold_it.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -236,7 +236,7 @@
         let phase = self.backend.phase(self.heartbeat_interval, now);
         let fact = Fact {
             role: self.role(old.role),
-            phase: if self.is_leaving { Phase::Left } else { phase },
+            phase: self.announced_phase(phase),
             backend: self.backend.boot(),
             load: Load {
                 waiting: self.mean_waiting,
@@ -254,6 +254,15 @@
         }
     }
 
+    /// The phase to announce, given that of the backend server.
+    const fn announced_phase(&self, backend: Phase) -> Phase {
+        match (self.is_leaving, backend.is_over()) {
+            (true, true) => Phase::Left,
+            (true, false) => Phase::Leaving,
+            (false, _) => backend,
+        }
+    }
+
     fn role(&self, current: Role) -> Role {
         if self.backend.service() == ServiceTag::default() {
             current
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -55,8 +55,12 @@
     Silent,
     /// The backend server has ended, and its flows with it, or nothing listens at its address.
     Over,
-    /// The process has announced its shutdown.
+    /// The process has announced its shutdown, and holds no flows: it is a balancer, or its backend
+    /// server has ended.
     Left,
+    /// The process has announced its shutdown beside a backend server that may hold flows. It accepts
+    /// no new ones, and relays packets of the others until it ends.
+    Leaving,
 }
 
 /// Load of one backend server, as measured by its agent.
@@ -106,7 +110,13 @@
     /// Whether the backend server has ended or is absent, and so holds no flows.
     #[must_use]
     pub const fn is_over(self) -> bool {
-        matches!(self, Self::Over)
+        matches!(self, Self::Over | Self::Left)
+    }
+
+    /// Whether the process has announced its shutdown.
+    #[must_use]
+    pub const fn is_leaving(self) -> bool {
+        matches!(self, Self::Left | Self::Leaving)
     }
 
     /// Whether packets may still be sent to the instance.
--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -118,6 +118,6 @@
 
     fn live_others(&self) -> impl Iterator<Item = &Member> {
         let others = self.membership.iter().filter(|m| m.fact.ip != self.own.ip);
-        others.filter(|m| m.fact.phase.is_running() && !m.is_suspect)
+        others.filter(|m| !m.fact.phase.is_leaving() && !m.is_suspect)
     }
 }
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -302,8 +302,14 @@
 
     /// Whether to stop waiting for the instance: it is suspected to have failed, or it answers
     /// nothing. The timeout is shorter if its heartbeat has stopped or its backend server has ended.
+    ///
+    /// An agent that announced its shutdown is expected to stop answering, which says nothing about
+    /// the flows of its backend server: its next process answers for them.
     #[must_use]
     pub fn is_unresponsive(&self, now: Millis) -> bool {
+        if self.fact.phase == Phase::Leaving {
+            return self.is_suspect;
+        }
         let is_overdue = |since: Option<Millis>, count: u16, span, min| {
             count >= min && since.is_some_and(|at| now.since(at) >= span)
         };
@@ -326,7 +332,8 @@
 
     /// Whether the instance may store owner records.
     fn can_be_home(&self, now: Millis) -> bool {
-        !self.fact.phase.is_over() && !self.is_unresponsive(now)
+        let phase = self.fact.phase;
+        !phase.is_over() && !phase.is_leaving() && !self.is_unresponsive(now)
     }
 
     /// Whether this boot of its backend server, and with it all its flows, has ended.
@@ -337,7 +344,7 @@
     pub fn is_backend_over(&self, boot: BootId) -> bool {
         let is_known = boot != BootId::default();
         let is_newer = self.fact.backend > boot;
-        let has_ended = self.fact.backend == boot && self.fact.phase == Phase::Over;
+        let has_ended = self.fact.backend == boot && self.fact.phase.is_over();
         is_known && (is_newer || has_ended)
     }
 
