fix(platform): number edits by time, so that none repeats after a restore

What operators saw (QUIC path): after the store was restored from an older copy, an accepted edit was ignored by all processes.

Cause: versions and numbers of zone edits were counted in the store, and the count went back with its contents. Processes follow the greatest number that they have seen. The gateway tells no epoch, so the number has to come from more than the store.

An edit is numbered with the time at which it is made, in microseconds, and with the number after its predecessor's if that is greater. Records keep the versions of their latest edits, by which an edit is looked up; those of earlier releases are read as before. Ruled out: asking running processes (none may be reached), an identity of the store kept with the record (two restores of one copy look alike).

Tests of edits keep their numbers, as their clock stands still.

--- a/buckthornlink-platform/src/catalog.rs
+++ b/buckthornlink-platform/src/catalog.rs
@@ -5,9 +5,11 @@
 //! in the stored record shows whether an earlier attempt succeeded.
 
 mod edit;
+mod edit_time;
 mod record;
 
 pub use edit::{Accepted, EditError};
+pub use edit_time::EditTime;
 pub use record::{BalancerEntry, ConfigRecord, InstanceEntry, ZoneEntry};
 
 use crate::store::{Entry, Position, Revision, Store, StoreError};
@@ -30,6 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct Catalog<S> {
     store: S,
+    clock: fn() -> EditTime,
 }
 
 /// A record and the revision of its key.
@@ -45,7 +48,13 @@
     /// Creates a catalog of the records in `store`.
     #[must_use]
     pub const fn new(store: S) -> Self {
-        Self { store }
+        Self::with_clock(store, EditTime::now)
+    }
+
+    /// Creates a catalog of the records in `store` whose edits take their time from `clock`.
+    #[must_use]
+    pub const fn with_clock(store: S, clock: fn() -> EditTime) -> Self {
+        Self { store, clock }
     }
 
     /// Returns the underlying store.
--- a/buckthornlink-platform/src/catalog/edit.rs
+++ b/buckthornlink-platform/src/catalog/edit.rs
@@ -106,7 +106,7 @@
         if base.is_some_and(|base| base != version) {
             return Err(conflict(previous, &config));
         }
-        let record = ConfigRecord::successor(previous, text, edit_id, editor);
+        let record = ConfigRecord::successor(previous, text, edit_id, editor, (self.clock)());
         let expected = current.as_ref().map_or(Revision(0), |c| c.revision);
         match self.write(CONFIG_KEY, &record, expected, timeout).await {
             WriteOutcome::Done => Ok(Accepted {
@@ -144,7 +144,7 @@
         self.check_zone(name).await?;
         let current = self.zone(name).await.map_err(EditError::NotRun)?;
         let previous = current.as_ref().map(|c| &c.record);
-        let record = ZoneEntry::successor(previous, name, out, edit_id, editor);
+        let record = ZoneEntry::successor(previous, name, out, edit_id, editor, (self.clock)());
         let expected = current.as_ref().map_or(Revision(0), |c| c.revision);
         match self
             .write(&zone_key(name), &record, expected, timeout)
@@ -180,12 +180,9 @@
     /// Returns an error if the call to the store fails or a value does not parse.
     pub async fn find_edit(&self, edit_id: &str) -> Result<Option<Version>, StoreError> {
         if let Some(current) = self.config().await? {
-            let record = current.record;
-            let later_edits = record.edits.iter().position(|e| e == edit_id);
-            if let Some(later_edits) = later_edits {
-                return Ok(Some(Version(
-                    record.version.0.saturating_sub(later_edits as u64),
-                )));
+            let version = current.record.version_of(edit_id);
+            if version.is_some() {
+                return Ok(version);
             }
         }
         let (zones, _) = self.zones().await?;
--- a/buckthornlink-platform/src/catalog/record.rs
+++ b/buckthornlink-platform/src/catalog/record.rs
@@ -7,6 +7,8 @@
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_core::{Version, ZoneTag};
 
+use super::EditTime;
+
 /// Number of edit ids that a record retains, so that the outcome of an edit can be looked up after
 /// its response was lost.
 const MAX_EDIT_IDS: usize = 16;
@@ -14,10 +16,14 @@
 /// The configuration record in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigRecord {
-    /// Incremented by each accepted edit.
+    /// Raised by each accepted edit.
     pub version: Version,
     /// Ids of the latest edits, newest first.
     pub edits: Vec<String>,
+    /// Versions that these edits made, in the same order. Records of earlier releases lack them;
+    /// there, each edit raised the version by one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<Version>,
     /// Who made the latest edit.
     pub editor: String,
     /// The configuration, as text written by the operators.
@@ -31,7 +37,7 @@
     pub name: String,
     /// Whether the zone is out of service.
     pub out: bool,
-    /// Incremented by each accepted edit.
+    /// Raised by each accepted edit.
     pub seq: u64,
     /// Ids of the latest edits, newest first.
     pub edits: Vec<String>,
@@ -60,22 +66,49 @@
 }
 
 impl ConfigRecord {
-    /// Creates the record that replaces `current`.
+    /// Creates the record that replaces `current`. Its version is `now`, or the one that follows
+    /// the current version if that is later.
     #[must_use]
-    pub fn successor(current: Option<&Self>, text: &str, edit_id: &str, editor: &str) -> Self {
+    pub fn successor(
+        current: Option<&Self>,
+        text: &str,
+        edit_id: &str,
+        editor: &str,
+        now: EditTime,
+    ) -> Self {
         let version = current.map_or(Version::default(), |c| c.version);
+        let version = Version(now.next_number(version.0));
         let edits = current.map_or(&[][..], |c| &c.edits);
+        let versions = current.map(Self::edit_versions).unwrap_or_default();
         Self {
-            version: version.next(),
-            edits: prepend_edit(edit_id, edits),
+            version,
+            edits: prepend(edit_id.to_owned(), edits),
+            versions: prepend(version, &versions),
             editor: editor.to_owned(),
             text: text.to_owned(),
         }
     }
+
+    /// Returns the version that an edit made, if it is among the latest ones.
+    #[must_use]
+    pub fn version_of(&self, edit_id: &str) -> Option<Version> {
+        let position = self.edits.iter().position(|e| e == edit_id)?;
+        self.edit_versions().get(position).copied()
+    }
+
+    /// The versions that the latest edits made, newest first.
+    fn edit_versions(&self) -> Vec<Version> {
+        if !self.versions.is_empty() {
+            return self.versions.clone();
+        }
+        let newest_first = (0..self.edits.len() as u64).map(|i| self.version.0.saturating_sub(i));
+        newest_first.map(Version).collect()
+    }
 }
 
 impl ZoneEntry {
-    /// Creates the record that replaces `current`.
+    /// Creates the record that replaces `current`. Its sequence number is `now`, or the one that
+    /// follows the current number if that is later.
     #[must_use]
     pub fn successor(
         current: Option<&Self>,
@@ -83,13 +116,14 @@
         out: bool,
         edit_id: &str,
         editor: &str,
+        now: EditTime,
     ) -> Self {
         let edits = current.map_or(&[][..], |c| &c.edits);
         Self {
             name: name.to_owned(),
             out,
-            seq: current.map_or(0, |c| c.seq) + 1,
-            edits: prepend_edit(edit_id, edits),
+            seq: now.next_number(current.map_or(0, |c| c.seq)),
+            edits: prepend(edit_id.to_owned(), edits),
             editor: editor.to_owned(),
         }
     }
@@ -105,10 +139,8 @@
     }
 }
 
-fn prepend_edit(edit_id: &str, earlier: &[String]) -> Vec<String> {
-    let newest = std::iter::once(edit_id.to_owned());
-    newest
-        .chain(earlier.iter().cloned())
-        .take(MAX_EDIT_IDS)
-        .collect()
+/// Puts the newest item before the earlier ones, of which [`MAX_EDIT_IDS`] are kept in all.
+fn prepend<T: Clone>(newest: T, earlier: &[T]) -> Vec<T> {
+    let items = std::iter::once(newest).chain(earlier.iter().cloned());
+    items.take(MAX_EDIT_IDS).collect()
 }
