--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -30,8 +30,10 @@
 use plan::Scenario;
 use run::{Setup, run_seed};
 
-/// Seeds that failed once, each followed by the cause.
+/// Seeds that failed once, each followed by the cause; those of store drills follow [`DRILLS_MARK`].
 const REGRESSION_SEEDS: &str = include_str!("../seeds.txt");
+/// First word of the lines in [`REGRESSION_SEEDS`] that are played with store drills.
+const DRILLS_MARK: &str = "drills";
 /// Second octet of the loopback addresses that the first worker uses; further workers count up.
 const FIRST_ADDRESS_BLOCK: u8 = 40;
 
@@ -75,7 +77,7 @@
     fn all_seeds(&self) -> Vec<u64> {
         let mut seeds: Vec<u64> = (self.first..self.first + self.seeds).collect();
         if self.regressions {
-            seeds.extend(regression_seeds());
+            seeds.extend(regression_seeds(self.scenario()));
         }
         seeds
     }
@@ -89,12 +91,15 @@
     }
 }
 
-/// Seeds of the lines of [`REGRESSION_SEEDS`] that begin with a number.
-fn regression_seeds() -> impl Iterator<Item = u64> {
-    let lines = REGRESSION_SEEDS
-        .lines()
-        .filter(|line| !line.starts_with('#'));
-    lines.filter_map(|line| line.split_whitespace().next()?.parse().ok())
+/// Seeds of the lines of [`REGRESSION_SEEDS`] for a scenario.
+fn regression_seeds(scenario: Scenario) -> impl Iterator<Item = u64> {
+    REGRESSION_SEEDS.lines().filter_map(move |line| {
+        let seed = match scenario {
+            Scenario::Mixed => line,
+            Scenario::StoreDrills => line.strip_prefix(DRILLS_MARK)?,
+        };
+        seed.split_whitespace().next()?.parse().ok()
+    })
 }
 
 fn main() -> anyhow::Result<ExitCode> {
