fix(core): take agents off the list of members as soon as they have left

An agent that has left holds no flows and goes off the list at once; it also tells the publisher of its zone itself.

--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -189,6 +189,9 @@
         if is_urgent {
             self.push_update(now, effects);
         }
+        if old.phase != Phase::Left && fact.phase == Phase::Left {
+            self.tell_publisher(effects);
+        }
     }
 
     /// Sends the own fact, with a new sequence number, to an instance that asked for it.
--- a/buckthornlink-core/src/datagram/gossip/publication.rs
+++ b/buckthornlink-core/src/datagram/gossip/publication.rs
@@ -7,7 +7,7 @@
 
 use super::Gossip;
 use crate::datagram::membership::FORGET_TIMEOUT;
-use crate::datagram::{Effect, Fact, Phase, Role};
+use crate::datagram::{Effect, Fact, Member, Phase, Role};
 use crate::id::stable_hash;
 use crate::time::Millis;
 
@@ -19,7 +19,7 @@
 const MAX_PUBLISH_INTERVAL: Millis = Millis(8_000);
 /// Time after which an unchanged list is compared with the store again, since others may write it.
 const VERIFY_INTERVAL: Millis = Millis(120_000);
-/// Time after its departure for which an instance stays on the list, as most departures are restarts.
+/// Time after its departure for which a balancer stays on the list, as most departures are restarts.
 const DEPARTURE_TIME: Millis = Millis(5_000);
 /// Interval between reads of the lists by an instance that knows no other.
 const DISCOVERY_INTERVAL: Millis = Millis(1_500);
@@ -117,21 +117,36 @@
             is_exhaustive: now.since(self.started_at) >= FORGET_TIMEOUT,
             ..ZoneMembers::default()
         };
-        for member in self.membership.iter() {
-            let fact = &member.fact;
-            let has_left = fact.phase == Phase::Left;
-            let list = match fact.role {
-                _ if fact.zone != self.own.zone => continue,
-                _ if has_left && now.since(member.last_fact) >= DEPARTURE_TIME => {
-                    &mut members.departed
-                }
+        let is_local = |m: &&Member| m.fact.zone == self.own.zone;
+        for member in self.membership.iter().filter(is_local) {
+            let list = match member.fact.role {
+                _ if has_departed(member, now) => &mut members.departed,
                 Role::Balancer => &mut members.balancers,
                 Role::Agent(_) => &mut members.agents,
             };
-            list.push(fact.ip);
+            list.push(member.fact.ip);
         }
         members
     }
+
+    /// Sends the own departure to the publisher of the zone.
+    pub(super) fn tell_publisher(&self, effects: &mut Vec<Effect>) {
+        let others = self.live_others().map(|m| &m.fact);
+        let local = others.filter(|f| f.zone == self.own.zone);
+        if let Some(publisher) = local.min_by_key(|f| publisher_rank(f)) {
+            let to = publisher.ip;
+            let message = self.status(Vec::new(), Vec::new(), false);
+            effects.push(Effect::Send { to, message });
+        }
+    }
+}
+
+/// Whether an instance leaves the list. An agent that has left holds no flows, and is not waited for
+/// after a return of all instances.
+fn has_departed(member: &Member, now: Millis) -> bool {
+    let is_agent = member.fact.role != Role::Balancer;
+    let is_expired = now.since(member.last_fact) >= DEPARTURE_TIME;
+    member.fact.phase == Phase::Left && (is_agent || is_expired)
 }
 
 /// Position among the candidates for the publisher of a zone; the smallest publishes.
