feat(core): reset idle flows when their backend server ends beside a living agent

What callers saw: a pooled connection whose backend server had ended was found dead by the next request on it. A request that is not idempotent is lost then, as nobody knows whether it ran.

The agent beside the backend server knows the end for certain (its report, a newer boot, nothing that listens) and all open flows. It resets them at its next tick, at least 100 ms after the end, so that answers that are still on their way go first. Not covered: an agent that ends together with its backend server (loss of power); nobody alive knows what the callers acknowledged.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -2,10 +2,12 @@
 //!
 //! * `admit` accepts or refuses opening packets.
 //! * `established` handles later packets of flows that the backend server holds or may hold.
+//! * `ended` tells callers that the backend server of their flows has ended.
 //! * `search` finds the owner of all other flows.
 //! * `query` continues searches without a packet.
 
 mod admit;
+mod ended;
 mod established;
 mod query;
 mod search;
@@ -21,6 +23,7 @@
 };
 use crate::id::BootId;
 use crate::time::Millis;
+use ended::EndedFlows;
 
 /// Minimum age of a flow before its owner record is sent to its home agent; shorter flows end
 /// before the record is of use.
@@ -44,6 +47,7 @@
     backend: Backend,
     outcomes: Outcomes,
     flows: Flows,
+    ended_flows: EndedFlows,
     active_searches: BTreeSet<Flow>,
     heartbeat_interval: Millis,
     started_at: Millis,
@@ -65,6 +69,7 @@
             backend: Backend::default(),
             outcomes: Outcomes::default(),
             flows: Flows::default(),
+            ended_flows: EndedFlows::default(),
             active_searches: BTreeSet::new(),
             heartbeat_interval: setup.heartbeat_interval,
             started_at: now,
@@ -179,7 +184,7 @@
         let is_known = boot != BootId::default();
         let has_restarted = self.backend.boot() != boot;
         if is_known && has_restarted {
-            self.flows.end_all();
+            self.end_flows(now);
             self.outcomes.clear();
         }
         self.update_own_fact(now, out);
@@ -191,14 +196,14 @@
 
     fn end_backend(&mut self, id: &str, now: Millis, out: &mut Vec<Effect>) {
         if self.backend.mark_ended(id) {
-            self.flows.end_all();
+            self.end_flows(now);
             self.update_own_fact(now, out);
         }
     }
 
     fn mark_backend_absent(&mut self, now: Millis, out: &mut Vec<Effect>) {
         if self.backend.mark_absent() {
-            self.flows.end_all();
+            self.end_flows(now);
             self.update_own_fact(now, out);
         }
     }
@@ -212,6 +217,7 @@
         self.update_mean_waiting();
         self.update_own_fact(now, out);
         self.gossip.tick(now, out);
+        self.reset_ended_flows(now, out);
         self.send_due_records(now, out);
         self.advance_searches(now, out);
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
--- /dev/null
+++ b/buckthornlink-core/src/datagram/agent/ended.rs
@@ -0,0 +1,48 @@
+//! Flows of a boot of the backend server that has ended.
+//!
+//! Their callers are told before they send another request, since one that was sent on a dead flow may
+//! not be repeated unless it is idempotent.
+
+use super::Agent;
+use crate::datagram::{Effect, Flow, Ownership, Reason};
+use crate::time::Millis;
+
+/// Time for which answers that the backend server sent before its end may still arrive.
+const LATE_ANSWER_TIME: Millis = Millis(100);
+
+/// Flows whose callers are yet to be told that the backend server has ended.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EndedFlows {
+    flows: Vec<Flow>,
+    ended_at: Millis,
+}
+
+impl Agent {
+    /// Marks all flows of the backend server's last boot as ended; their callers are told shortly.
+    pub(super) fn end_flows(&mut self, now: Millis) {
+        let ended = self.flows.end_all();
+        self.ended_flows.flows.extend(ended);
+        self.ended_flows.ended_at = now;
+    }
+
+    /// Resets the flows that have ended, once no answer is on its way any more.
+    pub(super) fn reset_ended_flows(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if now.since(self.ended_flows.ended_at) < LATE_ANSWER_TIME {
+            return;
+        }
+        for flow in std::mem::take(&mut self.ended_flows.flows) {
+            let Some(state) = self.flows.get(&flow) else {
+                continue;
+            };
+            let is_due = state.ownership == Ownership::Ended && !state.was_reset;
+            if !is_due || state.is_closed() {
+                continue;
+            }
+            let seq = state.last_ack;
+            self.flows.update(&flow, |s| s.was_reset = true);
+            let age = now.since(self.ended_flows.ended_at);
+            out.push(self.decision(Reason::BackendOver, Some(flow), age));
+            out.push(Effect::Reset { flow, seq });
+        }
+    }
+}
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -129,9 +129,14 @@
         }
     }
 
-    /// Marks the flows of a backend server that has ended, and forgets its trial deliveries.
-    pub fn end_all(&mut self) {
-        for state in self.states.values_mut() {
+    /// Marks the flows of a backend server that has ended, and forgets its trial deliveries. Returns
+    /// the flows that were open, in order.
+    pub fn end_all(&mut self) -> Vec<Flow> {
+        let mut ended = Vec::new();
+        for (flow, state) in &mut self.states {
+            if state.ownership == Ownership::Open && !state.is_closed() {
+                ended.push(*flow);
+            }
             state.ownership = match state.ownership {
                 Ownership::Offered | Ownership::HalfOpen { .. } | Ownership::Open => {
                     Ownership::Ended
@@ -142,6 +147,8 @@
         }
         self.open_count = 0;
         self.waiting_count = 0;
+        ended.sort_unstable();
+        ended
     }
 
     /// Removes flows without packets for `idle`, or for an eighth of it if there are too many.
