perf(core): check once a second which instance publishes the members of a zone

The check walks over the known instances, and was made by all but the publisher at each tick. Reads of an instance that knows no other have an interval of their own.

--- a/buckthornlink-core/src/datagram/gossip/publication.rs
+++ b/buckthornlink-core/src/datagram/gossip/publication.rs
@@ -42,8 +42,10 @@
 pub(super) struct Publication {
     /// The list that the store is known to have, and since when.
     stored: Option<(ZoneMembers, Millis)>,
-    /// When the list was last published or read.
-    last_call: Option<Millis>,
+    /// When this instance last checked whether to publish.
+    last_check: Option<Millis>,
+    /// When it last read the lists, as it knew no other instance.
+    last_discovery: Option<Millis>,
     /// Publications since the last one that the store confirmed.
     unconfirmed: u32,
 }
@@ -55,14 +57,14 @@
         stored.is_some_and(|(list, at)| list == members && now.since(*at) < VERIFY_INTERVAL)
     }
 
-    /// Time between the last publication and the next one.
+    /// Time between two checks.
     fn interval(&self) -> Millis {
         let doubled = PUBLISH_INTERVAL.0 << self.unconfirmed.saturating_sub(1).min(8);
         Millis(doubled).min(MAX_PUBLISH_INTERVAL)
     }
 
     fn is_due(&self, interval: Millis, now: Millis) -> bool {
-        self.last_call.is_none_or(|at| now.since(at) >= interval)
+        self.last_check.is_none_or(|at| now.since(at) >= interval)
     }
 }
 
@@ -79,30 +81,37 @@
     }
 
     /// Publishes the members of the own zone if this instance is the zone's publisher and the store is
-    /// not known to have them. An instance that knows no other reads the lists instead.
+    /// not known to have them. An instance that knows no other reads the lists as well.
     pub(super) fn publish_members(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if now.since(self.started_at) < SETTLE_TIME {
             return;
         }
-        if !self.has_peers() && self.publication.is_due(DISCOVERY_INTERVAL, now) {
-            self.publication.last_call = Some(now);
-            effects.push(Effect::Discover);
-        }
+        self.discover_others(now, effects);
         if !self.publication.is_due(self.publication.interval(), now) {
             return;
         }
+        self.publication.last_check = Some(now);
         if !self.is_publisher() {
             self.publication.stored = None;
             return;
         }
         let members = self.zone_members(now);
         if !self.publication.is_stored(&members, now) {
-            self.publication.last_call = Some(now);
             self.publication.unconfirmed = self.publication.unconfirmed.saturating_add(1);
             effects.push(Effect::Publish(members));
         }
     }
 
+    /// Reads the lists again while no other instance is known.
+    fn discover_others(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let last = self.publication.last_discovery;
+        let is_due = last.is_none_or(|at| now.since(at) >= DISCOVERY_INTERVAL);
+        if !self.has_peers() && is_due {
+            self.publication.last_discovery = Some(now);
+            effects.push(Effect::Discover);
+        }
+    }
+
     /// Whether this instance is the first live one of its zone: those that reach the store come
     /// first, then balancers, then those whose address has a smaller hash.
     fn is_publisher(&self) -> bool {
