--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -1,11 +1,19 @@
 //! The known instances of the datagram path.
+//!
+//! * `member` says what is known of one instance, and whether to wait for its answers.
+//! * `service_load` compares the load of a service's agents.
+
+mod member;
+mod service_load;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use super::{Fact, Flow, MemberHeartbeat, Phase, ServiceTag};
-use crate::id::{BootId, stable_hash};
+use super::{Fact, Flow, MemberHeartbeat, ServiceTag};
+use crate::id::stable_hash;
 use crate::time::Millis;
+pub use member::Member;
+pub use service_load::ServiceLoad;
 
 /// An instance whose heartbeat has not advanced for this long is suspected to have failed.
 ///
@@ -15,50 +23,8 @@
 const SUSPECT_TIMEOUT_MEMBERS: usize = 40;
 /// An instance whose heartbeat has not advanced for this long is forgotten.
 pub(super) const FORGET_TIMEOUT: Millis = Millis(60_000);
-/// Time within which a live instance answers, or its heartbeat advances.
-const ANSWER_TIMEOUT: Millis = Millis(1_000);
-/// Minimum unanswered probes or search queries for [`ANSWER_TIMEOUT`] to apply.
-const MIN_UNANSWERED: u16 = 3;
-/// Answer timeout of an agent whose backend server has ended; short, since it holds no flows.
-const ENDED_BACKEND_TIMEOUT: Millis = Millis(300);
-/// Minimum unanswered probes for [`ENDED_BACKEND_TIMEOUT`] to apply.
-const ENDED_BACKEND_MIN_UNANSWERED: u16 = 2;
-/// Time without an answer after which an instance counts as unresponsive although its heartbeats
-/// still arrive: in a large system, those of a failed instance circulate for seconds.
-const UNRESPONSIVE_TIMEOUT: Millis = Millis(2_000);
-/// Minimum unanswered probes for [`UNRESPONSIVE_TIMEOUT`] to apply.
-const UNRESPONSIVE_MIN_UNANSWERED: u16 = 6;
 /// Virtual nodes of one agent on the consistent-hashing ring of home agents.
 const VIRTUAL_NODES: u8 = 16;
-/// An instance whose answer is outstanding for longer gets no new flows while others can take them.
-const OVERDUE_TIMEOUT: Millis = Millis(400);
-
-/// One known instance and what this process has observed of it.
-#[derive(Clone, Copy, Debug)]
-pub struct Member {
-    /// Its latest fact.
-    pub fact: Fact,
-    /// When its heartbeat last advanced.
-    pub last_heard: Millis,
-    /// When its latest fact arrived.
-    pub last_fact: Millis,
-    /// Sequence number of its latest heartbeat.
-    pub heartbeat_seq: u32,
-    /// When the first of the unanswered probes was sent.
-    pub probed_since: Option<Millis>,
-    /// When it last answered, or became known.
-    pub last_answer: Millis,
-    /// Unanswered probes, which are requests for the instance's status.
-    pub unanswered_probes: u16,
-    /// When the first of the unanswered search queries was sent.
-    pub queried_since: Option<Millis>,
-    /// Unanswered search queries. An agent may leave a query unanswered, but not a probe.
-    pub unanswered_queries: u16,
-    /// Flows placed on it since its last fact.
-    pub placed: u16,
-    /// Whether it is suspected to have failed.
-    pub is_suspect: bool,
-}
 
 /// All known instances, indexed by address and by service.
 #[derive(Clone, Debug, Default)]
@@ -253,146 +219,3 @@
     /// The fact replaced this one.
     Replaced(Fact),
 }
-
-impl Member {
-    const fn new(fact: Fact, now: Millis) -> Self {
-        Self {
-            fact,
-            last_heard: now,
-            last_fact: now,
-            heartbeat_seq: fact.seq,
-            probed_since: None,
-            last_answer: now,
-            unanswered_probes: 0,
-            queried_since: None,
-            unanswered_queries: 0,
-            placed: 0,
-            is_suspect: false,
-        }
-    }
-
-    /// Whether an answer is outstanding for too long to place new flows on the instance.
-    #[must_use]
-    pub fn is_answer_overdue(&self, now: Millis) -> bool {
-        self.probed_since
-            .is_some_and(|at| now.since(at) > OVERDUE_TIMEOUT)
-            && self.unanswered_probes > 1
-    }
-
-    /// Records that the instance was probed.
-    pub fn record_probe(&mut self, now: Millis) {
-        self.probed_since.get_or_insert(now);
-        self.unanswered_probes = self.unanswered_probes.saturating_add(1);
-    }
-
-    /// Records that the instance was queried for a flow in a search.
-    pub fn record_query(&mut self, now: Millis) {
-        self.queried_since.get_or_insert(now);
-        self.unanswered_queries = self.unanswered_queries.saturating_add(1);
-    }
-
-    /// Records that the instance answered.
-    pub const fn record_answer(&mut self, now: Millis) {
-        self.last_answer = now;
-        self.probed_since = None;
-        self.unanswered_probes = 0;
-        self.queried_since = None;
-        self.unanswered_queries = 0;
-    }
-
-    /// Whether to stop waiting for the instance: it is suspected to have failed, or it answers
-    /// nothing. The timeout is shorter if its heartbeat has stopped or its backend server has ended.
-    ///
-    /// An agent that announced its shutdown is expected to stop answering, which says nothing about
-    /// the flows of its backend server: its next process answers for them.
-    #[must_use]
-    pub fn is_unresponsive(&self, now: Millis) -> bool {
-        if self.fact.phase == Phase::Leaving {
-            return self.is_suspect;
-        }
-        let is_overdue = |since: Option<Millis>, count: u16, span, min| {
-            count >= min && since.is_some_and(|at| now.since(at) >= span)
-        };
-        let is_probe_overdue =
-            |span, min| is_overdue(self.probed_since, self.unanswered_probes, span, min);
-        let is_query_overdue = is_overdue(
-            self.queried_since,
-            self.unanswered_queries,
-            ANSWER_TIMEOUT,
-            MIN_UNANSWERED,
-        );
-        let has_heartbeat_stopped = now.since(self.last_heard) >= ANSWER_TIMEOUT;
-        self.is_suspect
-            || is_probe_overdue(UNRESPONSIVE_TIMEOUT, UNRESPONSIVE_MIN_UNANSWERED)
-            || has_heartbeat_stopped
-                && (is_query_overdue || is_probe_overdue(ANSWER_TIMEOUT, MIN_UNANSWERED))
-            || self.fact.phase.is_over()
-                && is_probe_overdue(ENDED_BACKEND_TIMEOUT, ENDED_BACKEND_MIN_UNANSWERED)
-    }
-
-    /// Whether the instance may store owner records.
-    fn can_be_home(&self, now: Millis) -> bool {
-        let phase = self.fact.phase;
-        !phase.is_over() && !phase.is_leaving() && !self.is_unresponsive(now)
-    }
-
-    /// Whether this boot of its backend server, and with it all its flows, has ended.
-    ///
-    /// An agent that starts next to a running backend server does not know its boot id, and uses
-    /// zero, until the next heartbeat; nothing is known about the end of such a boot.
-    #[must_use]
-    pub fn is_backend_over(&self, boot: BootId) -> bool {
-        let is_known = boot != BootId::default();
-        let is_newer = self.fact.backend > boot;
-        let has_ended = self.fact.backend == boot && self.fact.phase.is_over();
-        is_known && (is_newer || has_ended)
-    }
-
-    /// Flows that it reported, plus those placed on it since.
-    #[must_use]
-    pub fn estimated_flows(&self) -> u64 {
-        u64::from(self.fact.load.flows) + u64::from(self.placed)
-    }
-
-    /// Outstanding requests, in tenths; those beyond its slots count twice.
-    #[must_use]
-    pub fn weighted_waiting(&self) -> u64 {
-        let waiting = u64::from(self.fact.load.waiting);
-        let slots = 10 * u64::from(self.fact.load.slots);
-        waiting + waiting.saturating_sub(slots)
-    }
-}
-
-/// Total load of a service's agents, which weighs open flows against outstanding requests.
-///
-/// Long flows stay where they are placed, so open flows predict future load, while outstanding
-/// requests show the present one. Each counts as its share of the service's total. A backend server
-/// that sheds load has few flows, and stands out only by its outstanding requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServiceLoad {
-    flows: u64,
-    waiting: u64,
-}
-
-impl ServiceLoad {
-    /// The total load of `agents`.
-    ///
-    /// ```
-    /// # use buckthornlink_core::datagram::ServiceLoad;
-    /// assert_eq!(ServiceLoad::of(std::iter::empty()), ServiceLoad::default());
-    /// ```
-    pub fn of<'a>(agents: impl Iterator<Item = &'a Member>) -> Self {
-        agents.fold(Self::default(), |sum, member| Self {
-            flows: sum.flows + member.estimated_flows(),
-            waiting: sum.waiting + member.weighted_waiting(),
-        })
-    }
-
-    /// Cost of placing a flow on one of the agents; the lowest is best.
-    #[must_use]
-    pub fn placement_cost(&self, member: &Member) -> u64 {
-        let flows = member.estimated_flows() * self.waiting.max(1);
-        let waiting = member.weighted_waiting() * self.flows.max(1);
-        flows + waiting
-    }
-}
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -2,11 +2,7 @@
 
 mod datagram;
 
-use std::net::Ipv4Addr;
-
-use buckthornlink_core::datagram::{
-    Effect, Event, Load, Message, Mode, OwnerRecord, Phase, Reason, Reducer, Role,
-};
+use buckthornlink_core::datagram::{Effect, Event, Message, Mode, OwnerRecord};
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{AgentDriver, PEER, answer, bounced, data, heartbeat, opening, syn_ack};
@@ -99,20 +95,6 @@
     );
 }
 
-#[test]
-fn a_search_includes_agents_of_services_that_the_route_no_longer_has() {
-    let mut agent = AgentDriver::ready();
-    agent.add_agent(PEER, buckthornlink_core::datagram::ServiceTag::of("ledger"));
-    agent.advance(Millis(3_500));
-    agent.heartbeat(heartbeat(2));
-    agent.add_agent(PEER, buckthornlink_core::datagram::ServiceTag::of("ledger"));
-    let next = agent.packet_from_peer(data(1), Mode::Lookup);
-    assert!(
-        matches!(next[..], [Effect::Relay { to: PEER, tag }] if tag.mode == Mode::Search),
-        "{next:?}"
-    );
-}
-
 #[test]
 fn a_reset_after_a_trial_delivery_does_not_reach_the_caller() {
     let mut agent = AgentDriver::without_backend();
@@ -133,41 +115,6 @@
     );
 }
 
-#[test]
-fn a_flow_that_all_other_agents_deny_is_reset_once_all_are_known() {
-    let mut agent = AgentDriver::ready();
-    let service = datagram::service();
-    agent.reduce(Event::RegisteredAgents(vec![datagram::OWN, PEER]));
-    let unknown = agent.packet_from_peer(data(1), Mode::Lookup);
-    assert!(!unknown.iter().any(datagram::is_reset), "{unknown:?}");
-    agent.add_agent(PEER, service);
-    agent.advance(Millis(200));
-    agent.packet_from_peer(data(1), Mode::Lookup);
-    let next = agent.message(Message::Denied(data(1).flow));
-    assert!(next.iter().any(datagram::is_reset), "{next:?}");
-}
-
-#[test]
-fn a_flow_that_only_an_unresponsive_agent_may_hold_is_reset() {
-    let mut agent = AgentDriver::ready();
-    let others = [3, 4, 5].map(|host| Ipv4Addr::new(10, 1, 0, host));
-    for ip in others.into_iter().chain([PEER]) {
-        agent.add_agent(ip, datagram::service());
-    }
-    agent.advance(Millis(2_000));
-    for ip in others {
-        agent.add_agent(ip, datagram::service());
-    }
-    agent.advance(Millis(1_800));
-    agent.packet_from_peer(data(1), Mode::Lookup);
-    let mut effects = Vec::new();
-    for from in others {
-        let message = Message::Denied(data(1).flow);
-        effects.extend(agent.reduce(Event::Message { from, message }));
-    }
-    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
-}
-
 #[test]
 fn flows_of_a_backend_server_at_whose_address_nothing_listens_are_reset() {
     let mut agent = AgentDriver::ready();
@@ -177,23 +124,6 @@
     assert!(next.iter().any(datagram::is_reset), "{next:?}");
 }
 
-#[test]
-fn an_agent_without_a_backend_server_denies_searched_flows() {
-    let mut agent = AgentDriver::without_backend();
-    agent.reduce(Event::BackendAbsent);
-    let next = agent.packet_from_peer(data(1), Mode::Search);
-    assert!(
-        matches!(
-            next[..],
-            [Effect::Send {
-                to: PEER,
-                message: Message::Denied(_)
-            }]
-        ),
-        "{next:?}"
-    );
-}
-
 #[test]
 fn a_heartbeat_ends_the_absence_of_a_backend_server() {
     let mut agent = AgentDriver::ready();
@@ -203,178 +133,6 @@
     assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
 }
 
-#[test]
-fn an_agent_that_answers_no_search_does_not_block_the_reset_of_a_flow() {
-    let mut agent = AgentDriver::ready();
-    let others = [3, 4].map(|host| Ipv4Addr::new(10, 1, 0, host));
-    for ip in others.into_iter().chain([PEER]) {
-        agent.add_agent(ip, datagram::service());
-    }
-    agent.reduce(Event::RegisteredAgents(vec![datagram::OWN, PEER]));
-    let mut resets = Vec::new();
-    for round in 0..8 {
-        agent.advance(Millis(200));
-        agent.packet_from_peer(data(1), Mode::Lookup);
-        for from in others {
-            agent.add_agent(from, datagram::service());
-            let message = Message::Denied(data(1).flow);
-            let effects = agent.reduce(Event::Message { from, message });
-            resets.extend(effects.iter().any(datagram::is_reset).then_some(round));
-        }
-    }
-    assert_eq!(resets.first(), Some(&5), "{resets:?}");
-}
-
-/// Returns the number of 200 ms rounds until the reset of a flow that only [`PEER`] may hold, which
-/// answers nothing while a balancer still relays its facts with `phase`.
-fn rounds_until_reset(phase: Phase) -> Option<u32> {
-    let mut agent = AgentDriver::ready();
-    for round in 1..20 {
-        let mut fact = datagram::fact(PEER, phase, Load::default());
-        fact.seq = round;
-        let mut relayed = datagram::fact(datagram::BALANCER, Phase::Ready, Load::default());
-        relayed.role = Role::Balancer;
-        let mut status = datagram::status(relayed);
-        if let Message::Status(status) = &mut status {
-            status.facts.push(fact);
-        }
-        let from = datagram::BALANCER;
-        agent.reduce(Event::Message {
-            from,
-            message: status,
-        });
-        agent.reduce(Event::RegisteredAgents(vec![datagram::OWN, PEER]));
-        let effects = agent.packet_from_peer(data(1), Mode::Lookup);
-        if effects.iter().any(datagram::is_reset) {
-            return Some(round);
-        }
-        agent.advance(Millis(200));
-    }
-    None
-}
-
-#[test]
-fn an_unresponsive_agent_whose_backend_server_has_ended_counts_as_denying() {
-    assert_eq!(rounds_until_reset(Phase::Over), Some(4));
-}
-
-#[test]
-fn an_unresponsive_agent_whose_facts_are_still_relayed_is_given_up_later() {
-    assert_eq!(rounds_until_reset(Phase::Ready), Some(12));
-}
-
-#[test]
-fn a_search_continues_between_retransmissions() {
-    let mut agent = AgentDriver::ready();
-    agent.add_agent(PEER, datagram::service());
-    agent.reduce(Event::RegisteredAgents(vec![datagram::OWN, PEER]));
-    agent.packet_from_peer(data(1), Mode::Lookup);
-    let mut effects = Vec::new();
-    for _ in 0..6 {
-        agent.now = agent.now + Millis(200);
-        effects.extend(agent.reduce(Event::Tick));
-    }
-    let resets = effects.iter().filter(|e| datagram::is_reset(e));
-    assert_eq!(resets.count(), 1, "{effects:?}");
-}
-
-#[test]
-fn denials_of_several_searches_add_up() {
-    let mut agent = AgentDriver::ready();
-    let others = [3, 4].map(|host| Ipv4Addr::new(10, 1, 0, host));
-    for ip in others {
-        agent.add_agent(ip, datagram::service());
-    }
-    agent.reduce(Event::RegisteredAgents(vec![
-        datagram::OWN,
-        others[0],
-        others[1],
-    ]));
-    let mut effects = Vec::new();
-    for from in others {
-        agent.advance(Millis(200));
-        agent.packet_from_peer(data(1), Mode::Lookup);
-        let message = Message::Denied(data(1).flow);
-        effects = agent.reduce(Event::Message { from, message });
-    }
-    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
-}
-
-#[test]
-fn an_agent_that_denied_a_flow_is_not_queried_again() {
-    let mut agent = AgentDriver::ready();
-    agent.add_agent(PEER, datagram::service());
-    agent.packet_from_peer(data(1), Mode::Lookup);
-    agent.message(Message::Denied(data(1).flow));
-    agent.advance(Millis(200));
-    let next = agent.packet_from_peer(data(1), Mode::Lookup);
-    assert!(
-        !next.iter().any(|e| matches!(e, Effect::Relay { .. })),
-        "{next:?}"
-    );
-}
-
-#[test]
-fn a_flow_is_reset_in_a_system_of_a_hundred_agents() {
-    let mut agent = AgentDriver::ready();
-    let others: Vec<Ipv4Addr> = (20..120)
-        .map(|host| Ipv4Addr::new(10, 1, 0, host))
-        .collect();
-    for &ip in &others {
-        agent.add_agent(ip, datagram::service());
-    }
-    let known = others.iter().copied().chain([datagram::OWN]);
-    agent.reduce(Event::RegisteredAgents(known.collect()));
-    agent.packet_from_peer(data(1), Mode::Lookup);
-    let mut effects = Vec::new();
-    for from in others {
-        let message = Message::Denied(data(1).flow);
-        effects = agent.reduce(Event::Message { from, message });
-    }
-    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
-}
-
-#[test]
-fn the_owner_of_a_searched_flow_sends_its_record_to_the_searching_agent() {
-    let mut agent = AgentDriver::ready();
-    agent.open_flow(1);
-    agent.advance(Millis(400));
-    let next = agent.packet_from_peer(data(1), Mode::Search);
-    let is_notified = |ip| {
-        next.iter().any(
-            |e| matches!(e, Effect::Send { to, message: Message::OwnerRecords(_) } if *to == ip),
-        )
-    };
-    assert!(
-        is_notified(PEER) && is_notified(datagram::BALANCER),
-        "{next:?}"
-    );
-}
-
-#[test]
-fn an_agent_that_runs_longer_than_the_idle_timeout_makes_no_trial_deliveries() {
-    let mut agent = AgentDriver::without_backend();
-    agent.heartbeat(heartbeat(40));
-    agent.add_agent(PEER, datagram::service());
-    let before_timeout = agent.packet_from_peer(data(1), Mode::Lookup);
-    assert!(
-        matches!(before_timeout[..], [Effect::Deliver(_)]),
-        "{before_timeout:?}"
-    );
-    agent.advance(Millis(17_000));
-    let after_timeout = agent.packet_from_peer(data(2), Mode::Lookup);
-    assert!(
-        matches!(after_timeout[0], Effect::Relay { to: PEER, .. }),
-        "{after_timeout:?}"
-    );
-    assert!(
-        !after_timeout
-            .iter()
-            .any(|e| matches!(e, Effect::Deliver(_))),
-        "{after_timeout:?}"
-    );
-}
-
 #[test]
 fn a_retransmitted_request_that_was_answered_is_not_outstanding() {
     let mut agent = AgentDriver::ready();
@@ -388,70 +146,6 @@
     assert_eq!(agent.agent.flows().waiting_count(), 1);
 }
 
-#[test]
-fn the_owner_of_a_searched_flow_is_logged_exactly_once() {
-    let mut agent = AgentDriver::ready();
-    agent.add_agent(PEER, datagram::service());
-    agent.packet_from_peer(data(1), Mode::Lookup);
-    agent.now = agent.now + Millis(30);
-    let record = OwnerRecord {
-        flow: data(1).flow,
-        owner: PEER,
-        backend: BootId(1),
-    };
-    let mut effects = Vec::new();
-    for _ in 0..2 {
-        let message = Message::OwnerRecords(vec![record]);
-        let event = Event::Message {
-            from: PEER,
-            message,
-        };
-        agent.agent.reduce(event, agent.now, &mut effects);
-    }
-    let mut entries = effects.iter().filter_map(|e| match e {
-        Effect::Log(decision) => Some((decision.reason, decision.peer, decision.age)),
-        _ => None,
-    });
-    let expected = (Reason::OwnerLearnt, Some(PEER), Millis(30));
-    assert_eq!(entries.next(), Some(expected));
-    assert_eq!(entries.next(), None);
-}
-
-#[test]
-fn an_agent_that_ignores_searches_for_flows_of_others_is_still_waited_for() {
-    let mut agent = AgentDriver::ready();
-    let other = Ipv4Addr::new(10, 1, 0, 3);
-    agent.add_agent(PEER, datagram::service());
-    agent.add_agent(other, datagram::service());
-    agent.reduce(Event::RegisteredAgents(vec![datagram::OWN, PEER, other]));
-    let answer = |agent: &mut AgentDriver, message| {
-        let from = other;
-        agent.reduce(Event::Message { from, message })
-    };
-    for port in 1..10 {
-        agent.advance(Millis(300));
-        let mut heard = datagram::fact(PEER, Phase::Ready, Load::default());
-        heard.seq = u32::try_from(agent.now.0).unwrap();
-        let mut own = datagram::fact(other, Phase::Ready, Load::default());
-        own.seq = heard.seq;
-        let mut message = datagram::status(own);
-        if let Message::Status(status) = &mut message {
-            status.facts.push(heard);
-        }
-        answer(&mut agent, message);
-        agent.packet_from_peer(data(port), Mode::Lookup);
-        let record = OwnerRecord {
-            flow: data(port).flow,
-            owner: other,
-            backend: BootId(1),
-        };
-        answer(&mut agent, Message::OwnerRecords(vec![record]));
-    }
-    agent.packet_from_peer(data(20), Mode::Lookup);
-    let effects = answer(&mut agent, Message::Denied(data(20).flow));
-    assert!(!effects.iter().any(datagram::is_reset), "{effects:?}");
-}
-
 // The caller may use its port for another flow once it has been told that the first one is over.
 #[test]
 fn a_late_answer_of_a_flow_that_was_reset_does_not_reach_the_caller() {
--- a/buckthornlink-core/tests/datagram_publication.rs
+++ b/buckthornlink-core/tests/datagram_publication.rs
@@ -206,8 +206,8 @@
 #[test]
 fn the_publisher_hears_of_a_departure_at_once() {
     let mut drivers = zone(1..=30);
-    let publishes = |driver: &mut Driver| !driver.run(Millis(1_000)).is_empty();
-    let publisher = drivers.iter_mut().position(publishes).unwrap();
+    let is_publishing = |driver: &mut Driver| !driver.run(Millis(1_000)).is_empty();
+    let publisher = drivers.iter_mut().position(is_publishing).unwrap();
     let publisher_ip = drivers[publisher].balancer.gossip().own().ip;
     let mut others = zone(1..=30).into_iter();
     let mut leaving = others.find(|d| d.balancer.gossip().own().ip != publisher_ip);
