fix(core): take only the first heartbeat for the start of a backend server

Cause: an agent whose first received heartbeat was the second one claimed to have seen all flows of its backend server. If the agent restarts within a heartbeat interval of the backend server's start, its predecessor may have admitted flows; the successor denied them, and once all others had too, the flow was reset beside its living backend server. Same class as the assumed boots: a belief is stored as an observation.

Failed before: an_agent_that_missed_the_first_heartbeat_does_not_claim_to_know_all_flows.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -13,9 +13,9 @@
 /// Time without a heartbeat after which a backend server counts as silent, in tenths of the
 /// heartbeat interval.
 const SILENCE_TIMEOUT_TENTHS: u64 = 16;
-/// Highest sequence number of a first received heartbeat that shows that the backend server has
-/// just started.
-const MAX_FIRST_SEQ: u64 = 2;
+/// Sequence number of the heartbeat with which a backend server starts. A process that hears a later one
+/// first may have a predecessor that admitted flows.
+const FIRST_SEQ: u64 = 1;
 
 /// One heartbeat of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -202,7 +202,7 @@
     }
 
     fn start_boot(&mut self, heartbeat: &BackendHeartbeat, boot: BootId) {
-        self.is_tracked = heartbeat.seq <= MAX_FIRST_SEQ;
+        self.is_tracked = heartbeat.seq <= FIRST_SEQ;
         self.id.clone_from(&heartbeat.id);
         self.boot = boot;
         self.service = heartbeat.service;
--- a/buckthornlink-core/tests/datagram_restart.rs
+++ b/buckthornlink-core/tests/datagram_restart.rs
@@ -199,3 +199,13 @@
     let answers = agent.message(Message::Query(vec![flow(1)]));
     assert_eq!(answers, []);
 }
+
+/// Guards against the denial of a flow that the previous process of this agent admitted: an agent that
+/// restarts within a heartbeat interval of its backend server's start hears the second heartbeat first.
+#[test]
+fn an_agent_that_missed_the_first_heartbeat_does_not_claim_to_know_all_flows() {
+    let mut agent = AgentDriver::without_backend();
+    agent.heartbeat(heartbeat(2));
+    let tried = agent.packet_from_peer(data(1), Mode::Search);
+    assert!(matches!(tried[..], [Effect::Deliver(_)]), "{tried:?}");
+}
