fix(core): give up on an agent only after it left probes unanswered

Cause: an agent counted as denying a flow if it had not been heard for 1 s and three searches had been unanswered for 1 s. Heartbeats are often older than that at 195 instances, and an agent may ignore searches for flows of others. While many short searches run, as after balancers were added, none of them lasts until the agent is probed, so the search for its own flow did not wait for it.

Unanswered searches count only beside three unanswered probes. Failed before: an_owner_that_was_never_probed_is_waited_for.

--- a/buckthornlink-core/src/datagram/membership/member.rs
+++ b/buckthornlink-core/src/datagram/membership/member.rs
@@ -96,6 +96,8 @@
     /// Whether to stop waiting for the instance: it is suspected to have failed, or it answers
     /// nothing. The timeout is shorter if its heartbeat has stopped or its backend server has ended.
     ///
+    /// An agent may leave search queries unanswered, so they count only beside unanswered probes.
+    ///
     /// An agent that announced its shutdown is expected to stop answering, which says nothing about
     /// the flows of its backend server: its next process answers for them.
     #[must_use]
@@ -114,11 +116,12 @@
             ANSWER_TIMEOUT,
             MIN_UNANSWERED,
         );
+        let is_probed = self.unanswered_probes >= MIN_UNANSWERED;
         let has_heartbeat_stopped = now.since(self.last_heard) >= ANSWER_TIMEOUT;
         self.is_suspect
             || is_probe_overdue(UNRESPONSIVE_TIMEOUT, UNRESPONSIVE_MIN_UNANSWERED)
             || has_heartbeat_stopped
-                && (is_query_overdue || is_probe_overdue(ANSWER_TIMEOUT, MIN_UNANSWERED))
+                && (is_query_overdue && is_probed || is_probe_overdue(ANSWER_TIMEOUT, MIN_UNANSWERED))
             || self.fact.phase.is_over()
                 && is_probe_overdue(ENDED_BACKEND_TIMEOUT, ENDED_BACKEND_MIN_UNANSWERED)
     }
--- a/buckthornlink-core/tests/datagram_search.rs
+++ b/buckthornlink-core/tests/datagram_search.rs
@@ -312,3 +312,34 @@
     let effects = answer(&mut agent, Message::Denied(data(20).flow));
     assert!(!effects.iter().any(datagram::is_reset), "{effects:?}");
 }
+
+/// Guards against the reset of a flow whose owner left searches for other flows unanswered. It may do so,
+/// and each of those searches ended before the owner was probed.
+#[test]
+fn an_owner_that_was_never_probed_is_waited_for() {
+    let mut agent = AgentDriver::ready();
+    let other = Ipv4Addr::new(10, 1, 0, 3);
+    agent.add_agent(PEER, datagram::service());
+    for port in 1..=4 {
+        agent.now = agent.now + Millis(400);
+        agent.add_agent(other, datagram::service());
+        agent.packet_from_peer(data(port), Mode::Lookup);
+        let record = OwnerRecord {
+            flow: data(port).flow,
+            owner: other,
+            backend: BootId(1),
+        };
+        let message = Message::OwnerRecords(vec![record]);
+        agent.reduce(Event::Message {
+            from: other,
+            message,
+        });
+    }
+    agent.packet_from_peer(data(9), Mode::Lookup);
+    let message = Message::Denied(data(9).flow);
+    let denied = agent.reduce(Event::Message {
+        from: other,
+        message,
+    });
+    assert!(!denied.iter().any(datagram::is_reset), "{denied:?}");
+}
