fix(core): end searches in fleets of up to 512 agents

Cause: a search asks all agents only if there are at most 160 of them; beyond that, denials end no flow.

The limit is 512. Each agent answers every search, and sends as many queries as it has searches times agents, so the load of a return grows with the flows of the fleet; denials are kept in an ordered set and compared until the first agent that is yet to answer, where each denial was compared with all before.

Failed before: a_flow_is_reset_in_a_system_of_some_hundred_agents (161, 300, 500 agents).

--- a/buckthornlink-core/src/datagram/agent/query.rs
+++ b/buckthornlink-core/src/datagram/agent/query.rs
@@ -69,8 +69,8 @@
         }
         let can_answer = self.can_answer_query(to);
         self.flows.update(flow, |s| {
-            if can_answer && !s.queried.contains(&to) {
-                s.queried.push(to);
+            if can_answer {
+                s.queried.insert(to);
             }
         });
     }
@@ -80,10 +80,10 @@
     fn query_pending(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let mut due: BTreeMap<Ipv4Addr, Vec<Flow>> = BTreeMap::new();
         for flow in &self.active_searches {
-            let queried = self.flows.get(flow).map(|s| s.queried.as_slice());
-            let queried = queried.unwrap_or_default();
+            let queried = self.flows.get(flow).map(|s| &s.queried);
+            let is_queried = |ip: &Ipv4Addr| queried.is_some_and(|ips| ips.contains(ip));
             for ip in self.pending_candidates(flow) {
-                if !queried.contains(&ip) && self.can_answer_query(ip) {
+                if !is_queried(&ip) && self.can_answer_query(ip) {
                     due.entry(ip).or_default().push(*flow);
                 }
             }
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -5,8 +5,8 @@
 use super::Agent;
 use super::established::reset;
 use crate::datagram::{
-    Decision, Effect, Flow, FlowState, Measure, Member, Message, Mode, OwnerRecord, Ownership,
-    Packet, Reason, RelayTag,
+    Decision, Effect, Flow, FlowState, Measure, Message, Mode, OwnerRecord, Ownership, Packet,
+    Reason, RelayTag,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -26,8 +26,8 @@
 const TRIAL_GROUPS: u8 = 8;
 /// Maximum searches that are also advanced by ticks, between the packets of their flows.
 pub(super) const MAX_ACTIVE_SEARCHES: usize = 4_096;
-/// Maximum agents that are queried for one flow.
-const MAX_QUERIED_AGENTS: usize = 160;
+/// Maximum agents that are queried for one flow. In a larger fleet, denials end no flow.
+const MAX_QUERIED_AGENTS: usize = 512;
 
 impl Agent {
     /// Stores owner records from other agents, and logs the owner of a searched flow once.
@@ -118,7 +118,7 @@
         if !is_due || packet.tag.hops >= RelayTag::MAX_HOPS {
             return;
         }
-        let pending = self.pending_candidates(&packet.flow);
+        let pending: Vec<Ipv4Addr> = self.pending_candidates(&packet.flow).collect();
         out.push(self.search_decision(&packet.flow, pending.first().copied(), now));
         if self.active_searches.len() < MAX_ACTIVE_SEARCHES {
             self.active_searches.insert(packet.flow);
@@ -174,11 +174,7 @@
         if !is_searched {
             return;
         }
-        self.flows.update(flow, |s| {
-            if !s.denied_by.contains(&from) {
-                s.denied_by.push(from);
-            }
-        });
+        self.flows.update(flow, |s| s.denied_by.insert(from));
         self.reset_if_denied(flow, now, out);
     }
 
@@ -231,8 +227,7 @@
             return false;
         };
         let seq = state.last_ack;
-        let pending = self.pending_candidates(flow);
-        let is_denied = pending.iter().all(|ip| self.is_unresponsive(*ip, now));
+        let is_denied = self.is_denied_by_all(flow, now);
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
@@ -243,6 +238,12 @@
         is_denied
     }
 
+    /// Whether no agent is left that may own a flow and may still answer.
+    fn is_denied_by_all(&self, flow: &Flow, now: Millis) -> bool {
+        let mut pending = self.pending_candidates(flow);
+        pending.all(|ip| self.is_unresponsive(ip, now))
+    }
+
     /// Whether the agent can deny a flow, because its backend server is known not to hold it.
     ///
     /// An agent that has run for longer than an open flow may be idle has seen a packet of every
@@ -267,33 +268,29 @@
     }
 
     /// Returns the other agents that may own a flow and have not denied it.
-    pub(super) fn pending_candidates(&self, flow: &Flow) -> Vec<Ipv4Addr> {
-        let state = self.flows.get(flow);
-        let denied = state.map(|s| s.denied_by.as_slice()).unwrap_or_default();
-        let mut ips = self.owner_candidates(flow);
-        ips.retain(|ip| !denied.contains(ip));
-        ips
+    pub(super) fn pending_candidates(&self, flow: &Flow) -> impl Iterator<Item = Ipv4Addr> {
+        let denied = self.flows.get(flow).map(|s| &s.denied_by);
+        let has_denied = move |ip: &Ipv4Addr| denied.is_some_and(|ips| ips.contains(ip));
+        let candidates = self.owner_candidates(flow);
+        candidates.filter(move |ip| !has_denied(ip))
     }
 
     /// Returns the other agents that may own a flow.
     ///
     /// A flow stays at its backend server when its route changes to other services, so all agents
     /// are queried if there are few enough, otherwise those of the route's current services.
-    fn owner_candidates(&self, flow: &Flow) -> Vec<Ipv4Addr> {
+    fn owner_candidates(&self, flow: &Flow) -> impl Iterator<Item = Ipv4Addr> {
         let own = self.gossip.own().ip;
         let membership = self.gossip.membership();
-        let ips: Vec<Ipv4Addr> = if self.can_query_all() {
-            membership.all_agents().map(|m| m.fact.ip).collect()
-        } else {
-            let targets = self.table.route(flow).map(|r| r.targets.as_slice());
-            let services = targets.unwrap_or_default().iter().map(|t| t.service);
-            let agents = services.flat_map(|service| membership.agents(service));
-            agents
-                .map(|m: &Member| m.fact.ip)
-                .take(MAX_QUERIED_AGENTS)
-                .collect()
-        };
-        ips.into_iter().filter(|&ip| ip != own).collect()
+        let can_query_all = self.can_query_all();
+        let all = can_query_all.then(|| membership.all_agents());
+        let route = self.table.route(flow).filter(|_| !can_query_all);
+        let targets = route.into_iter().flat_map(|r| &r.targets);
+        let services = targets.map(|target| target.service);
+        let of_route = services.flat_map(|service| membership.agents(service));
+        let candidates = all.into_iter().flatten().chain(of_route);
+        let ips = candidates.map(|m| m.fact.ip).filter(move |&ip| ip != own);
+        ips.take(MAX_QUERIED_AGENTS)
     }
 
     /// Whether a search does not wait for an agent, because it is unknown or has not responded in
@@ -305,11 +302,9 @@
 
     /// Whether there are few enough agents to query all of them at once.
     fn can_query_all(&self) -> bool {
-        self.gossip
-            .membership()
-            .all_agents()
-            .nth(MAX_QUERIED_AGENTS)
-            .is_none()
+        let membership = self.gossip.membership();
+        let is_small = membership.len() <= MAX_QUERIED_AGENTS;
+        is_small || membership.all_agents().nth(MAX_QUERIED_AGENTS).is_none()
     }
 }
 
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -1,5 +1,6 @@
 //! The flows that an agent knows.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use super::{Flow, FlowMap};
@@ -62,9 +63,9 @@
     /// Number of searches for the flow, wrapping.
     pub search_rounds: u8,
     /// Agents that were queried for the flow in the current search.
-    pub queried: Vec<Ipv4Addr>,
+    pub queried: BTreeSet<Ipv4Addr>,
     /// Agents that have denied the flow.
-    pub denied_by: Vec<Ipv4Addr>,
+    pub denied_by: BTreeSet<Ipv4Addr>,
     /// Whether the caller was sent a reset.
     pub was_reset: bool,
     /// Last acknowledgement number from the caller.
--- a/buckthornlink-core/src/datagram/membership/member.rs
+++ b/buckthornlink-core/src/datagram/membership/member.rs
@@ -121,7 +121,8 @@
         self.is_suspect
             || is_probe_overdue(UNRESPONSIVE_TIMEOUT, UNRESPONSIVE_MIN_UNANSWERED)
             || has_heartbeat_stopped
-                && (is_query_overdue && is_probed || is_probe_overdue(ANSWER_TIMEOUT, MIN_UNANSWERED))
+                && (is_query_overdue && is_probed
+                    || is_probe_overdue(ANSWER_TIMEOUT, MIN_UNANSWERED))
             || self.fact.phase.is_over()
                 && is_probe_overdue(ENDED_BACKEND_TIMEOUT, ENDED_BACKEND_MIN_UNANSWERED)
     }
--- a/buckthornlink-core/tests/datagram_search.rs
+++ b/buckthornlink-core/tests/datagram_search.rs
@@ -188,12 +188,11 @@
     );
 }
 
-#[test]
-fn a_flow_is_reset_in_a_system_of_a_hundred_agents() {
+/// Whether a flow that all agents of a fleet of this size deny is reset.
+fn is_reset_among(agents: u32) -> bool {
     let mut agent = AgentDriver::ready();
-    let others: Vec<Ipv4Addr> = (20..120)
-        .map(|host| Ipv4Addr::new(10, 1, 0, host))
-        .collect();
+    let first = u32::from(Ipv4Addr::new(10, 2, 0, 0));
+    let others: Vec<Ipv4Addr> = (first..first + agents).map(Ipv4Addr::from_bits).collect();
     for &ip in &others {
         agent.add_agent(ip, datagram::service());
     }
@@ -205,7 +204,21 @@
         let message = Message::Denied(data(1).flow);
         effects = agent.reduce(Event::Message { from, message });
     }
-    assert!(effects.iter().any(datagram::is_reset), "{effects:?}");
+    effects.iter().any(datagram::is_reset)
+}
+
+#[test]
+fn a_flow_is_reset_in_a_system_of_a_hundred_agents() {
+    assert!(is_reset_among(100));
+}
+
+/// Guards against callers that wait until their deadline, after a loss of power of all, since no
+/// denial counts in a fleet of more agents than a search may ask.
+#[test]
+fn a_flow_is_reset_in_a_system_of_some_hundred_agents() {
+    for agents in [161, 300, 500] {
+        assert!(is_reset_among(agents), "{agents}");
+    }
 }
 
 #[test]
