--- a/buckthornlink-core/tests/datagram_restart.rs
+++ b/buckthornlink-core/tests/datagram_restart.rs
@@ -209,3 +209,20 @@
     let tried = agent.packet_from_peer(data(1), Mode::Search);
     assert!(matches!(tried[..], [Effect::Deliver(_)]), "{tried:?}");
 }
+
+/// Guards against the reset of a flow whose agent is too young for the lists in the store, while another
+/// instance says that it knows more instances than this one.
+#[test]
+fn listed_agents_are_not_all_while_an_instance_knows_more() {
+    let mut agent = AgentDriver::ready();
+    agent.reduce(Event::RegisteredAgents(vec![OWN, PEER]));
+    let load = buckthornlink_core::datagram::Load::default();
+    let mut message = datagram::status(datagram::fact(PEER, Phase::Ready, load));
+    if let Message::Status(status) = &mut message {
+        status.known = 9;
+    }
+    agent.message(message);
+    agent.packet_from_peer(data(1), Mode::Lookup);
+    let denied = agent.message(Message::Denied(flow(1)));
+    assert!(!denied.iter().any(is_reset), "{denied:?}");
+}
