--- a/review/stand/backend.rs
+++ b/review/stand/backend.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddrV4, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -49,9 +49,20 @@
     pub altered: u64,
 }
 
+/// The backend takes part.
+const STAYS: u8 = 0;
+/// It is draining.
+const DRAINS: u8 = 1;
+/// It is draining and does not listen over TCP any more.
+const DEAF: u8 = 2;
+
 /// A running boot of a backend.
 pub struct Backend {
+    id: String,
+    control: SocketAddrV4,
+    record: Record,
     stop: Arc<AtomicBool>,
+    leaving: Arc<AtomicU8>,
     threads: Vec<JoinHandle<()>>,
     seen: Arc<Mutex<Seen>>,
     name: String,
@@ -86,6 +97,7 @@
         record: &Record,
     ) -> Backend {
         let stop = Arc::new(AtomicBool::new(false));
+        let leaving = Arc::new(AtomicU8::new(STAYS));
         let cold_until = Instant::now() + cold;
         let socket = UdpSocket::bind(place.app).expect("address of a backend");
         let listener = TcpListener::bind(place.app).expect("address of a backend");
@@ -99,6 +111,8 @@
             cold.as_millis()
         ));
         let mut threads = Vec::new();
+        let born = now_ms();
+        let id = format!("i-{born:x}-{}", place.name);
         let packets = Packets {
             place: place.clone(),
             cold_until,
@@ -106,28 +120,58 @@
             record: record.clone(),
             flows: HashMap::new(),
             ended: HashSet::new(),
+            leaving: Arc::clone(&leaving),
             random: u64::from(u32::from(*place.app.ip())) << 32 ^ now_ms(),
         };
         let flag = Arc::clone(&stop);
         threads.push(std::thread::spawn(move || packets.run(&socket, &flag)));
         let flag = Arc::clone(&stop);
-        threads.push(std::thread::spawn(move || serve_health(&listener, &flag)));
-        let flag = Arc::clone(&stop);
-        let place = place.clone();
-        let name = place.name.clone();
-        let own_seen = Arc::clone(seen);
-        let record = record.clone();
+        let phase = Arc::clone(&leaving);
         threads.push(std::thread::spawn(move || {
-            report(&place, cold_until, &own_seen, &record, &flag);
+            serve_health(listener, &flag, &phase);
         }));
+        let reporter = Reporter {
+            place: place.clone(),
+            id: id.clone(),
+            born,
+            cold_until,
+            seen: Arc::clone(seen),
+            record: record.clone(),
+            stop: Arc::clone(&stop),
+            leaving: Arc::clone(&leaving),
+        };
+        threads.push(std::thread::spawn(move || reporter.run()));
         Backend {
+            id,
+            control: place.control,
+            record: record.clone(),
+            name: place.name.clone(),
             stop,
+            leaving,
             threads,
             seen: Arc::clone(seen),
-            name,
         }
     }
 
+    /// The backend reports that it is draining, at once and in all later heartbeats.
+    pub fn drain(&self) {
+        self.leaving.store(DRAINS, Ordering::SeqCst);
+    }
+
+    /// The backend stops listening over TCP, and serves the flows that it has left.
+    pub fn stop_listening(&self) {
+        self.leaving.store(DEAF, Ordering::SeqCst);
+    }
+
+    /// The backend reports that it leaves, and exits.
+    pub fn leave(self) {
+        let path = format!("/v1/backends/{}", self.id);
+        let status = call(self.control, "DELETE", &path, "");
+        self.record
+            .line(format!("{} leaves: {status:?}", self.name));
+        self.crash();
+    }
+
     /// The backend crashes: its sockets are closed and its flows are gone.
     pub fn crash(self) {
         self.stop.store(true, Ordering::SeqCst);
@@ -149,45 +193,62 @@
     since.unwrap_or_default().as_millis() as u64
 }
 
-/// Sends heartbeats; the first one at once.
-fn report(
-    place: &Place,
+/// Sends heartbeats; the first one at once, and one at once when the backend begins to drain.
+struct Reporter {
+    place: Place,
+    id: String,
+    born: u64,
     cold_until: Instant,
-    seen: &Mutex<Seen>,
-    record: &Record,
-    stop: &AtomicBool,
-) {
-    let born = now_ms();
-    let id = format!("i-{born:x}-{}", place.name);
-    let mut seq = 0;
-    let mut next = Instant::now();
-    while !stop.load(Ordering::SeqCst) {
-        if Instant::now() < next {
-            std::thread::sleep(Duration::from_millis(5));
-            continue;
+    seen: Arc<Mutex<Seen>>,
+    record: Record,
+    stop: Arc<AtomicBool>,
+    leaving: Arc<AtomicU8>,
+}
+
+impl Reporter {
+    fn run(self) {
+        let mut seq = 0;
+        let mut next = Instant::now();
+        let mut was_draining = false;
+        while !self.stop.load(Ordering::SeqCst) {
+            let is_draining = self.leaving.load(Ordering::SeqCst) != STAYS;
+            if Instant::now() < next && is_draining == was_draining {
+                std::thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+            was_draining = is_draining;
+            next = Instant::now() + self.place.heartbeat;
+            seq += 1;
+            self.beat(seq, if is_draining { "draining" } else { "ready" });
         }
-        next += place.heartbeat;
-        seq += 1;
-        let cold = cold_until
+    }
+
+    fn beat(&self, seq: u64, state: &str) {
+        let place = &self.place;
+        let cold = self
+            .cold_until
             .saturating_duration_since(Instant::now())
             .as_millis();
         let body = format!(
-            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Capacity\":{},\"State\":\"ready\",\"WarmupLeftMs\":{cold},\"Seq\":{seq},\"born\":{born}}}",
-            place.service, place.app, place.zone, place.capacity
+            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Capacity\":{},\"State\":\"{state}\",\"WarmupLeftMs\":{cold},\"Seq\":{seq},\"born\":{}}}",
+            place.service, place.app, place.zone, place.capacity, self.born
         );
-        seen.lock()
-            .unwrap()
-            .beats
-            .insert(place.name.clone(), Instant::now());
-        let status = call(place.control, "PUT", &format!("/v1/backends/{id}"), &body);
-        record.line(format!("{} heartbeat {seq}: {status:?}", place.name));
+        let mut seen = self.seen.lock().unwrap();
+        seen.beats.insert(place.name.clone(), Instant::now());
+        drop(seen);
+        let path = format!("/v1/backends/{}", self.id);
+        let status = call(place.control, "PUT", &path, &body);
+        self.record.line(format!(
+            "{} heartbeat {seq}, {state}: {status:?}",
+            place.name
+        ));
     }
 }
 
-/// Answers health checks and keeps other connections open.
-fn serve_health(listener: &TcpListener, stop: &AtomicBool) {
+/// Answers health checks and keeps other connections open, until the backend stops listening.
+fn serve_health(listener: TcpListener, stop: &AtomicBool, leaving: &AtomicU8) {
     let mut streams = Vec::new();
-    while !stop.load(Ordering::SeqCst) {
+    while !stop.load(Ordering::SeqCst) && leaving.load(Ordering::SeqCst) != DEAF {
         if let Ok((stream, _)) = listener.accept() {
             streams.push(stream);
         }
@@ -202,6 +263,7 @@
     record: Record,
     flows: HashMap<Flow, Held>,
     ended: HashSet<Flow>,
+    leaving: Arc<AtomicU8>,
     random: u64,
 }
 
@@ -289,7 +351,8 @@
             held.out.extend(body);
             held.progress = Instant::now();
         }
-        let mut answers = held.fill(flow);
+        let is_draining = self.leaving.load(Ordering::SeqCst) != STAYS;
+        let mut answers = held.fill(flow, is_draining);
         if packet.flags & FIN != 0 {
             let answer = reply(flow, ACK | FIN, held.base, held.expected.wrapping_add(1));
             answers.push(answer.signed());
@@ -300,11 +363,12 @@
 
     fn retransmit(&mut self) -> Vec<Packet> {
         let mut answers = Vec::new();
+        let is_draining = self.leaving.load(Ordering::SeqCst) != STAYS;
         for (flow, held) in &mut self.flows {
             if held.sent > 0 && held.progress.elapsed() >= RETRANSMIT {
                 held.sent = 0;
                 held.progress = Instant::now();
-                answers.extend(held.fill(*flow));
+                answers.extend(held.fill(*flow, is_draining));
             }
         }
         answers
@@ -368,8 +432,9 @@
 }
 
 impl Held {
-    /// Sends as much as may be in flight.
-    fn fill(&mut self, flow: Flow) -> Vec<Packet> {
+    /// Sends as much as may be in flight. A backend that is draining closes the flow with the end of an
+    /// answer.
+    fn fill(&mut self, flow: Flow, is_draining: bool) -> Vec<Packet> {
         let mut packets = Vec::new();
         while self.sent < self.out.len() && self.sent < IN_FLIGHT * DATA {
             let end = (self.sent + DATA).min(self.out.len());
@@ -380,6 +445,9 @@
                 self.expected,
             );
             packet.data = self.out[self.sent..end].to_vec();
+            if is_draining && end == self.out.len() {
+                packet.flags |= FIN;
+            }
             packets.push(packet.signed());
             self.sent = end;
         }
--- a/review/stand/consumer.rs
+++ b/review/stand/consumer.rs
@@ -495,6 +495,7 @@
                 self.log.lock().unwrap().answered += 1;
                 self.record.line(format!("answer {requests} on {flow}"));
                 let ack = running.ack;
+                let pause = pause.filter(|_| packet.flags & FIN == 0);
                 match pause {
                     Some(pause) => {
                         running.stage = Stage::Idle { next: now + pause };
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -25,7 +25,7 @@
 
 /// The bounds of the settings.
 const CONTACT: Duration = Duration::from_millis(4_000);
-const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
+const CONFIG_APPLY: Duration = Duration::from_millis(5_000);
 const COLD_OVER: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
 const IDLE_TIMEOUT: Duration = Duration::from_millis(15_000);
@@ -395,19 +395,17 @@
 /// Two of three balancers are removed, without SIGTERM, just before a change of the configuration.
 fn watchers(stage: &mut Stage, trouble: bool) -> usize {
     stage.configure(3, "bookings", 2.0, 0.0);
-    stage.start(
-        &[(11, "edi-a"), (12, "edi-a"), (13, "edi-a")],
-        &[
-            (31, "edi-a", "bookings"),
-            (32, "edi-a", "bookings"),
-            (33, "edi-a", "packs"),
-        ],
-    );
+    let service = |host: u16| if host < 67 { "bookings" } else { "packs" };
+    let agents: Vec<(u16, &str, &str)> = (31..=70).map(|h| (h, "edi-a", service(h))).collect();
+    stage.start(&[(11, "edi-a"), (12, "edi-a"), (13, "edi-a")], &agents);
     sleep(ms(500));
-    let _backends = [31, 32, 33].map(|host| stage.start_backend(host, ms(0)));
+    let _backends: Vec<Backend> = agents
+        .iter()
+        .map(|agent| stage.start_backend(agent.0, ms(0)))
+        .collect();
     stage.wait_ready(3);
-    let mut consumers = stage.consumers(vec![stage.fresh("edi-a", ms(4))]);
-    sleep(ms(3_000));
+    let mut consumers = stage.consumers(vec![stage.fresh("edi-a", ms(8))]);
+    sleep(ms(5_000));
     let watched = |host: u16| {
         stage
             .store
@@ -431,7 +429,7 @@
     }
     sleep(ms(20));
     let acked = stage.configure(5, "packs", 2.0, 0.0);
-    sleep(ms(6_000));
+    sleep(ms(9_000));
     consumers.stop();
     let log = consumers.log.lock().unwrap();
     let seen = stage.seen.lock().unwrap();
@@ -442,7 +440,7 @@
         .collect();
     let last = late.iter().max().copied().unwrap_or_default();
     stage.record.say(format!(
-        "answered {}, failed {}, refused {}; sent later than 3000 ms after the acknowledgement and run by the old service: {}, the last one {} ms after it",
+        "answered {}, failed {}, refused {}; sent later than 5000 ms after the acknowledgement and run by the old service: {}, the last one {} ms after it",
         log.answered,
         log.failed,
         log.refused,
@@ -486,6 +484,44 @@
     count_resets(&consumers, trouble.then_some(("balancer-11", woken)), stage)
 }
 
+/// A backend leaves in good order: planned work only.
+fn leaving(stage: &mut Stage, trouble: bool) -> usize {
+    stage.configure(3, "bookings", 2.0, 0.0);
+    stage.start(
+        &[(11, "edi-a"), (12, "edi-a"), (13, "edi-b")],
+        &[
+            (31, "edi-a", "bookings"),
+            (32, "edi-a", "bookings"),
+            (33, "edi-b", "bookings"),
+        ],
+    );
+    sleep(ms(500));
+    let first = stage.start_backend(31, ms(0));
+    let _others = [
+        stage.start_backend(32, ms(0)),
+        stage.start_backend(33, ms(0)),
+    ];
+    stage.wait_ready(3);
+    let mut consumers = stage.consumers(vec![stage.pool("edi-a", 60, ms(50), ms(9_000))]);
+    sleep(ms(6_000));
+    if trouble {
+        stage.record.say("backend-31 is draining");
+        first.drain();
+        sleep(ms(4_000));
+        stage.record.say("backend-31 stops listening over TCP");
+        first.stop_listening();
+        sleep(ms(5_000));
+        stage.record.say("backend-31 leaves");
+        first.leave();
+        sleep(ms(1_000));
+    } else {
+        sleep(ms(10_000));
+        drop(first);
+    }
+    consumers.stop();
+    count_resets(&consumers, None, stage)
+}
+
 /// Another writer sends one heartbeat for a service that is not named here.
 fn writer(stage: &mut Stage, trouble: bool) -> usize {
     stage.configure(3, "bookings", 2.0, 0.0);
@@ -529,6 +565,7 @@
         "cold" => cold(&mut stage, trouble),
         "watchers" => watchers(&mut stage, trouble),
         "late" => late(&mut stage, trouble),
+        "leaving" => leaving(&mut stage, trouble),
         "writer" => writer(&mut stage, trouble),
         _ => stage.fail("no such case"),
     };
