--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -510,7 +510,7 @@
         sleep(ms(4_000));
         stage.record.say("backend-31 stops listening over TCP");
         first.stop_listening();
-        sleep(ms(5_000));
+        sleep(ms(2_000));
         stage.record.say("backend-31 leaves");
         first.leave();
         sleep(ms(1_000));
