fix(core): do not take a flow that was only offered for one that was held

Cause: an opening packet was delivered to the backend server shortly before its end was noticed. The caller's copy opened the flow at another agent. Flows::end_all marked the first offer as Ended, as if the backend server had held the flow, and the agent reset it at the next lookup. The owner's record was ignored in the states Offered and Ended.

Why this works: only a flow that was open at the backend server ends with it. An offer, or an answer that no caller has acknowledged, shows nothing about the flow; it is denied to searches, and looked up otherwise. Owner records are kept in every state but Open. A packet that comes back before the handshake is acknowledged resets nothing.

The exploration leaves out answers to a caller that has chosen one already; it ignores them.

--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -132,8 +132,8 @@
         let state = self.flows.get(&packet.flow);
         let is_closed = state.is_some_and(FlowState::is_closed);
         match state.map(|s| s.ownership).unwrap_or_default() {
-            Ownership::HalfOpen { .. } | Ownership::Open if is_closed => {}
-            Ownership::HalfOpen { .. } | Ownership::Open | Ownership::Ended => {
+            Ownership::Open if is_closed => {}
+            Ownership::Open | Ownership::Ended => {
                 self.flows
                     .update(&packet.flow, |s| s.ownership = Ownership::Ended);
                 let age = self.backend.age(now);
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -309,13 +309,10 @@
 }
 
 impl FlowState {
-    /// Stores the owner that another agent reported; returns the time of the last search if the
-    /// owner was unknown.
+    /// Stores the owner that another agent reported, unless the local backend server holds the flow;
+    /// returns the time of the last search if the owner was unknown.
     fn apply_owner_record(&mut self, record: &OwnerRecord, now: Millis) -> Option<Millis> {
-        if matches!(
-            self.ownership,
-            Ownership::Open | Ownership::Offered | Ownership::Ended
-        ) {
+        if self.ownership == Ownership::Open {
             return None;
         }
         let is_new = !matches!(self.ownership, Ownership::Remote { owner: Some(_) });
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -35,10 +35,23 @@
         /// The agent that owns the flow and the boot of its backend server, if known.
         owner: Option<(Ipv4Addr, BootId)>,
     },
-    /// The backend server held the flow, and has ended or lost it.
+    /// The backend server held the flow, and has ended or lost it. A flow that it was only offered, or
+    /// whose caller did not acknowledge its answer, never gets here: it may be open elsewhere.
     Ended,
 }
 
+impl Ownership {
+    /// What is known of a flow once the backend server has ended.
+    const fn after_end(self) -> Self {
+        match self {
+            Self::Open => Self::Ended,
+            Self::Offered | Self::HalfOpen { .. } => Self::Remote { owner: None },
+            Self::Trial { .. } => Self::Unknown,
+            Self::Unknown | Self::Remote { .. } | Self::Ended => self,
+        }
+    }
+}
+
 /// State of one flow in [`Flows`].
 #[derive(Clone, Debug, Default)]
 pub struct FlowState {
@@ -138,13 +151,7 @@
             if state.ownership == Ownership::Open && !state.is_closed() {
                 ended.push(*flow);
             }
-            state.ownership = match state.ownership {
-                Ownership::Offered | Ownership::HalfOpen { .. } | Ownership::Open => {
-                    Ownership::Ended
-                }
-                Ownership::Trial { .. } => Ownership::Unknown,
-                other => other,
-            };
+            state.ownership = state.ownership.after_end();
         }
         self.open_count = 0;
         self.waiting_count = 0;
--- a/buckthornlink-core/tests/datagram_interleavings.rs
+++ b/buckthornlink-core/tests/datagram_interleavings.rs
@@ -32,6 +32,8 @@
     Unknown,
     HalfOpen,
     Open,
+    /// The backend server has ended and answers nothing.
+    Ended,
 }
 
 /// A packet or message in transit.
@@ -40,6 +42,8 @@
     Packet(Ipv4Addr, Source, Packet),
     Message(Ipv4Addr, Ipv4Addr, Message),
     ToCaller(Packet),
+    /// The backend server beside an agent ends, and the agent notices.
+    End(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -184,6 +188,11 @@
                 self.perform(to, &data(1), effects);
             }
             InFlight::ToCaller(packet) => self.handle_at_caller(&packet),
+            InFlight::End(index) => {
+                self.backend_flows[index] = BackendFlow::Ended;
+                let effects = self.reduce(AGENTS[index], Event::BackendAbsent);
+                self.perform(AGENTS[index], &data(1), effects);
+            }
         }
     }
 
@@ -196,6 +205,7 @@
                         .push(InFlight::Packet(to, Source::Peer(ip), packet));
                 }
                 Effect::Deliver(tag) => self.handle_at_backend(ip, Packet { tag, ..*packet }),
+                Effect::SendToCaller if self.acknowledged.is_some() => {}
                 Effect::SendToCaller => self.wire.push(InFlight::ToCaller(*packet)),
                 Effect::Reset { .. } => self.resets += 1,
                 Effect::Send { to, message } => self.wire.push(InFlight::Message(to, ip, message)),
@@ -207,6 +217,9 @@
     /// A backend server handles a packet and sends its response to its agent.
     fn handle_at_backend(&mut self, ip: Ipv4Addr, mut packet: Packet) {
         let index = AGENTS.iter().position(|&a| a == ip).unwrap();
+        if self.backend_flows[index] == BackendFlow::Ended {
+            return;
+        }
         let is_acknowledged = packet.ack == syn_ack_seq(index) + 1;
         let response = if packet.is_opening() {
             if self.backend_flows[index] == BackendFlow::Unknown {
@@ -400,3 +413,22 @@
         assert_eq!(lost, 0, "{restarted}");
     }
 }
+
+/// Guards against the reset of a living flow whose opening packet also reached another backend server,
+/// which ends at any moment before or after its answer.
+#[test]
+fn the_end_of_a_backend_server_that_was_only_offered_a_flow_resets_nothing() {
+    for (owner, other) in [(0, 1), (1, 2), (2, 0)] {
+        let mut world = World::open_at(owner);
+        let mut copy = opening(1);
+        copy.tag = RelayTag::new(buckthornlink_core::datagram::Mode::Placed, BALANCERS[0]);
+        let from = Source::Peer(BALANCERS[0]);
+        world.deliver(InFlight::Packet(AGENTS[other], from, copy));
+        world.wire.push(InFlight::End(other));
+        world.entry_balancer = 1;
+        world.send(data_to(owner));
+        let [states, delivered, lost] = explore(world, 0);
+        assert!(states > 10 && delivered > 0, "{owner}, {other}: {states}");
+        assert_eq!(lost, 0, "{owner}, {other}");
+    }
+}
