--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -92,13 +92,17 @@
     MemberChanged,
     /// An instance is no longer heard from and is suspected to have failed.
     MemberLost,
+    /// The instance began to watch the store; the age is that of what it knows of the store.
+    WatchStarted,
+    /// The instance stopped watching the store, as enough others do.
+    WatchStopped,
     /// The phase that this agent reports changed: its backend server's phase did, or it is leaving.
     BackendChanged,
 }
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 33] = [
         Self::Placed,
         Self::PlacedAgain,
         Self::HandedOn,
@@ -129,6 +133,8 @@
         Self::ZoneIgnored,
         Self::MemberChanged,
         Self::MemberLost,
+        Self::WatchStarted,
+        Self::WatchStopped,
         Self::BackendChanged,
     ];
 
@@ -171,6 +177,8 @@
             Self::ZoneIgnored => "zone_ignored",
             Self::MemberChanged => "member_changed",
             Self::MemberLost => "member_lost",
+            Self::WatchStarted => "watch_started",
+            Self::WatchStopped => "watch_stopped",
             Self::BackendChanged => "backend_changed",
         }
     }
