fix(core): admit nothing to a cold backend server while the last second is not known

Cause: the count of the admissions of the last second ended with its process, and was emptied when the backend server restarted. An empty count was taken for a second without admissions.

Evidence: the backend server ran 20 requests in the second before the kill and 23 in the second after it; neither process admitted more than its limit of 22 in a second.

Why this works: the process knows since when it counts. Until that is a full second, a cold backend server gets nothing, so no second holds the admissions of two processes. Warm ones are not held back.

Tests before the fix: 24 flows in a second where 12 are allowed, after a restart of the agent and of the backend server.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -66,7 +66,7 @@
         Self {
             gossip: Gossip::new(setup, now),
             table: Arc::default(),
-            backend: Backend::default(),
+            backend: Backend::new(now),
             outcomes: Outcomes::default(),
             flows: Flows::default(),
             ended_flows: EndedFlows::default(),
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -52,7 +52,8 @@
     Ended,
 }
 
-/// The local backend server, as its heartbeats describe it.
+/// The local backend server, as its heartbeats describe it, and the flows that it was given. Those count
+/// for the boot after as well: a backend server that restarts within a second is the same to its callers.
 #[derive(Clone, Debug, Default)]
 pub struct Backend {
     id: String,
@@ -64,10 +65,22 @@
     cold_until: Millis,
     slots: u16,
     is_tracked: bool,
+    /// Since when this process has counted the admissions; before, another process may have admitted
+    /// flows.
+    counted_since: Millis,
     admissions: VecDeque<Millis>,
 }
 
 impl Backend {
+    /// A backend server of which a process that starts now knows nothing.
+    #[must_use]
+    pub fn new(now: Millis) -> Self {
+        Self {
+            counted_since: now,
+            ..Self::default()
+        }
+    }
+
     /// Applies a heartbeat; returns whether it is newer than the known state.
     pub fn receive_heartbeat(&mut self, heartbeat: &BackendHeartbeat, now: Millis) -> bool {
         let Some(boot) = self.boot_of(heartbeat) else {
@@ -159,9 +172,11 @@
         }
     }
 
-    /// Whether a cold start that allows `limit` new flows per second allows one more.
+    /// Whether a cold start that allows `limit` new flows per second allows one more. It does not while
+    /// the admissions of the last second are not all known.
     pub fn has_cold_capacity(&mut self, limit: usize, now: Millis) -> bool {
-        self.recent_admissions(now) < limit
+        let is_counted = now.since(self.counted_since) > ADMISSION_WINDOW;
+        is_counted && self.recent_admissions(now) < limit
     }
 
     /// Flows admitted within the last second, at most 255.
@@ -207,6 +222,5 @@
         self.boot = boot;
         self.service = heartbeat.service;
         self.state = BackendState::Ready;
-        self.admissions.clear();
     }
 }
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -151,8 +151,12 @@
 impl AgentDriver {
     /// An agent with a configuration but without a heartbeat of its backend server.
     pub fn without_backend() -> Self {
+        Self::started_at(Millis(10_000))
+    }
+
+    /// The same, in a process that starts at `now`.
+    pub fn started_at(now: Millis) -> Self {
         let setup = setup(OWN, Role::Agent(service()));
-        let now = Millis(10_000);
         let agent = Agent::new(&setup, now);
         let mut driver = Self { agent, now };
         driver.reduce(Event::Table(Arc::new(table(1))));
--- /dev/null
+++ b/buckthornlink-core/tests/datagram_cold.rs
@@ -0,0 +1,87 @@
+//! The rate of new flows that a cold backend server gets, whatever ends and starts again beside it.
+
+mod datagram;
+
+use buckthornlink_core::Millis;
+use buckthornlink_core::datagram::{BackendHeartbeat, Effect, Mode};
+
+use datagram::{AgentDriver, heartbeat, opening};
+
+/// New flows in a second that the configuration of the test drivers allows a cold backend server: its
+/// rate and a burst of two.
+const LIMIT: usize = 12;
+const WINDOW: Millis = Millis(1_000);
+const HEARTBEAT_INTERVAL: Millis = Millis(1_200);
+const STEP: Millis = Millis(20);
+
+fn cold(seq: u64) -> BackendHeartbeat {
+    BackendHeartbeat {
+        cold: Millis(8_000),
+        ..heartbeat(seq)
+    }
+}
+
+/// Offers a flow every [`STEP`] until `end`; returns when the backend server got one.
+fn offer_until(agent: &mut AgentDriver, end: Millis) -> Vec<Millis> {
+    let mut delivered = Vec::new();
+    while agent.now < end {
+        agent.now = agent.now + STEP;
+        if agent.now.0.is_multiple_of(HEARTBEAT_INTERVAL.0) {
+            agent.heartbeat(cold(agent.now.0));
+        }
+        let port = u16::try_from(agent.now.0 / STEP.0).unwrap();
+        let effects = agent.packet_from_peer(opening(port), Mode::Placed);
+        let is_delivered = effects.iter().any(|e| matches!(e, Effect::Deliver(_)));
+        delivered.extend(is_delivered.then_some(agent.now));
+    }
+    delivered
+}
+
+/// Maximum of deliveries in any second.
+fn most_in_a_second(delivered: &[Millis]) -> usize {
+    let in_window = |from: &Millis| {
+        let is_inside = |at: &&Millis| **at >= *from && **at < *from + WINDOW;
+        delivered.iter().filter(is_inside).count()
+    };
+    delivered.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// Guards against a cold backend server that gets its rate twice in a second, as its agent ends and the
+/// next process does not know what was admitted.
+#[test]
+fn a_restarted_agent_does_not_admit_the_rate_of_the_same_second_again() {
+    for (seq, restart) in [(2, 10), (2, 150), (40, 400), (1, 150)] {
+        let mut agent = AgentDriver::ready();
+        agent.heartbeat(cold(2));
+        let killed_at = agent.now + Millis(3_300);
+        let mut delivered = offer_until(&mut agent, killed_at);
+        let mut next = AgentDriver::started_at(killed_at + Millis(restart));
+        next.heartbeat(cold(seq));
+        delivered.extend(offer_until(&mut next, killed_at + Millis(3_000)));
+        assert!(delivered.len() >= 4 * LIMIT, "{seq}, {restart}");
+        assert_eq!(most_in_a_second(&delivered), LIMIT, "{seq}, {restart}");
+    }
+}
+
+/// Guards against the same after a quick restart of the backend server itself.
+#[test]
+fn a_restarted_backend_server_does_not_get_the_rate_of_the_same_second_again() {
+    let mut agent = AgentDriver::ready();
+    agent.heartbeat(cold(2));
+    let restarted_at = agent.now + Millis(1_300);
+    let mut delivered = offer_until(&mut agent, restarted_at);
+    agent.heartbeat(BackendHeartbeat {
+        born: Some(9_000),
+        ..cold(1)
+    });
+    delivered.extend(offer_until(&mut agent, restarted_at + Millis(3_000)));
+    assert_eq!(most_in_a_second(&delivered), LIMIT);
+}
+
+#[test]
+fn a_restarted_agent_does_not_hold_a_warm_backend_server_back() {
+    let mut agent = AgentDriver::without_backend();
+    agent.heartbeat(heartbeat(40));
+    let end = agent.now + STEP;
+    assert_eq!(offer_until(&mut agent, end).len(), 1);
+}
