fix(core): do not take refused connections for the end of a backend server that may be leaving

Cause: two refused connections were taken for the end of the backend server, whatever its heartbeats said. One that is leaving closes its port and serves its flows on. An agent that starts beside it has heard no heartbeat and cannot tell.

Why this works: only a ready backend server's refusals stand alone, as it accepts connections while it runs. For one that is draining or unknown, heartbeats and packets must have been missing for 2.5 intervals as well. The monitor reports refusals again, so that this is noticed.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -202,7 +202,7 @@
     }
 
     fn mark_backend_absent(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if self.backend.mark_absent() {
+        if self.backend.mark_absent(self.heartbeat_interval, now) {
             self.end_flows(now);
             self.update_own_fact(now, out);
         }
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -45,6 +45,7 @@
 
     /// Handles a packet that the backend server sent or bounced.
     pub(super) fn handle_outbound(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        self.backend.record_packet(now);
         if packet.flags.bounced {
             self.handle_bounce(packet, now, out);
             return;
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -13,6 +13,10 @@
 /// Time without a heartbeat after which a backend server counts as silent, in tenths of the
 /// heartbeat interval.
 const SILENCE_TIMEOUT_TENTHS: u64 = 16;
+/// Time without a heartbeat or packet after which a backend server that may be leaving, and to which
+/// connections are refused, counts as absent, in tenths of the heartbeat interval: two heartbeats are
+/// missing.
+const ABSENCE_TIMEOUT_TENTHS: u64 = 25;
 /// Sequence number of the heartbeat with which a backend server starts. A process that hears a later one
 /// first may have a predecessor that admitted flows.
 const FIRST_SEQ: u64 = 1;
@@ -46,7 +50,7 @@
     Ready,
     /// It is leaving and accepts no new flows.
     Draining,
-    /// Nothing listens at its address.
+    /// Nothing listens at its address, and nothing else shows that it runs.
     Absent,
     /// Its end has been reported.
     Ended,
@@ -62,6 +66,8 @@
     service: ServiceTag,
     state: BackendState,
     last_heartbeat: Millis,
+    /// When it last sent a heartbeat or a packet; at first, when this process started.
+    last_sign: Millis,
     cold_until: Millis,
     slots: u16,
     is_tracked: bool,
@@ -77,6 +83,7 @@
     pub fn new(now: Millis) -> Self {
         Self {
             counted_since: now,
+            last_sign: now,
             ..Self::default()
         }
     }
@@ -91,6 +98,7 @@
         }
         self.seq = heartbeat.seq;
         self.last_heartbeat = now;
+        self.last_sign = now;
         self.slots = heartbeat.slots;
         self.cold_until = now + heartbeat.cold;
         self.state = if heartbeat.draining || self.state == BackendState::Draining {
@@ -110,12 +118,26 @@
         is_current
     }
 
-    /// Records that nothing listens at the backend server's address; returns whether this was
-    /// unknown.
+    /// Records a packet from the backend server, which shows that it runs.
+    pub const fn record_packet(&mut self, now: Millis) {
+        self.last_sign = now;
+    }
+
+    /// Records that connections to the backend server's address are refused; returns whether it counts
+    /// as absent now and did not before.
+    ///
+    /// One that is ready accepts connections as long as it runs. One that is leaving may stop earlier and
+    /// serve its flows on, and a process that has heard no heartbeat yet cannot tell the two apart. In
+    /// both cases, heartbeats and packets have to be missing as well.
     ///
     /// A later heartbeat of the same boot reverts this.
-    pub fn mark_absent(&mut self) -> bool {
-        let is_new = !matches!(self.state, BackendState::Absent | BackendState::Ended);
+    pub fn mark_absent(&mut self, interval: Millis, now: Millis) -> bool {
+        let timeout = Millis(interval.0 * ABSENCE_TIMEOUT_TENTHS / 10);
+        let is_new = match self.state {
+            BackendState::Ready => true,
+            BackendState::Unknown | BackendState::Draining => now.since(self.last_sign) > timeout,
+            BackendState::Absent | BackendState::Ended => false,
+        };
         if is_new {
             self.state = BackendState::Absent;
         }
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -40,7 +40,7 @@
     StoreReachable(bool),
     /// The backend server sent a heartbeat.
     BackendHeartbeat(BackendHeartbeat),
-    /// Nothing listens at the backend server's address.
+    /// Connections to the backend server's address are refused; reported again while they are.
     BackendAbsent,
     /// The backend server with this id has ended.
     BackendEnded(String),
--- a/buckthornlink-core/tests/datagram_search.rs
+++ b/buckthornlink-core/tests/datagram_search.rs
@@ -63,6 +63,7 @@
 #[test]
 fn an_agent_without_a_backend_server_denies_searched_flows() {
     let mut agent = AgentDriver::without_backend();
+    agent.now = agent.now + Millis(3_100);
     agent.reduce(Event::BackendAbsent);
     let next = agent.packet_from_peer(data(1), Mode::Search);
     assert!(
--- a/buckthornlink-datagram/src/backend_monitor.rs
+++ b/buckthornlink-datagram/src/backend_monitor.rs
@@ -2,7 +2,7 @@
 //!
 //! An idle TCP connection to the backend server is kept open. When it closes, new connection
 //! attempts show whether anything still listens. The connection is replaced at intervals, since it may
-//! have fallen silent.
+//! have fallen silent. What refused connections mean is decided by the reducer.
 
 use std::io;
 use std::net::SocketAddrV4;
@@ -27,7 +27,7 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum delay between connection attempts while nothing listens.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Consecutive refused connections after which the backend server counts as absent.
+/// Consecutive refused connections from which on they are reported.
 const ABSENT_REFUSALS: u32 = 2;
 
 /// Monitors the backend server at `addr`. Never returns.
@@ -52,6 +52,8 @@
                         addr:% = addr;
                         "nothing listens at the backend server"
                     );
+                }
+                if refusals >= ABSENT_REFUSALS {
                     handle.send(Event::BackendAbsent);
                 }
             }
--- a/buckthornlink-datagram/tests/unit/backend_monitor.rs
+++ b/buckthornlink-datagram/tests/unit/backend_monitor.rs
@@ -26,3 +26,20 @@
     assert!(matches!(input, Ok(Ok(Input::Event(Event::BackendAbsent)))));
     drop(silent_connection);
 }
+
+/// Guards against a backend server that is draining when its port closes, and whose end is never noticed
+/// because the refusals are reported only once.
+#[tokio::test]
+async fn refused_connections_are_reported_again() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
+        unreachable!("the address is of version 4")
+    };
+    drop(listener);
+    let (sender, inputs) = flume::unbounded();
+    tokio::spawn(monitor(addr, LIFETIME, ReducerHandle::new(sender)));
+    for _ in 0..2 {
+        let input = timeout(MAX_DETECTION_TIME, inputs.recv_async()).await;
+        assert!(matches!(input, Ok(Ok(Input::Event(Event::BackendAbsent)))));
+    }
+}
