fix(core): keep an open flow open when its backend server answers a late opening packet

Cause: any answer to an opening packet made an open flow half-open. The caller's next acknowledgement was too far ahead to open it again, so the agent searched for its own backend server's flow and reset it once all others had denied it.

Why this works: answers to opening packets change nothing about an open flow.

--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -27,6 +27,7 @@
                 self.flows.update(&packet.flow, |s| {
                     s.ownership = Ownership::Open;
                     s.opened_at = now;
+                    s.handshake = Some(seq);
                 });
                 self.deliver(from, packet, now, out);
             }
@@ -123,17 +124,21 @@
 
     /// Handles a packet that the backend server did not accept.
     fn handle_bounce(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let state = self.flows.get(&packet.flow);
         if packet.is_opening() {
-            self.flows.remove(&packet.flow);
+            if !state.is_some_and(FlowState::is_established) {
+                self.flows.remove(&packet.flow);
+            }
             if !packet.tag.origin.is_unspecified() {
                 self.return_to_balancer(packet, Reason::Bounced, now, out);
             }
             return;
         }
-        let state = self.flows.get(&packet.flow);
         let is_closed = state.is_some_and(FlowState::is_closed);
+        let is_reoffered = state.is_some_and(|s| s.is_reoffered);
         match state.map(|s| s.ownership).unwrap_or_default() {
             Ownership::Open if is_closed => {}
+            Ownership::Open if is_reoffered => self.handle_failed_trial(None, packet, now, out),
             Ownership::Open | Ownership::Ended => {
                 self.flows
                     .update(&packet.flow, |s| s.ownership = Ownership::Ended);
@@ -203,8 +208,15 @@
 
     /// Records a packet from the backend server, which shows that it holds the flow; returns the
     /// time to answer if this is the first answer to the opening packet or to a request.
+    ///
+    /// A late copy of the opening packet makes the backend server of an open flow answer once more, which
+    /// changes nothing.
     fn record_backend_packet(&mut self, packet: &Packet, now: Millis) -> Option<(Measure, Millis)> {
         self.last_seen = now;
+        if packet.flags.syn && self.is_established() {
+            self.is_reoffered |= self.handshake != Some(packet.seq);
+            return None;
+        }
         if packet.flags.syn {
             let is_first = self.ownership == Ownership::Offered;
             self.ownership = Ownership::HalfOpen { seq: packet.seq };
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -81,6 +81,11 @@
     pub denied_by: BTreeSet<Ipv4Addr>,
     /// Whether the caller was sent a reset.
     pub was_reset: bool,
+    /// Sequence number of the answer with which the flow opened, if this process saw that.
+    pub handshake: Option<u32>,
+    /// Whether the backend server answered an opening packet anew while the flow was open. The caller may
+    /// have begun another flow, with another backend server.
+    pub is_reoffered: bool,
     /// Last acknowledgement number from the caller.
     pub last_ack: u32,
 }
@@ -148,7 +153,7 @@
     pub fn end_all(&mut self) -> Vec<Flow> {
         let mut ended = Vec::new();
         for (flow, state) in &mut self.states {
-            if state.ownership == Ownership::Open && !state.is_closed() {
+            if state.is_established() {
                 ended.push(*flow);
             }
             state.ownership = state.ownership.after_end();
@@ -186,9 +191,7 @@
 
     /// Returns the open flows that are not closed on both sides.
     pub fn iter_established(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
-        self.states
-            .iter()
-            .filter(|(_, s)| s.ownership == Ownership::Open && !s.is_closed())
+        self.states.iter().filter(|(_, s)| s.is_established())
     }
 }
 
@@ -199,6 +202,12 @@
         self.closed_sides[0] && self.closed_sides[1]
     }
 
+    /// Whether the backend server holds the flow and neither side has closed it for good.
+    #[must_use]
+    pub fn is_established(&self) -> bool {
+        self.ownership == Ownership::Open && !self.is_closed()
+    }
+
     /// Whether the flow counts as open, and as waiting.
     const fn counts(&self) -> (bool, bool) {
         let is_open = matches!(
