--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -177,6 +177,11 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        if !self.is_known_service(heartbeat.service) {
+            let age = self.backend.age(now);
+            out.push(self.decision(Reason::HeartbeatIgnored, None, age));
+            return;
+        }
         let boot = self.backend.boot();
         if !self.backend.receive_heartbeat(heartbeat, now) {
             return;
@@ -194,6 +199,12 @@
         }
     }
 
+    /// Whether a service is the one of this agent's settings or of its backend server, or is configured.
+    fn is_known_service(&self, service: ServiceTag) -> bool {
+        let own = self.gossip.own().service();
+        own == Some(service) || self.table.services.contains_key(&service)
+    }
+
     fn end_backend(&mut self, id: &str, now: Millis, out: &mut Vec<Effect>) {
         if self.backend.mark_ended(id) {
             self.end_flows(now);
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -92,6 +92,8 @@
     MemberChanged,
     /// An instance is no longer heard from and is suspected to have failed.
     MemberLost,
+    /// A heartbeat names a service that is not configured, so it comes from another writer.
+    HeartbeatIgnored,
     /// The instance began to watch the store; the age is that of what it knows of the store.
     WatchStarted,
     /// The instance stopped watching the store, as enough others do.
@@ -102,7 +104,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 34] = [
         Self::Placed,
         Self::PlacedAgain,
         Self::HandedOn,
@@ -133,6 +135,7 @@
         Self::ZoneIgnored,
         Self::MemberChanged,
         Self::MemberLost,
+        Self::HeartbeatIgnored,
         Self::WatchStarted,
         Self::WatchStopped,
         Self::BackendChanged,
@@ -177,6 +180,7 @@
             Self::ZoneIgnored => "zone_ignored",
             Self::MemberChanged => "member_changed",
             Self::MemberLost => "member_lost",
+            Self::HeartbeatIgnored => "heartbeat_ignored",
             Self::WatchStarted => "watch_started",
             Self::WatchStopped => "watch_stopped",
             Self::BackendChanged => "backend_changed",
