fix(core): open a flow only on the acknowledgement of the handshake answer itself

What callers could see: two backend servers answer copies of one opening packet. If their numbers lie within 1 MiB (once in 4,096 pairs), the packets of the flow that opened at one also opened it at the other, whose agent reset it when they came back.

Cause: an agent took any acknowledgement less than 1 MiB ahead of its backend server's answer for one of that answer.

Why this works: a backend server sends nothing between its answer and the packet that acknowledges it, so the number is exact.

Test before the fix: an_acknowledgement_of_a_nearby_number_does_not_open_the_flow failed.

--- a/buckthornlink-core/src/datagram/packet.rs
+++ b/buckthornlink-core/src/datagram/packet.rs
@@ -6,10 +6,6 @@
 
 use super::Flow;
 
-/// Acknowledgement numbers within this distance after the sequence number of a handshake answer
-/// acknowledge it.
-const HANDSHAKE_WINDOW: u32 = 1 << 20;
-
 /// The fields of a packet that decisions depend on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Packet {
@@ -95,11 +91,22 @@
         self.seq.wrapping_add(self.len as u32)
     }
 
-    /// Whether the packet acknowledges a backend server's handshake answer with sequence number
-    /// `seq`.
+    /// Whether the packet acknowledges a backend server's handshake answer with sequence number `seq`,
+    /// and nothing after it: the backend server sends nothing more until it has received this packet.
+    ///
+    /// ```
+    /// # use buckthornlink_core::datagram::{Flags, Flow, Packet, RelayTag};
+    /// # let caller = "100.64.0.7:40001".parse().unwrap();
+    /// # let route = "198.18.0.1:443".parse().unwrap();
+    /// let flags = Flags { ack: true, ..Flags::default() };
+    /// let flow = Flow { caller, route };
+    /// let packet = Packet { flow, flags, seq: 1, ack: 501, len: 0, tag: RelayTag::direct() };
+    /// assert!(packet.acknowledges(500));
+    /// assert!(!packet.acknowledges(400));
+    /// ```
     #[must_use]
     pub const fn acknowledges(&self, seq: u32) -> bool {
-        self.flags.ack && self.ack.wrapping_sub(seq) < HANDSHAKE_WINDOW
+        self.flags.ack && self.ack == seq.wrapping_add(1)
     }
 
     /// The tag with which the packet is relayed to another instance.
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -68,6 +68,20 @@
     );
 }
 
+/// Guards against the reset of a flow that opened elsewhere, at a backend server whose numbers begin near those
+/// of this one: its packets would come back from here, and be taken for those of a lost flow.
+#[test]
+fn an_acknowledgement_of_a_nearby_number_does_not_open_the_flow() {
+    let mut agent = AgentDriver::ready();
+    agent.packet_from_peer(opening(1), Mode::Placed);
+    agent.packet_from_backend(syn_ack(1, 400));
+    let next = agent.packet_from_peer(data(1), Mode::Placed);
+    assert!(
+        !next.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{next:?}"
+    );
+}
+
 #[test]
 fn a_packet_of_a_flow_with_an_owner_record_is_relayed_to_the_owner() {
     let mut agent = AgentDriver::ready();
