fix(core): do not take the listed agents for all while an instance knows more

What callers could see: a reset of a living flow whose agent is too young for the lists in the store, shortly after all instances have returned.

Cause: the lists lag by a second, or by more when read stale, and the condition that nobody knows more instances was applied to the path without the store only.

--- a/buckthornlink-core/src/datagram/gossip/discovery.rs
+++ b/buckthornlink-core/src/datagram/gossip/discovery.rs
@@ -42,15 +42,15 @@
 
     /// Whether all agents that may hold flows are known.
     ///
-    /// That is so once every agent with an entry in the store is known, if there are at least two.
-    /// Without the store, or while it lists agents that have failed, it is so once the known
-    /// instances are stable, or `DISCOVERY_TIMEOUT` after the start.
+    /// That is so once every agent that the store lists is known, if there are at least two, and nobody
+    /// knows more instances: the lists are some time old. Without the store, or while it lists agents that
+    /// have failed, it is so once the known instances are stable, or [`DISCOVERY_TIMEOUT`] after the start.
     #[must_use]
     pub fn has_all_agents(&self, now: Millis) -> bool {
         let is_known = |ip: &Ipv4Addr| self.membership.get(*ip).is_some();
         let registered = self.registered.as_ref();
         let is_complete = registered.is_some_and(|ips| ips.len() > 1 && ips.iter().all(is_known));
-        is_complete
+        is_complete && self.knows_most()
             || self.is_membership_stable(now)
             || now.since(self.started_at) >= DISCOVERY_TIMEOUT
     }
@@ -60,10 +60,15 @@
         let others = self.membership.all_agents();
         let agents = others.filter(|m| m.fact.ip != self.own.ip).count();
         agents >= MIN_STABLE_AGENTS
-            && self.membership.len() >= self.max_known as usize
+            && self.knows_most()
             && now.since(self.last_new_member) >= STABLE_TIME
     }
 
+    /// Whether no other instance has said that it knows more instances.
+    fn knows_most(&self) -> bool {
+        self.membership.len() >= self.max_known as usize
+    }
+
     pub(super) fn insert_contacts(&mut self, ips: impl IntoIterator<Item = Ipv4Addr>) {
         for ip in ips {
             if ip != self.own.ip && !self.contacts.contains(&ip) {
