fix(core): stop to count as a watcher 2.2 s after the store's last answer

What callers could see: a change in force late in a deployment whose watchers all lose the store at once while others reach it.

Cause: a watcher said for 3.5 s after the last answer that it reaches the store; the shortest time for a change is 3 s.

Why this works: a watch is answered within 1.5 s, so 2.2 s pass only if the store is slow by 0.7 s or silent. Others join at once then.

Test before the fix: watchers_that_the_store_no_longer_answers_are_replaced_in_time failed (no join within 3 s).

--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -39,7 +39,7 @@
 const MAX_HEARTBEAT_AGE: Millis = Millis(3_500);
 /// A watcher that the store has not answered for this long no longer counts as one. Longer than a
 /// watch goes without an answer, and shorter than a change may take to be in force.
-const MAX_ANSWER_AGE: Millis = Millis(3_500);
+const MAX_ANSWER_AGE: Millis = Millis(2_200);
 
 /// This instance's own access to the store.
 #[derive(Clone, Copy, Debug)]
--- a/buckthornlink-core/tests/datagram_watchers.rs
+++ b/buckthornlink-core/tests/datagram_watchers.rs
@@ -147,6 +147,19 @@
     }
 }
 
+/// Guards against the same while the watchers live on, but the store no longer answers them.
+#[test]
+fn watchers_that_the_store_no_longer_answers_are_replaced_in_time() {
+    for (balancers, agents) in FLEETS {
+        let mut fleet = Fleet::start(balancers, agents);
+        fleet.cut_off = fleet.watching.clone();
+        let cut_at = fleet.now;
+        fleet.run(APPLY_TIME);
+        let is_in_time = is_replaced_in_time(&fleet, cut_at);
+        assert!(is_in_time, "{balancers}, {agents}: {:?}", fleet.joins);
+    }
+}
+
 /// Guards against calls to the store by instances that take living watchers for lost, and by many at
 /// once.
 #[test]
