--- a/buckthornlink-soak/src/endpoints.rs
+++ b/buckthornlink-soak/src/endpoints.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, interval, sleep_until};
+use tokio::time::{Instant, interval, sleep, sleep_until};
 
 use buckthornlink_adapter::Platform;
 use buckthornlink_core::Millis;
@@ -36,6 +36,8 @@
 const BOUNCED_FLAG: u8 = 8;
 /// Time for which a backend server keeps serving after it begins to drain.
 const BACKEND_DRAIN_PERIOD: Duration = Duration::from_millis(3_500);
+/// Time for which it goes on to accept TCP connections; it serves its flows for longer.
+const BACKEND_LISTEN_PERIOD: Duration = Duration::from_millis(1_200);
 
 /// The balancers that pass their readiness checks and get packets.
 #[derive(Clone, Debug, Default)]
@@ -287,6 +289,7 @@
                     BackendCommand::Replace(downtime) => {
                         self.backend.draining_since = Some(self.checker.now());
                         self.send_heartbeat();
+                        self.stop_listening();
                         end.get_or_insert((Instant::now() + BACKEND_DRAIN_PERIOD, downtime));
                     }
                 },
@@ -298,6 +301,15 @@
         }
     }
 
+    /// Closes the TCP port after [`BACKEND_LISTEN_PERIOD`].
+    fn stop_listening(&self) {
+        let listener = self.listener.abort_handle();
+        tokio::spawn(async move {
+            sleep(BACKEND_LISTEN_PERIOD).await;
+            listener.abort();
+        });
+    }
+
     fn shut_down(&self) {
         self.listener.abort();
         self.checker.set_live(self.boot, false);
