fix(core): check a new flow on the port of a closed one before it is admitted

What callers could see: a new flow that a draining backend server, or one of a zone out of service, gets all the same.

Cause: an opening packet of a flow that is known as open counted as a copy, also once both sides had closed that flow.

Test before the fix: a_new_flow_on_the_port_of_a_closed_one_is_checked_like_any_other failed.

--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of new flows.
 
 use super::Agent;
-use crate::datagram::{Effect, Mode, Ownership, Packet, Phase, Reason};
+use crate::datagram::{Effect, FlowState, Mode, Ownership, Packet, Phase, Reason};
 use crate::time::Millis;
 
 /// New flows per second that are admitted beyond the configured rate of a cold start.
@@ -17,11 +17,8 @@
 impl Agent {
     /// Delivers an opening packet to the backend server, or returns it to the balancer.
     pub(super) fn handle_opening(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
-        let ownership = self.flows.get(&packet.flow).map(|s| s.ownership);
-        let is_retransmission = matches!(
-            ownership,
-            Some(Ownership::Offered | Ownership::HalfOpen { .. } | Ownership::Open)
-        );
+        let state = self.flows.get(&packet.flow);
+        let is_retransmission = state.is_some_and(FlowState::is_offered);
         if !is_retransmission && let Some(reason) = self.refusal_reason(packet, now) {
             self.return_to_balancer(packet, reason, now, out);
             return;
@@ -31,7 +28,7 @@
             let age = self.backend.age(now);
             out.push(self.decision(Reason::Admitted, Some(packet.flow), age));
             self.flows.update(&packet.flow, |s| {
-                *s = crate::datagram::FlowState {
+                *s = FlowState {
                     ownership: Ownership::Offered,
                     opened_at: now,
                     ..Default::default()
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -208,12 +208,19 @@
         self.ownership == Ownership::Open && !self.is_closed()
     }
 
-    /// Whether the flow counts as open, and as waiting.
-    const fn counts(&self) -> (bool, bool) {
-        let is_open = matches!(
+    /// Whether the backend server was given the opening packet of a flow that has not ended since.
+    #[must_use]
+    pub const fn is_offered(&self) -> bool {
+        let is_given = matches!(
             self.ownership,
             Ownership::Offered | Ownership::HalfOpen { .. } | Ownership::Open
-        ) && !self.is_closed();
+        );
+        is_given && !self.is_closed()
+    }
+
+    /// Whether the flow counts as open, and as waiting.
+    const fn counts(&self) -> (bool, bool) {
+        let is_open = self.is_offered();
         (is_open, is_open && self.waiting_since.is_some())
     }
 }
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -172,3 +172,22 @@
     let accepted = agent.packet_from_backend(syn_ack(1, 900));
     assert!(accepted.contains(&Effect::SendToCaller), "{accepted:?}");
 }
+
+/// Guards against a new flow that a leaving backend server gets unchecked, because its caller uses the port of a
+/// flow that has closed.
+#[test]
+fn a_new_flow_on_the_port_of_a_closed_one_is_checked_like_any_other() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    let mut close = data(1);
+    close.flags.rst = true;
+    agent.packet_from_peer(close, Mode::Known);
+    let mut draining = heartbeat(2);
+    draining.draining = true;
+    agent.heartbeat(draining);
+    let refused = agent.packet_from_peer(opening(1), Mode::Placed);
+    assert!(
+        !refused.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{refused:?}"
+    );
+}
