--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -4,6 +4,7 @@
 mod discovery;
 mod exchange;
 mod publication;
+mod standby;
 mod store_access;
 mod zone_sync;
 
@@ -23,6 +24,7 @@
 use catch_up::CatchUp;
 use publication::Publication;
 pub use publication::ZoneMembers;
+use standby::Standby;
 use store_access::StoreAccess;
 use zone_sync::ZoneSync;
 
@@ -65,6 +67,7 @@
     contacts: Vec<Ipv4Addr>,
     registered: Option<Vec<Ipv4Addr>>,
     store_access: StoreAccess,
+    standby: Standby,
     publication: Publication,
     fact_queue: VecDeque<QueuedFact>,
     member_changes: u64,
@@ -113,6 +116,7 @@
             contacts: Vec::new(),
             registered: None,
             store_access: StoreAccess::new(now),
+            standby: Standby::default(),
             publication: Publication::default(),
             fact_queue: VecDeque::new(),
             member_changes: 0,
