--- a/buckthornlink-core/src/datagram/gossip/discovery.rs
+++ b/buckthornlink-core/src/datagram/gossip/discovery.rs
@@ -44,7 +44,7 @@
     ///
     /// That is so once every agent that the store lists is known, if there are at least two, and nobody
     /// knows more instances: the lists are some time old. Without the store, or while it lists agents that
-    /// have failed, it is so once the known instances are stable, or [`DISCOVERY_TIMEOUT`] after the start.
+    /// have failed, it is so once the known instances are stable, or `DISCOVERY_TIMEOUT` after the start.
     #[must_use]
     pub fn has_all_agents(&self, now: Millis) -> bool {
         let is_known = |ip: &Ipv4Addr| self.membership.get(*ip).is_some();
