feat(core,datagram): log what each end of a flow rests on

Cause: 'backend_over' was one word for an announced end, refused connections, another boot and another agent's report, and its age was the age of four different things. Change: each decision that ends a flow, and 'backend_changed', name their evidence, its basis (observed, announced, inferred, reported) and its age; flow_ends_total counts resets by evidence; 'explain' prints them. No decision differs.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -17,9 +17,9 @@
 use std::sync::Arc;
 
 use super::{
-    Backend, BackendHeartbeat, Decision, Effect, Event, Fact, Flow, FlowCounts, Flows, Gossip,
-    Load, Message, Outcomes, OwnerRecord, Packet, Phase, Reason, Reducer, Role, ServiceTag, Setup,
-    Source, Status, Table,
+    Backend, BackendHeartbeat, Decision, Effect, Event, Evidence, Fact, Flow, FlowCounts, Flows,
+    Gossip, Load, Message, Outcomes, OwnerRecord, Packet, Phase, Reason, Reducer, Role, ServiceTag,
+    Setup, Source, Status, Table,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -189,7 +189,7 @@
         let is_known = boot != BootId::default();
         let has_restarted = self.backend.boot() != boot;
         if is_known && has_restarted {
-            self.end_flows(now);
+            self.end_flows(Evidence::Replaced, now);
             self.outcomes.clear();
         }
         self.update_own_fact(now, out);
@@ -206,15 +206,15 @@
     }
 
     fn end_backend(&mut self, id: &str, now: Millis, out: &mut Vec<Effect>) {
-        if self.backend.mark_ended(id) {
-            self.end_flows(now);
+        if self.backend.mark_ended(id, now) {
+            self.end_flows(Evidence::Announced, now);
             self.update_own_fact(now, out);
         }
     }
 
     fn mark_backend_absent(&mut self, now: Millis, out: &mut Vec<Effect>) {
         if self.backend.mark_absent(self.heartbeat_interval, now) {
-            self.end_flows(now);
+            self.end_flows(Evidence::ConnectionsRefused, now);
             self.update_own_fact(now, out);
         }
     }
@@ -266,8 +266,10 @@
             self.gossip.set_own(fact, now, out);
         }
         if old.phase != fact.phase {
+            let evidence = self.backend.end_evidence(now);
             let age = self.backend.age(now);
-            out.push(self.decision(Reason::BackendChanged, None, age));
+            let basis = evidence.map_or((None, age), |(evidence, age)| (Some(evidence), age));
+            out.push(self.end_decision(Reason::BackendChanged, None, basis));
         }
     }
 
@@ -340,6 +342,25 @@
             version: self.table.version,
             age,
             phase: Some(self.gossip.own().phase),
+            evidence: None,
+        })
+    }
+
+    /// Returns the log entry of a decision that rests on evidence of this age.
+    fn end_decision(
+        &self,
+        reason: Reason,
+        flow: Option<Flow>,
+        (evidence, age): (Option<Evidence>, Millis),
+    ) -> Effect {
+        Effect::Log(Decision {
+            reason,
+            flow,
+            peer: None,
+            version: self.table.version,
+            age,
+            phase: Some(self.gossip.own().phase),
+            evidence,
         })
     }
 }
--- a/buckthornlink-core/src/datagram/agent/ended.rs
+++ b/buckthornlink-core/src/datagram/agent/ended.rs
@@ -4,7 +4,7 @@
 //! not be repeated unless it is idempotent.
 
 use super::Agent;
-use crate::datagram::{Effect, Flow, Ownership, Reason};
+use crate::datagram::{Effect, Evidence, Flow, Ownership, Reason};
 use crate::time::Millis;
 
 /// Time for which answers that the backend server sent before its end may still arrive.
@@ -15,14 +15,22 @@
 pub(super) struct EndedFlows {
     flows: Vec<Flow>,
     ended_at: Millis,
+    evidence: Option<Evidence>,
 }
 
 impl Agent {
     /// Marks all flows of the backend server's last boot as ended; their callers are told shortly.
-    pub(super) fn end_flows(&mut self, now: Millis) {
+    pub(super) fn end_flows(&mut self, evidence: Evidence, now: Millis) {
         let ended = self.flows.end_all();
         self.ended_flows.flows.extend(ended);
         self.ended_flows.ended_at = now;
+        self.ended_flows.evidence = Some(evidence);
+    }
+
+    /// What showed that the backend server of ended flows has ended, and how long ago.
+    pub(super) fn ended_flows_evidence(&self, now: Millis) -> (Option<Evidence>, Millis) {
+        let ended = &self.ended_flows;
+        (ended.evidence, now.since(ended.ended_at))
     }
 
     /// Resets the flows that have ended, once no answer is on its way any more.
@@ -41,7 +49,8 @@
             let seq = state.last_ack;
             self.flows.update(&flow, |s| s.was_reset = true);
             let age = now.since(self.ended_flows.ended_at);
-            out.push(self.decision(Reason::BackendOver, Some(flow), age));
+            let basis = (self.ended_flows.evidence, age);
+            out.push(self.end_decision(Reason::BackendOver, Some(flow), basis));
             out.push(Effect::Reset { flow, seq });
         }
     }
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -3,7 +3,9 @@
 use std::net::Ipv4Addr;
 
 use super::Agent;
-use crate::datagram::{Effect, Flow, FlowState, Measure, Message, Mode, Ownership, Packet, Reason};
+use crate::datagram::{
+    Effect, Evidence, Flow, FlowState, Measure, Message, Mode, Ownership, Packet, Reason,
+};
 use crate::time::Millis;
 
 /// Minimum interval between owner records of one flow that are sent because of its packets.
@@ -33,8 +35,8 @@
             }
             Ownership::Trial { .. } => out.push(Effect::Deliver(packet.tag)),
             Ownership::Ended => {
-                let age = self.backend.age(now);
-                out.push(self.decision(Reason::BackendOver, Some(packet.flow), age));
+                let basis = self.ended_flows_evidence(now);
+                out.push(self.end_decision(Reason::BackendOver, Some(packet.flow), basis));
                 self.reset_ended(packet, out);
             }
             Ownership::Remote { owner: Some(owner) } if owner.0 != from => {
@@ -142,8 +144,8 @@
             Ownership::Open | Ownership::Ended => {
                 self.flows
                     .update(&packet.flow, |s| s.ownership = Ownership::Ended);
-                let age = self.backend.age(now);
-                out.push(self.decision(Reason::FlowLost, Some(packet.flow), age));
+                let basis = (Some(Evidence::Bounced), Millis(0));
+                out.push(self.end_decision(Reason::FlowLost, Some(packet.flow), basis));
                 self.reset_ended(packet, out);
             }
             Ownership::Trial { requester } => self.handle_failed_trial(requester, packet, now, out),
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -5,8 +5,8 @@
 use super::Agent;
 use super::established::reset;
 use crate::datagram::{
-    Decision, Effect, Flow, FlowState, Measure, Message, Mode, OwnerRecord, Ownership, Packet,
-    Reason, RelayTag,
+    Decision, Effect, Evidence, Flow, FlowState, Measure, Message, Mode, OwnerRecord, Ownership,
+    Packet, Reason, RelayTag,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -60,7 +60,7 @@
     ) {
         let member = self.gossip.membership().get(owner.0);
         if member.is_some_and(|m| m.is_backend_over(owner.1)) {
-            out.push(self.decision(Reason::BackendOver, Some(packet.flow), Millis(0)));
+            out.push(self.reported_end_decision(&packet.flow, owner, now));
             out.push(reset(packet));
         } else if packet.tag.hops < RelayTag::MAX_HOPS {
             out.push(Effect::Relay {
@@ -156,6 +156,21 @@
             version: self.table.version,
             age,
             phase: member.map(|m| m.fact.phase),
+            evidence: None,
+        })
+    }
+
+    /// Returns the log entry of the reset of a flow whose owner reported the end of its backend server.
+    fn reported_end_decision(&self, flow: &Flow, owner: (Ipv4Addr, BootId), now: Millis) -> Effect {
+        let member = self.gossip.membership().get(owner.0);
+        Effect::Log(Decision {
+            reason: Reason::BackendOver,
+            flow: Some(*flow),
+            peer: Some(owner.0),
+            version: self.table.version,
+            age: member.map_or(Millis(0), |m| now.since(m.last_fact)),
+            phase: member.map(|m| m.fact.phase),
+            evidence: member.and_then(|m| m.end_evidence(owner.1)),
         })
     }
 
@@ -231,7 +246,8 @@
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
-            out.push(self.decision(Reason::DeniedByAll, Some(*flow), age));
+            let basis = (Some(Evidence::Denied), age);
+            out.push(self.end_decision(Reason::DeniedByAll, Some(*flow), basis));
             out.push(Effect::Reset { flow: *flow, seq });
             self.active_searches.remove(flow);
         }
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Phase, ServiceTag};
+use super::{Evidence, Phase, ServiceTag};
 use crate::id::BootId;
 use crate::time::Millis;
 
@@ -65,6 +65,8 @@
     seq: u64,
     service: ServiceTag,
     state: BackendState,
+    /// What showed its end, and when.
+    end: Option<(Evidence, Millis)>,
     last_heartbeat: Millis,
     /// When it last sent a heartbeat or a packet; at first, when this process started.
     last_sign: Millis,
@@ -110,10 +112,11 @@
     }
 
     /// Records that the backend server named `id` has ended; returns whether it is the current one.
-    pub fn mark_ended(&mut self, id: &str) -> bool {
+    pub fn mark_ended(&mut self, id: &str, now: Millis) -> bool {
         let is_current = self.id == id && self.state != BackendState::Unknown;
         if is_current {
             self.state = BackendState::Ended;
+            self.end = Some((Evidence::Announced, now));
         }
         is_current
     }
@@ -140,6 +143,7 @@
         };
         if is_new {
             self.state = BackendState::Absent;
+            self.end = Some((Evidence::ConnectionsRefused, now));
         }
         is_new
     }
@@ -150,6 +154,13 @@
         matches!(self.state, BackendState::Absent | BackendState::Ended)
     }
 
+    /// What showed that the backend server is absent or has ended, and how long ago.
+    #[must_use]
+    pub fn end_evidence(&self, now: Millis) -> Option<(Evidence, Millis)> {
+        let end = self.end.filter(|_| self.is_over());
+        end.map(|(evidence, at)| (evidence, now.since(at)))
+    }
+
     /// Boot of the backend server; zero if none is known.
     #[must_use]
     pub const fn boot(&self) -> BootId {
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -97,7 +97,7 @@
         let is_over = member.is_some_and(|m| m.is_backend_over(owner.backend.boot()));
         if is_over && matches!(owner.backend, HolderBoot::Reported(_)) {
             self.flow_cache.remove(&packet.flow);
-            out.push(self.decision(Reason::BackendOver, packet, Some(agent), now));
+            out.push(self.end_decision(packet, owner, now));
             out.push(reset(packet));
             return;
         }
@@ -219,6 +219,21 @@
             version: self.table.version,
             age: member.map_or(Millis(0), |m| now.since(m.last_heard)),
             phase: member.map(|m| m.fact.phase),
+            evidence: None,
+        })
+    }
+
+    /// Returns the log entry of the reset of a flow whose owner reported the end of its backend server.
+    fn end_decision(&self, packet: &Packet, owner: CachedOwner, now: Millis) -> Effect {
+        let member = self.gossip.membership().get(owner.agent);
+        Effect::Log(Decision {
+            reason: Reason::BackendOver,
+            flow: Some(packet.flow),
+            peer: Some(owner.agent),
+            version: self.table.version,
+            age: member.map_or(Millis(0), |m| now.since(m.last_fact)),
+            phase: member.map(|m| m.fact.phase),
+            evidence: member.and_then(|m| m.end_evidence(owner.backend.boot())),
         })
     }
 }
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Flow, Phase};
+use super::{Evidence, Flow, Phase};
 use crate::id::Version;
 use crate::time::Millis;
 
@@ -23,6 +23,9 @@
     pub age: Millis,
     /// Phase of the instance involved, if known.
     pub phase: Option<Phase>,
+    /// What shows that the flow or the backend server has ended, if the decision is about that; the age is
+    /// that of this evidence.
+    pub evidence: Option<Evidence>,
 }
 
 /// What was decided, and why.
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -286,6 +286,7 @@
             version: self.version,
             age: self.store_age(now),
             phase: Some(self.own.phase),
+            evidence: None,
         })
     }
 
@@ -361,6 +362,7 @@
             version: self.version,
             age: now.since(last_heard),
             phase: Some(fact.phase),
+            evidence: None,
         })
     }
 }
--- a/buckthornlink-core/src/datagram/membership/member.rs
+++ b/buckthornlink-core/src/datagram/membership/member.rs
@@ -1,6 +1,6 @@
 //! One known instance, and whether it can be relied on.
 
-use crate::datagram::{Fact, Phase};
+use crate::datagram::{Evidence, Fact, Phase};
 use crate::id::BootId;
 use crate::time::Millis;
 
@@ -139,10 +139,20 @@
     /// zero, until the next heartbeat; nothing is known about the end of such a boot.
     #[must_use]
     pub fn is_backend_over(&self, boot: BootId) -> bool {
-        let is_known = boot != BootId::default();
-        let is_newer = self.fact.backend > boot;
-        let has_ended = self.fact.backend == boot && self.fact.phase.is_over();
-        is_known && (is_newer || has_ended)
+        self.end_evidence(boot).is_some()
+    }
+
+    /// What it reported that shows that this boot of its backend server has ended, if anything.
+    #[must_use]
+    pub fn end_evidence(&self, boot: BootId) -> Option<Evidence> {
+        if boot == BootId::default() {
+            None
+        } else if self.fact.backend > boot {
+            Some(Evidence::ReportedReplaced)
+        } else {
+            let has_ended = self.fact.backend == boot && self.fact.phase.is_over();
+            has_ended.then_some(Evidence::ReportedOver)
+        }
     }
 
     /// Flows that it reported, plus those placed on it since.
--- a/buckthornlink-datagram/src/decision_log.rs
+++ b/buckthornlink-datagram/src/decision_log.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Decision, Reason};
+use buckthornlink_core::datagram::{Decision, Evidence, Reason};
 
 /// Target of the log records of this module. Operators name it in the filters of `log.level`, so
 /// it is kept although the module has another name.
@@ -42,6 +42,8 @@
             peer:% = OrDash(decision.peer),
             version = decision.version.0,
             age_ms = decision.age.0,
+            evidence:% = OrDash(decision.evidence.map(Evidence::name)),
+            basis:% = OrDash(decision.evidence.map(|e| e.basis().name())),
             phase:% = OrDash(decision.phase.map(|p| format!("{p:?}")));
             "decision"
         );
--- a/buckthornlink-datagram/src/metrics.rs
+++ b/buckthornlink-datagram/src/metrics.rs
@@ -16,6 +16,7 @@
     pub(crate) registry: Registry,
     packets: IntCounterVec,
     decisions: IntCounterVec,
+    flow_ends: IntCounterVec,
     state: IntGaugeVec,
     durations: HistogramVec,
     store_durations: HistogramVec,
@@ -64,6 +65,10 @@
                 Opts::new("decisions_total", "Decisions, by reason."),
                 &["reason"],
             )?,
+            flow_ends: IntCounterVec::new(
+                Opts::new("flow_ends_total", "Flows that were reset, by evidence."),
+                &["evidence"],
+            )?,
             state: IntGaugeVec::new(
                 Opts::new("state", "What the process holds, by kind."),
                 &["kind"],
@@ -96,6 +101,10 @@
     pub(crate) fn count_decision(&self, decision: &Decision) {
         let reason = decision.reason.name();
         self.decisions.with_label_values(&[reason]).inc();
+        if let Some(evidence) = decision.evidence.filter(|_| decision.flow.is_some()) {
+            let evidence = evidence.name();
+            self.flow_ends.with_label_values(&[evidence]).inc();
+        }
     }
 
     pub(crate) fn observe(&self, measure: Measure, duration: Millis) {
@@ -154,6 +163,7 @@
     fn register(&self) -> prometheus::Result<()> {
         self.registry.register(Box::new(self.packets.clone()))?;
         self.registry.register(Box::new(self.decisions.clone()))?;
+        self.registry.register(Box::new(self.flow_ends.clone()))?;
         self.registry.register(Box::new(self.state.clone()))?;
         self.registry.register(Box::new(self.durations.clone()))?;
         self.registry
--- a/buckthornlink-datagram/tests/unit/decision_log.rs
+++ b/buckthornlink-datagram/tests/unit/decision_log.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Mutex, PoisonError};
 
-use buckthornlink_core::datagram::{Decision, Flow, Phase, Reason};
+use buckthornlink_core::datagram::{Decision, Evidence, Flow, Phase, Reason};
 use buckthornlink_core::{Millis, Version};
 use log::kv::{Error, Key, Value, VisitSource};
 
@@ -61,6 +61,7 @@
         version: Version(7),
         age: Millis(40),
         phase: Some(Phase::Ready),
+        evidence: None,
     }
 }
 
@@ -73,6 +74,13 @@
     for reason in Reason::ALL {
         decision_log.write(&decision(reason), Millis(1_000));
     }
+    for evidence in Evidence::ALL {
+        let over = Decision {
+            evidence: Some(evidence),
+            ..decision(Reason::BackendOver)
+        };
+        decision_log.write(&over, Millis(1_000));
+    }
     let bare = Decision {
         flow: None,
         peer: None,
--- a/buckthornlink/src/command/explain.rs
+++ b/buckthornlink/src/command/explain.rs
@@ -45,6 +45,9 @@
     phase: String,
     version: u64,
     age_ms: u64,
+    /// What shows the end that the line is about, and whether that was observed; `-` in other lines.
+    evidence: String,
+    basis: String,
 }
 
 impl Arguments {
@@ -108,6 +111,8 @@
         phase,
         version,
         age_ms,
+        evidence,
+        basis,
         ..
     } = &line.kvs;
     let event = if line.message == "decision" {
@@ -115,8 +120,12 @@
     } else {
         &line.message
     };
-    format!(
+    let line = format!(
         "{} {} {event} route={route} peer={peer} phase={phase} version={version} age_ms={age_ms}",
         line.timestamp, line.process
-    )
+    );
+    if evidence.is_empty() || evidence == "-" {
+        return line;
+    }
+    format!("{line} evidence={evidence} basis={basis}")
 }
