test(soak): render settings from the deployed templates

Cause: the soak wrote settings as a JSON literal of its own, so that a fault in deploy/balancer.json or deploy/agent.json could not show in it. Change: the stand-in of the platform renders templates (values, list entries, '|json', all fields; sections are refused) from typed fields of a process, and the soak uses the deployed templates.

--- a/buckthornlink-soak/src/process.rs
+++ b/buckthornlink-soak/src/process.rs
@@ -63,7 +63,7 @@
             Role::Agent(_) => ("buckthornlink-agent", &["--datagrams"]),
         };
         let settings_path = work_dir.join(format!("{}.json", instance.name));
-        std::fs::write(&settings_path, topology.settings(instance).to_string())?;
+        std::fs::write(&settings_path, topology.settings(instance)?)?;
         let mut process = Self {
             executable: program_dir.join(name),
             arguments,
--- a/buckthornlink-soak/src/topology.rs
+++ b/buckthornlink-soak/src/topology.rs
@@ -2,7 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use serde_json::{Value, json};
+use buckthornlink_fakes::datagram::HEARTBEAT_INTERVAL;
+use buckthornlink_standin::{Listeners, PlatformFields, StoreFields, TemplateError};
 
 /// Services; the callers' route points to the first one, and during a route move to the second.
 pub const SERVICES: [&str; 2] = ["token", "ledger"];
@@ -14,10 +15,13 @@
 const RELAY_PORT: u16 = 17_735;
 const READINESS_PORT: u16 = 18_167;
 const CONTROL_PORT: u16 = 18_166;
-const METRICS_PORT: u16 = 19_600;
 const BACKEND_PORT: u16 = 18_269;
 const OUTBOUND_PORT: u16 = 18_270;
 const STORE_PORT: u16 = 18_169;
+/// Template of the settings of a balancer, as it is deployed.
+const BALANCER_TEMPLATE: &str = include_str!("../../deploy/balancer.json");
+/// Template of the settings of an agent, as it is deployed.
+const AGENT_TEMPLATE: &str = include_str!("../../deploy/agent.json");
 /// Maximum number of balancers that a process gets as contacts in its settings.
 const STARTUP_CONTACTS: usize = 3;
 
@@ -95,37 +99,54 @@
     }
 
     /// Content of the settings file of an instance.
-    #[must_use]
-    pub fn settings(&self, instance: &Instance) -> Value {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the deployed template has a placeholder that is not supported.
+    pub fn settings(&self, instance: &Instance) -> Result<String, TemplateError> {
+        let template = match instance.role {
+            Role::Balancer => BALANCER_TEMPLATE,
+            Role::Agent(_) => AGENT_TEMPLATE,
+        };
+        self.platform_fields(instance).render_settings(template)
+    }
+
+    /// What the platform tells the process of an instance.
+    fn platform_fields(&self, instance: &Instance) -> PlatformFields {
         let contacts = self.balancers().take(STARTUP_CONTACTS);
         let contacts = contacts.map(|ip| SocketAddrV4::new(ip, CONTROL_PORT));
-        let backend = match instance.role {
-            Role::Balancer => Value::Null,
-            Role::Agent(service) => json!({
-                "service": service,
-                "address": instance.backend_addr(),
-                "outbound": instance.outbound_addr(),
-            }),
-        };
-        json!({
-            "ip": instance.ip,
-            "zone": instance.zone,
-            "store": format!("http://{}", instance.store_proxy),
-            "link_port": LINK_PORT,
-            "relay_port": RELAY_PORT,
-            "readiness": instance.readiness_addr(),
-            "control": instance.control_addr(),
-            "metrics": instance.socket_addr(METRICS_PORT),
-            "contacts": contacts.collect::<Vec<_>>(),
-            "heartbeat_ms": buckthornlink_fakes::datagram::HEARTBEAT_INTERVAL.0,
-            "data": instance.socket_addr(DATA_PORT),
-            "backend": backend,
-            "log": { "format": "json" },
-        })
+        let service = instance.service();
+        PlatformFields {
+            ip: instance.ip,
+            zone: instance.zone.to_owned(),
+            listeners: Listeners {
+                data: instance.socket_addr(DATA_PORT),
+                readiness: instance.readiness_addr(),
+                control: instance.control_addr(),
+                outbound: service.map(|_| instance.outbound_addr()),
+            },
+            internal_ports: [LINK_PORT, RELAY_PORT],
+            contacts: contacts.collect(),
+            heartbeat_ms: HEARTBEAT_INTERVAL.0,
+            service: service.map(str::to_owned),
+            backend: service.map(|_| instance.backend_addr()),
+            store: StoreFields {
+                address: instance.store_proxy,
+            },
+        }
     }
 }
 
 impl Instance {
+    /// Service of the backend server beside an agent.
+    #[must_use]
+    pub const fn service(&self) -> Option<&'static str> {
+        match self.role {
+            Role::Balancer => None,
+            Role::Agent(service) => Some(service),
+        }
+    }
+
     /// Address on which its backend server receives packets.
     #[must_use]
     pub const fn backend_addr(&self) -> SocketAddrV4 {
@@ -154,3 +175,7 @@
         SocketAddrV4::new(self.ip, port)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/topology.rs"]
+mod tests;
