test(soak): lose, delay and reorder packets, and pause processes in series

Cause: packets on loopback arrive at once and in order, and a process was paused for whole seconds or not at all. Machines lose and reorder packets, and stall for a moment again and again.

--- a/buckthornlink-soak/src/backend_server.rs
+++ b/buckthornlink-soak/src/backend_server.rs
@@ -1,11 +1,10 @@
 //! Backend servers beside the agents: flows over UDP, heartbeats and a TCP port.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -19,6 +18,7 @@
 
 use crate::departure::{Departure, PortClosing};
 use crate::invariants::{BackendBoot, InvariantChecker};
+use crate::lossy_socket::{LinkQuality, LossySocket};
 use crate::rebind::rebind;
 use crate::topology::Instance;
 
@@ -50,11 +50,12 @@
     checker: InvariantChecker,
     seed: u64,
 ) -> anyhow::Result<()> {
+    let quality = LinkQuality::of_run(seed);
     let seed = seed ^ u64::from(u32::from(instance.ip));
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut departures = SmallRng::seed_from_u64(seed ^ DEPARTURE_SALT);
     loop {
-        let server = BackendServer::start(&instance, service, &checker, &mut rng).await?;
+        let server = BackendServer::start(&instance, service, quality, &checker, &mut rng).await?;
         let departure = Departure::draw(&mut departures);
         let downtime = server.run(&mut commands, departure).await?;
         sleep(downtime).await;
@@ -66,7 +67,7 @@
     backend: Backend,
     instance: &'a Instance,
     service: &'static str,
-    socket: Arc<UdpSocket>,
+    socket: LossySocket,
     listener: JoinHandle<()>,
     heartbeats: Interval,
     has_reported_end: bool,
@@ -80,6 +81,7 @@
     async fn start(
         instance: &'a Instance,
         service: &'static str,
+        quality: LinkQuality,
         checker: &'a InvariantChecker,
         rng: &'a mut SmallRng,
     ) -> anyhow::Result<Self> {
@@ -96,7 +98,7 @@
             backend: Backend::new(ServiceTag::of(service), born, checker.now()),
             instance,
             service,
-            socket: Arc::new(socket),
+            socket: LossySocket::spawn(socket, quality, rng.random()),
             listener: tokio::spawn(hold_connections(listener)),
             heartbeats: interval(Duration::from_millis(HEARTBEAT_INTERVAL.0)),
             has_reported_end: false,
@@ -169,15 +171,13 @@
     /// Serves its flows and sends heartbeats until the future is ready.
     async fn serve_while<T>(&mut self, until: impl Future<Output = T>) -> anyhow::Result<T> {
         let mut until = std::pin::pin!(until);
-        let socket = Arc::clone(&self.socket);
-        let mut buffer = [0; 2_048];
         loop {
             tokio::select! {
                 output = &mut until => return Ok(output),
                 _ = self.heartbeats.tick(), if !self.has_reported_end => self.send_heartbeat(),
-                received = socket.recv_from(&mut buffer) => {
-                    let (len, _) = received?;
-                    self.receive(&mut buffer[..len]).await;
+                received = self.socket.recv() => {
+                    let (bytes, _) = received?;
+                    self.receive(bytes).await;
                 }
             }
         }
@@ -210,13 +210,13 @@
         });
     }
 
-    async fn receive(&mut self, bytes: &mut [u8]) {
-        if !is_intact(bytes) {
+    async fn receive(&mut self, mut bytes: Vec<u8>) {
+        if !is_intact(&bytes) {
             self.checker
                 .record_violation("a backend server received a corrupted packet");
             return;
         }
-        let Some(packet) = Platform.parse_packet(bytes, Source::Fabric) else {
+        let Some(packet) = Platform.parse_packet(&bytes, Source::Fabric) else {
             return;
         };
         let is_known = self.backend.has_flow(&packet.flow);
@@ -245,16 +245,13 @@
         }
     }
 
-    async fn answer(&self, answer: &Packet) {
+    async fn answer(&mut self, answer: &Packet) {
         let bytes = encode(answer, answer.flow.route, answer.flow.caller);
-        self.send(&bytes).await;
+        self.send(bytes).await;
     }
 
-    async fn send(&self, bytes: &[u8]) {
-        let _ = self
-            .socket
-            .send_to(bytes, self.instance.outbound_addr())
-            .await;
+    async fn send(&mut self, bytes: Vec<u8>) {
+        self.socket.send(bytes, self.instance.outbound_addr()).await;
     }
 }
 
--- a/buckthornlink-soak/src/callers.rs
+++ b/buckthornlink-soak/src/callers.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use tokio::net::UdpSocket;
 use tokio::time::interval;
 
@@ -18,6 +16,7 @@
 use buckthornlink_standin::{HEADER_BYTES, encode, is_intact, is_ready};
 
 use crate::invariants::InvariantChecker;
+use crate::lossy_socket::{LinkQuality, LossySocket};
 use crate::rebind::rebind;
 use crate::topology::{DATA_PORT, Instance, Topology};
 
@@ -27,8 +26,6 @@
 const READINESS_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of consecutive failed readiness checks after which a balancer gets no packets.
 const MAX_FAILED_CHECKS: u8 = 2;
-/// One in this many packets from callers to balancers is lost, on average.
-const PACKETS_PER_LOSS: u32 = 500;
 /// Times between the requests of callers that keep flows open and idle in between.
 const POOLED_THINK_TIMES: [Millis; 2] = [Millis(3_000), Millis(9_000)];
 
@@ -132,22 +129,23 @@
     let socket = rebind(|| UdpSocket::bind((ip, DATA_PORT)))
         .await
         .context("failed to bind the socket of a caller")?;
+    let quality = LinkQuality::of_run(seed);
+    let mut socket = LossySocket::spawn(socket, quality, seed ^ u64::from(index));
     let all: Vec<Ipv4Addr> = topology.balancers().collect();
     let mut caller = Caller::new(ip, route);
     if let Some(think_time) = profile.think_time {
         caller = caller.with_think_time(think_time);
     }
-    let mut rng = SmallRng::seed_from_u64(seed ^ u64::from(index));
     let mut ticks = interval(CALLER_TICK_INTERVAL);
-    let mut buffer = [0; 2_048];
     let mut sent_at = Millis(0);
     loop {
         let now = checker.now();
         let mut events = Vec::new();
         let packet = tokio::select! {
             _ = ticks.tick() => caller.tick(now, &mut events),
-            Ok((len, from)) = socket.recv_from(&mut buffer) => {
-                deliver_to_caller(&mut caller, &buffer[..len], from, &checker, &mut events)
+            received = socket.recv() => {
+                let (bytes, from) = received?;
+                deliver_to_caller(&mut caller, &bytes, from, &checker, &mut events)
             }
         };
         for event in events {
@@ -165,12 +163,12 @@
                 CallerEvent::FlowOpened => {}
             }
         }
-        let Some(packet) = packet.filter(|_| rng.random_range(0..PACKETS_PER_LOSS) > 0) else {
+        let Some(packet) = packet else {
             continue;
         };
         if let Some(to) = ready_balancers.choose_balancer(&packet, &all) {
             let bytes = encode(&packet, packet.flow.caller, packet.flow.route);
-            let _ = socket.send_to(&bytes, (to, DATA_PORT)).await;
+            socket.send(bytes, SocketAddrV4::new(to, DATA_PORT)).await;
         }
     }
 }
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod departure;
 mod invariants;
+mod lossy_socket;
 mod plan;
 mod process;
 mod rebind;
@@ -30,6 +31,7 @@
 use clap::Parser;
 use tokio::runtime::Runtime;
 
+use lossy_socket::LinkQuality;
 use plan::Scenario;
 use run::{Setup, run_seed};
 
@@ -102,7 +104,8 @@
     if options.plan {
         for seed in seeds {
             let faults = plan::generate(options.scenario(), seed, duration);
-            println!("seed {seed}: {faults:#?}");
+            let quality = LinkQuality::of_run(seed);
+            println!("seed {seed}: {quality:?}, {faults:#?}");
         }
         return Ok(ExitCode::SUCCESS);
     }
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -14,6 +14,13 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..3_500;
 
+/// Time between the starts of two series of pauses, in milliseconds.
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 2_000..6_000;
+/// Duration of each pause of a series, and of the time between two, in milliseconds.
+const SHORT_PAUSE_MS: std::ops::Range<u64> = 50..250;
+/// Distinguishes the random numbers of series of pauses from those of the other faults.
+const SERIES_SALT: u64 = 1 << 42;
+
 /// Time between the starts of two store drills, in milliseconds: long enough for changes to be
 /// overdue in between.
 const DRILL_INTERVAL_MS: std::ops::Range<u64> = 9_000..12_000;
@@ -42,6 +49,8 @@
     Restart,
     /// A process is paused (SIGSTOP) and resumed.
     Pause,
+    /// A process is paused and resumed again and again, for a moment each.
+    PauseSeries,
     /// A process is told to reload its settings (SIGHUP).
     Reload,
     /// The standard output of a process is not read for a while.
@@ -140,6 +149,18 @@
 }
 
 impl Entry {
+    /// Durations of the pauses of a series and of the times between them, in turn.
+    pub fn pauses(&self) -> impl Iterator<Item = [Duration; 2]> {
+        let mut rng = SmallRng::seed_from_u64(self.target as u64);
+        let mut draw = move || Duration::from_millis(rng.random_range(SHORT_PAUSE_MS));
+        let mut rest = self.span;
+        std::iter::repeat_with(move || [draw(), draw()]).take_while(move |[pause, gap]| {
+            let is_left = !rest.is_zero();
+            rest = rest.saturating_sub(*pause + *gap);
+            is_left
+        })
+    }
+
     /// Whether `other` would hide what this store drill shows: a process that starts reads the store
     /// and tells the others. Every other drill is left undisturbed.
     fn is_disturbed_by(&self, other: &Self) -> bool {
@@ -155,7 +176,16 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let faults = draw(&WEIGHTED_FAULTS, FAULT_INTERVAL_MS, duration, &mut rng);
     match scenario {
-        Scenario::Mixed => faults,
+        Scenario::Mixed => {
+            let mut rng = SmallRng::seed_from_u64(seed ^ SERIES_SALT);
+            let series = draw(
+                &[Fault::PauseSeries],
+                SERIES_INTERVAL_MS,
+                duration,
+                &mut rng,
+            );
+            faults.into_iter().chain(series).collect()
+        }
         Scenario::StoreDrills => {
             let drills = draw(&DRILLS, DRILL_INTERVAL_MS, duration, &mut rng);
             let is_disturbing = |e: &Entry| drills.iter().any(|drill| drill.is_disturbed_by(e));
@@ -188,3 +218,7 @@
     }
     entries
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/plan.rs"]
+mod tests;
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -215,6 +215,12 @@
             Fault::KillAll => self.kill_all(entry.span).await,
             Fault::Restart => self.restart(index).await,
             Fault::Pause => self.pause(index, entry.span).await,
+            Fault::PauseSeries => {
+                for [pause, gap] in entry.pauses() {
+                    self.pause(index, pause).await;
+                    sleep(gap).await;
+                }
+            }
             Fault::Reload => self.processes[index].lock().await.reload().await,
             Fault::Stall => self.stall_output(index, entry.span).await,
             Fault::StoreBusy => self.disrupt_store(ResponseMode::Busy, entry.span).await,
--- /dev/null
+++ b/buckthornlink-soak/tests/unit/plan.rs
@@ -0,0 +1,38 @@
+use super::*;
+
+const DURATION: Duration = Duration::from_secs(40);
+
+/// Guards against a series that is one long pause, or none.
+#[test]
+fn pauses_of_a_series_are_short_and_fill_its_span() {
+    let faults = generate(Scenario::Mixed, 7, DURATION);
+    let is_series = |e: &&Entry| e.fault == Fault::PauseSeries;
+    let series: Vec<_> = faults.iter().filter(is_series).collect();
+    assert!(series.len() > 2);
+    for entry in series {
+        let pauses: Vec<_> = entry.pauses().collect();
+        let total: Duration = pauses.iter().flatten().sum();
+        assert!(total >= entry.span);
+        assert!(total < entry.span + Duration::from_millis(500));
+        let is_short = |pause: &Duration| (50..250).contains(&pause.as_millis());
+        assert!(pauses.iter().flatten().all(is_short));
+    }
+}
+
+/// Guards against recorded seeds that give other faults than those with which they failed.
+#[test]
+fn new_kinds_of_faults_leave_those_of_recorded_seeds_as_they_are() {
+    let faults = generate(Scenario::Mixed, 64_000, DURATION);
+    let faults = faults.iter().map(|e| e.fault);
+    let first: Vec<_> = faults
+        .filter(|&fault| fault != Fault::PauseSeries)
+        .take(4)
+        .collect();
+    let expected = [
+        Fault::Replace,
+        Fault::StoreLossy,
+        Fault::StoreLossy,
+        Fault::LinkSlow,
+    ];
+    assert_eq!(first, expected);
+}
