test(soak): planned work in series, on shapes like the users' sites

Cause: the soak ran six agents in two zones with 24 callers, and planned work came one step at a time among other faults. The users saw the fault at 11 agents, three or four zones and hundreds of pooled flows.

--- a/buckthornlink-soak/src/callers.rs
+++ b/buckthornlink-soak/src/callers.rs
@@ -102,7 +102,7 @@
 impl CallerProfile {
     /// Profile of the caller with this index: two of four pause for seconds between their requests.
     #[must_use]
-    pub fn new(index: u8, flow_use: FlowUse) -> Self {
+    pub fn new(index: u16, flow_use: FlowUse) -> Self {
         let think_time = POOLED_THINK_TIMES.get(usize::from(index % 4)).copied();
         Self {
             flow_use,
@@ -118,7 +118,7 @@
 /// Returns an error if the caller's address cannot be bound.
 pub async fn run_caller(
     topology: Topology,
-    index: u8,
+    index: u16,
     route: SocketAddrV4,
     profile: CallerProfile,
     ready_balancers: ReadyBalancers,
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -19,6 +19,7 @@
 mod rebind;
 mod run;
 mod seeds;
+mod shape;
 mod tcp_proxy;
 mod topology;
 
@@ -28,12 +29,13 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use clap::Parser;
+use clap::{Args, Parser};
 use tokio::runtime::Runtime;
 
 use lossy_socket::LinkQuality;
 use plan::Scenario;
 use run::{Setup, run_seed};
+use shape::{Preset, Shape};
 
 /// Runs the real programs on loopback addresses and injects faults.
 #[derive(Debug, Parser)]
@@ -50,35 +52,61 @@
     /// Duration of each run in seconds.
     #[arg(long, default_value_t = 40)]
     seconds: u64,
-    /// Number of balancers in each run.
-    #[arg(long, default_value_t = 3)]
-    balancers: u8,
-    /// Number of agents in each run.
-    #[arg(long, default_value_t = 6)]
-    agents: u8,
-    /// Number of callers in each run.
-    #[arg(long, default_value_t = 24)]
-    callers: u8,
+    /// Numbers of instances and callers in each run.
+    #[arg(long, value_enum, default_value_t)]
+    shape: Preset,
+    /// Number of balancers in each run, if it differs from that of the shape.
+    #[arg(long)]
+    balancers: Option<u8>,
+    /// Number of agents in each run, if it differs from that of the shape.
+    #[arg(long)]
+    agents: Option<u8>,
+    /// Number of callers in each run, if it differs from that of the shape.
+    #[arg(long)]
+    callers: Option<u16>,
     /// Also runs the seeds that failed once, and passes over those that are known to fail still.
     #[arg(long)]
     regressions: bool,
     /// Second octet of the loopback addresses that the first job uses; further jobs count up.
     #[arg(long, default_value_t = 40)]
     block: u8,
+    #[command(flatten)]
+    scenario: ScenarioOptions,
+    /// Prints the faults of each seed instead of running it.
+    #[arg(long)]
+    plan: bool,
+}
+
+/// Which faults are injected, if not those of [`Scenario::Mixed`].
+#[derive(Clone, Copy, Debug, Args)]
+#[group(multiple = false)]
+struct ScenarioOptions {
     /// Runs store drills, with time for changes to be in force in between, in place of the other
     /// faults of the store.
     #[arg(long)]
     store_drills: bool,
-    /// Prints the faults of each seed instead of running it.
+    /// Runs planned work only, in series that overlap.
     #[arg(long)]
-    plan: bool,
+    planned_work: bool,
+}
+
+impl ScenarioOptions {
+    const fn scenario(self) -> Scenario {
+        if self.store_drills {
+            Scenario::StoreDrills
+        } else if self.planned_work {
+            Scenario::PlannedWork
+        } else {
+            Scenario::Mixed
+        }
+    }
 }
 
 impl Options {
     fn all_seeds(&self) -> Vec<u64> {
         let mut seeds: Vec<u64> = (self.first..self.first + self.seeds).collect();
         if self.regressions {
-            let recorded = seeds::recorded(self.scenario());
+            let recorded = seeds::recorded(self.scenario.scenario());
             seeds.extend(recorded.iter().map(|recorded| recorded.seed));
             let is_known_red = |seed| recorded.iter().any(|r| r.seed == seed && r.is_known_red);
             for seed in seeds.extract_if(.., |seed| is_known_red(*seed)) {
@@ -88,12 +116,14 @@
         seeds
     }
 
-    const fn scenario(&self) -> Scenario {
-        if self.store_drills {
-            Scenario::StoreDrills
-        } else {
-            Scenario::Mixed
+    fn shape(&self) -> Shape {
+        let mut shape = self.shape.shape();
+        if let Some(balancers) = self.balancers {
+            shape.set_balancers(balancers);
         }
+        shape.agents = self.agents.unwrap_or(shape.agents);
+        shape.callers = self.callers.unwrap_or(shape.callers);
+        shape
     }
 }
 
@@ -103,7 +133,7 @@
     let duration = Duration::from_secs(options.seconds);
     if options.plan {
         for seed in seeds {
-            let faults = plan::generate(options.scenario(), seed, duration);
+            let faults = plan::generate(options.scenario.scenario(), seed, duration);
             let quality = LinkQuality::of_run(seed);
             println!("seed {seed}: {quality:?}, {faults:#?}");
         }
@@ -116,9 +146,9 @@
     let setup = Setup {
         program_dir: program_dir.to_owned(),
         work_dir: PathBuf::from("target/soak"),
-        scenario: options.scenario(),
+        scenario: options.scenario.scenario(),
         duration,
-        counts: [options.balancers, options.agents, options.callers],
+        shape: options.shape(),
     };
     let total = seeds.len() as u64;
     let failed = run_all(&setup, seeds, &options)?;
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -36,6 +36,8 @@
     Mixed,
     /// Store drills with time in between, and those other faults that do not affect the store.
     StoreDrills,
+    /// Releases, rolls, reloads and route moves in series that overlap, and no other faults.
+    PlannedWork,
 }
 
 /// A fault or planned change in a run.
@@ -135,6 +137,24 @@
     Fault::ZoneOut,
 ];
 
+/// Planned work of which each run has at least one series.
+const REQUIRED_WORK: [Fault; 2] = [Fault::Replace, Fault::Restart];
+/// Planned work, drawn uniformly for further series.
+const PLANNED_WORK: [Fault; 6] = [
+    Fault::Replace,
+    Fault::Replace,
+    Fault::Restart,
+    Fault::Restart,
+    Fault::Reload,
+    Fault::Move,
+];
+/// Number of further series in a run.
+const FURTHER_SERIES: std::ops::Range<usize> = 2..5;
+/// Number of steps in a series of planned work.
+const SERIES_STEPS: std::ops::Range<usize> = 4..30;
+/// Time between two steps of a series of planned work, in milliseconds.
+const STEP_INTERVAL_MS: std::ops::Range<u64> = 700..1_400;
+
 /// A scheduled fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -194,9 +214,45 @@
             entries.extend(drills);
             entries
         }
+        Scenario::PlannedWork => draw_planned_work(duration, &mut rng),
     }
 }
 
+/// Draws series of planned work that overlap.
+fn draw_planned_work(duration: Duration, rng: &mut SmallRng) -> Vec<Entry> {
+    let end = duration.saturating_sub(RECOVERY_TIME);
+    let further = rng.random_range(FURTHER_SERIES);
+    let further: Vec<_> = (0..further)
+        .map(|_| PLANNED_WORK[rng.random_range(0..PLANNED_WORK.len())])
+        .collect();
+    let kinds = REQUIRED_WORK.into_iter().chain(further);
+    kinds
+        .flat_map(|fault| draw_series(fault, end, rng))
+        .collect()
+}
+
+/// Draws a series that affects one instance after the other, until `end` at the latest.
+fn draw_series(fault: Fault, end: Duration, rng: &mut SmallRng) -> Vec<Entry> {
+    let latest = FIRST_FAULT_TIME.max(end / 2);
+    let start = rng.random_range(FIRST_FAULT_TIME..=latest);
+    let step = Duration::from_millis(rng.random_range(STEP_INTERVAL_MS));
+    let first = rng.random_range(0..usize::from(u8::MAX));
+    let steps = rng.random_range(SERIES_STEPS);
+    let times = std::iter::successors(Some(start), |at| Some(*at + step));
+    let times = times.take(steps).take_while(|at| *at < end);
+    let mut entries = Vec::new();
+    for (target, at) in (first..).zip(times) {
+        let span = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        entries.push(Entry {
+            at,
+            span,
+            fault,
+            target,
+        });
+    }
+    entries
+}
+
 /// Draws faults that start at these intervals.
 fn draw(
     faults: &[Fault],
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -18,8 +18,9 @@
 use crate::plan::{Entry, Fault, Scenario, generate};
 use crate::process::{ManagedProcess, StopOutcome};
 use crate::rebind::rebind;
+use crate::shape::Shape;
 use crate::tcp_proxy::{ProxyMode, TcpProxy};
-use crate::topology::{Role, SERVICES, Topology, ZONES};
+use crate::topology::{Role, SERVICES, Topology};
 
 /// Time that processes and backend servers have to start before the callers do.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
@@ -54,8 +55,8 @@
     pub scenario: Scenario,
     /// Duration of the run.
     pub duration: Duration,
-    /// Numbers of balancers, agents and callers.
-    pub counts: [u8; 3],
+    /// Numbers of instances and callers.
+    pub shape: Shape,
 }
 
 /// Runs a seed on a block of loopback addresses.
@@ -67,12 +68,11 @@
     let work_dir = setup.work_dir.join(format!("seed-{seed}"));
     let _ = std::fs::remove_dir_all(&work_dir);
     std::fs::create_dir_all(&work_dir)?;
-    let [balancers, agents, callers] = setup.counts;
-    let topology = Topology::new(block, balancers, agents);
+    let topology = Topology::new(block, &setup.shape);
     let cluster = Arc::new(Cluster::start(topology, &setup.program_dir, &work_dir, seed).await?);
     let mut endpoints = JoinSet::new();
     cluster
-        .spawn_endpoints(&mut endpoints, callers, setup.scenario, seed)
+        .spawn_endpoints(&mut endpoints, setup.shape.callers, setup.scenario, seed)
         .await;
     let mut faults = JoinSet::new();
     let started_at = tokio::time::Instant::now();
@@ -144,7 +144,7 @@
     async fn spawn_endpoints(
         &self,
         endpoints: &mut JoinSet<anyhow::Result<()>>,
-        callers: u8,
+        callers: u16,
         scenario: Scenario,
         seed: u64,
     ) {
@@ -241,7 +241,7 @@
             }
             Fault::Move => self.move_route(entry.span).await,
             Fault::ZoneOut => {
-                let zone = ZONES[entry.target % ZONES.len()];
+                let zone = self.zone(entry.target);
                 let duration = entry.span * ZONE_OUT_DURATION_FACTOR;
                 self.take_zone_out(zone, duration).await;
             }
@@ -262,6 +262,11 @@
         self.topology.instances[index].ip
     }
 
+    /// Zone with an index, modulo the number of zones.
+    const fn zone(&self, index: usize) -> &'static str {
+        self.topology.zones[index % self.topology.zones.len()]
+    }
+
     async fn kill(&self, index: usize, downtime: Duration) {
         let mut process = self.processes[index].lock().await;
         self.checker.record_disruption(self.ip(index));
@@ -367,7 +372,7 @@
     /// part of that time and a moment without the store.
     async fn restore_store(&self, entry: Entry) {
         let copy = self.store.copy();
-        let zone = ZONES[entry.target / 2 % ZONES.len()];
+        let zone = self.zone(entry.target / 2);
         self.take_zone_out(zone, COPY_AGE / 2).await;
         for _ in 0..EDITS_BEFORE_RESTORE {
             self.publish_config(SERVICES[0]).await;
@@ -393,7 +398,7 @@
         if entry.target.is_multiple_of(2) {
             self.move_route(MIN_CHANGE_TIME + entry.span).await;
         } else {
-            let zone = ZONES[entry.target / 2 % ZONES.len()];
+            let zone = self.zone(entry.target / 2);
             self.take_zone_out(zone, MIN_CHANGE_TIME + entry.span).await;
         }
     }
--- a/buckthornlink-soak/src/seeds.rs
+++ b/buckthornlink-soak/src/seeds.rs
@@ -6,6 +6,8 @@
 const RECORDED_SEEDS: &str = include_str!("../seeds.txt");
 /// First word of a line whose seed is played with store drills.
 const DRILLS_MARK: &str = "drills";
+/// First word of a line whose seed is played with planned work.
+const PLANNED_MARK: &str = "planned";
 /// Word before a seed that still fails; `KNOWN-RED.txt` lists it.
 const KNOWN_RED_MARK: &str = "?";
 
@@ -28,6 +30,7 @@
     let lines = lines.lines().filter_map(|line| match scenario {
         Scenario::Mixed => Some(line),
         Scenario::StoreDrills => line.strip_prefix(DRILLS_MARK),
+        Scenario::PlannedWork => line.strip_prefix(PLANNED_MARK),
     });
     lines.filter_map(parse_line).collect()
 }
--- a/buckthornlink-soak/src/topology.rs
+++ b/buckthornlink-soak/src/topology.rs
@@ -5,10 +5,10 @@
 use buckthornlink_fakes::datagram::HEARTBEAT_INTERVAL;
 use buckthornlink_standin::{Listeners, PlatformFields, StoreFields, TemplateError};
 
+use crate::shape::Shape;
+
 /// Services; the callers' route points to the first one, and during a route move to the second.
 pub const SERVICES: [&str; 2] = ["token", "ledger"];
-/// Availability zones.
-pub const ZONES: [&str; 2] = ["brasov-a", "brasov-b"];
 /// Port on which balancers and callers receive packets.
 pub const DATA_PORT: u16 = 18_172;
 const LINK_PORT: u16 = 17_720;
@@ -22,6 +22,10 @@
 const BALANCER_TEMPLATE: &str = include_str!("../../deploy/balancer.json");
 /// Template of the settings of an agent, as it is deployed.
 const AGENT_TEMPLATE: &str = include_str!("../../deploy/agent.json");
+/// Third octet of the addresses of the first callers.
+const CALLER_NET: u32 = 9;
+/// Number of callers in one net of their addresses.
+const CALLERS_PER_NET: u16 = 200;
 /// Maximum number of balancers that a process gets as contacts in its settings.
 const STARTUP_CONTACTS: usize = 3;
 
@@ -53,29 +57,35 @@
 #[derive(Clone, Debug)]
 pub struct Topology {
     block: u8,
+    /// Its availability zones.
+    pub zones: &'static [&'static str],
     /// All instances, balancers first.
     pub instances: Vec<Instance>,
 }
 
 impl Topology {
-    /// Creates balancers and agents; every third agent belongs to the second service.
+    /// Creates the balancers and agents of a shape.
     #[must_use]
-    pub fn new(block: u8, balancers: u8, agents: u8) -> Self {
-        let instance = |index: u8, role, prefix: &str, net: u8| Instance {
+    pub fn new(block: u8, shape: &Shape) -> Self {
+        let instance = |index: u8, role, zone, prefix: &str, net: u8| Instance {
             name: format!("{prefix}-{index}"),
             role,
             ip: Ipv4Addr::new(127, block, net, 10 + index),
-            zone: ZONES[usize::from(index % 2)],
+            zone,
             store_proxy: SocketAddrV4::new(
                 Ipv4Addr::new(127, block, 20 + net, 10 + index),
                 STORE_PORT,
             ),
         };
-        let balancers = (0..balancers).map(|i| instance(i, Role::Balancer, "balancer", 1));
-        let service = |i: u8| SERVICES[usize::from(i % 3 == 2)];
-        let agents = (0..agents).map(|i| instance(i, Role::Agent(service(i)), "agent", 2));
+        let zones = shape.zones();
+        let balancers = (0..).zip(shape.balancer_zones());
+        let balancers = balancers.map(|(i, zone)| instance(i, Role::Balancer, zone, "balancer", 1));
+        let service = |i| SERVICES[usize::from(shape.is_second_service(i))];
+        let agents = (0..shape.agents).zip(zones.iter().cycle());
+        let agents = agents.map(|(i, zone)| instance(i, Role::Agent(service(i)), zone, "agent", 2));
         Self {
             block,
+            zones,
             instances: balancers.chain(agents).collect(),
         }
     }
@@ -88,8 +98,11 @@
 
     /// IP address of a caller.
     #[must_use]
-    pub const fn caller_ip(&self, index: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.block, 9, 1 + index)
+    pub fn caller_ip(&self, index: u16) -> Ipv4Addr {
+        let net = CALLER_NET + u32::from(index / CALLERS_PER_NET);
+        let host = 1 + u32::from(index % CALLERS_PER_NET);
+        let block = u32::from(Ipv4Addr::new(127, self.block, 0, 0));
+        Ipv4Addr::from(block + (net << 8) + host)
     }
 
     /// Addresses of the balancers.
--- a/buckthornlink-soak/tests/unit/plan.rs
+++ b/buckthornlink-soak/tests/unit/plan.rs
@@ -36,3 +36,20 @@
     ];
     assert_eq!(first, expected);
 }
+
+/// Guards against planned work that comes one step at a time, or not at all.
+#[test]
+fn series_of_planned_work_overlap() {
+    let times_of = |entries: &[Entry], fault: Fault| -> Vec<Duration> {
+        let entries = entries.iter().filter(|e| e.fault == fault);
+        entries.map(|e| e.at).collect()
+    };
+    let overlaps = (0..50).filter(|&seed| {
+        let entries = generate(Scenario::PlannedWork, seed, DURATION);
+        let releases = times_of(&entries, Fault::Replace);
+        let rolls = times_of(&entries, Fault::Restart);
+        assert!(releases.len() >= 4 && rolls.len() >= 4, "seed {seed}");
+        releases.first() < rolls.last() && rolls.first() < releases.last()
+    });
+    assert!(overlaps.count() > 40);
+}
