test(soak): ids and reports of the end that repeat, and listeners that are replaced

Change: half of the successors keep the id; one report of an end of four is repeated up to 6 s later; Relisten closes the TCP port of a living backend server for up to 3.5 s while it serves and sends heartbeats.

--- a/buckthornlink-soak/src/backend_server.rs
+++ b/buckthornlink-soak/src/backend_server.rs
@@ -1,5 +1,6 @@
 //! Backend servers beside the agents: flows over UDP, heartbeats and a TCP port.
 
+use std::io;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -36,6 +37,8 @@
     Crash(Duration),
     /// Drains and leaves; another one starts after this time.
     Replace(Duration),
+    /// Closes its TCP port for this time and serves on.
+    Relisten(Duration),
 }
 
 /// Runs successive backend servers at one address until the task is aborted.
@@ -54,14 +57,24 @@
     let seed = seed ^ u64::from(u32::from(instance.ip));
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut departures = SmallRng::seed_from_u64(seed ^ DEPARTURE_SALT);
+    let mut id = new_id(&checker);
     loop {
-        let server = BackendServer::start(&instance, service, quality, &checker, &mut rng).await?;
+        let server =
+            BackendServer::start(&instance, service, &id, quality, &checker, &mut rng).await?;
         let departure = Departure::draw(&mut departures);
         let downtime = server.run(&mut commands, departure).await?;
+        if !departure.keeps_id {
+            id = new_id(&checker);
+        }
         sleep(downtime).await;
     }
 }
 
+/// Name of a backend server that has none yet.
+fn new_id(checker: &InvariantChecker) -> String {
+    format!("i-{}", checker.now().0)
+}
+
 /// A backend server from one boot to its end.
 struct BackendServer<'a> {
     backend: Backend,
@@ -81,30 +94,30 @@
     async fn start(
         instance: &'a Instance,
         service: &'static str,
+        id: &str,
         quality: LinkQuality,
         checker: &'a InvariantChecker,
         rng: &'a mut SmallRng,
     ) -> anyhow::Result<Self> {
         let socket = rebind(|| UdpSocket::bind(instance.backend_addr())).await?;
-        let listener = rebind(|| TcpListener::bind(instance.backend_addr())).await?;
+        let listener = listen(instance).await?;
         let born = 1_000_000 + checker.now().0;
         let boot = BackendBoot {
             ip: instance.ip,
             born,
         };
         checker.set_live(boot, true);
-        let id = format!("i-{born}");
         Ok(Self {
             backend: Backend::new(ServiceTag::of(service), born, checker.now()),
             instance,
             service,
             socket: LossySocket::spawn(socket, quality, rng.random()),
-            listener: tokio::spawn(hold_connections(listener)),
+            listener,
             heartbeats: interval(Duration::from_millis(HEARTBEAT_INTERVAL.0)),
             has_reported_end: false,
             heartbeat_client: HeartbeatClient::new(
                 instance.control_addr(),
-                &id,
+                id,
                 service,
                 instance.backend_addr(),
             ),
@@ -120,12 +133,21 @@
         commands: &mut mpsc::Receiver<BackendCommand>,
         departure: Departure,
     ) -> anyhow::Result<Duration> {
-        let command = self.serve_while(commands.recv()).await?;
-        let downtime = match command.context("command channel is closed")? {
-            BackendCommand::Crash(downtime) => downtime,
-            BackendCommand::Replace(downtime) => {
-                let crash = self.leave(commands, departure).await?;
-                crash.unwrap_or(downtime)
+        let downtime = loop {
+            let command = self.serve_while(commands.recv()).await?;
+            match command.context("command channel is closed")? {
+                BackendCommand::Crash(downtime) => break downtime,
+                BackendCommand::Replace(downtime) => {
+                    let crash = self.leave(commands, departure).await?;
+                    break crash.unwrap_or(downtime);
+                }
+                BackendCommand::Relisten(period) => {
+                    self.listener.abort();
+                    if let Some(downtime) = self.serve_for(period, commands).await? {
+                        break downtime;
+                    }
+                    self.listener = listen(self.instance).await?;
+                }
             }
         };
         self.exit();
@@ -155,6 +177,12 @@
         self.has_reported_end = true;
         let client = self.heartbeat_client.clone();
         self.serve_while(client.report_end()).await?;
+        if let Some(delay) = departure.repeat_delay {
+            tokio::spawn(async move {
+                sleep(delay).await;
+                client.report_end().await;
+            });
+        }
         self.serve_for(departure.linger, commands).await
     }
 
@@ -255,18 +283,23 @@
     }
 }
 
-/// Waits for a crash and returns its downtime; a backend server that already leaves ignores a further
-/// [`BackendCommand::Replace`].
+/// Waits for a crash and returns its downtime; meanwhile, other commands are ignored.
 async fn next_crash(commands: &mut mpsc::Receiver<BackendCommand>) -> Duration {
     loop {
         match commands.recv().await {
             Some(BackendCommand::Crash(downtime)) => return downtime,
-            Some(BackendCommand::Replace(_)) => {}
+            Some(BackendCommand::Replace(_) | BackendCommand::Relisten(_)) => {}
             None => std::future::pending().await,
         }
     }
 }
 
+/// Opens the TCP port of a backend server.
+async fn listen(instance: &Instance) -> io::Result<JoinHandle<()>> {
+    let listener = rebind(|| TcpListener::bind(instance.backend_addr())).await?;
+    Ok(tokio::spawn(hold_connections(listener)))
+}
+
 /// Accepts TCP connections and keeps them open; the agent detects a crash when they close.
 async fn hold_connections(listener: TcpListener) {
     let mut streams = Vec::new();
--- a/buckthornlink-soak/src/departure.rs
+++ b/buckthornlink-soak/src/departure.rs
@@ -1,5 +1,5 @@
-//! How a backend server leaves: when it closes its TCP port, and how long it serves after the report
-//! of its end.
+//! How a backend server leaves: when it closes its TCP port, how long it serves after the report of its
+//! end, and what its successor inherits.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -15,6 +15,10 @@
 /// Time for which flows are served after the agent has answered the report of the end, in
 /// milliseconds.
 const LINGER_MS: Range<u64> = 0..2_000;
+/// One in this many reports of an end is repeated, on average.
+const REPORTS_PER_REPEAT: u32 = 4;
+/// Time from the report of the end to its repetition, in milliseconds; it may follow the next boot.
+const REPEAT_DELAY_MS: Range<u64> = 500..6_000;
 
 /// When a backend server that leaves closes its TCP port and the connections to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +36,10 @@
     pub port_closing: PortClosing,
     /// Time from the answer to the report of the end until the exit.
     pub linger: Duration,
+    /// Time from the report of the end to its repetition, if the network delivers it twice.
+    pub repeat_delay: Option<Duration>,
+    /// Whether the next boot has the same id.
+    pub keeps_id: bool,
 }
 
 impl Departure {
@@ -46,6 +54,10 @@
         Self {
             port_closing,
             linger: draw_millis(LINGER_MS, rng),
+            repeat_delay: rng
+                .random_ratio(1, REPORTS_PER_REPEAT)
+                .then(|| draw_millis(REPEAT_DELAY_MS, rng)),
+            keeps_id: rng.random(),
         }
     }
 }
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -14,12 +14,12 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..3_500;
 
-/// Time between the starts of two series of pauses, in milliseconds.
-const SERIES_INTERVAL_MS: std::ops::Range<u64> = 2_000..6_000;
+/// Time between the starts of two of [`MOMENTARY_FAULTS`], in milliseconds.
+const MOMENTARY_INTERVAL_MS: std::ops::Range<u64> = 2_000..6_000;
 /// Duration of each pause of a series, and of the time between two, in milliseconds.
 const SHORT_PAUSE_MS: std::ops::Range<u64> = 50..250;
-/// Distinguishes the random numbers of series of pauses from those of the other faults.
-const SERIES_SALT: u64 = 1 << 42;
+/// Distinguishes the random numbers of [`MOMENTARY_FAULTS`] from those of the other faults.
+const MOMENTARY_SALT: u64 = 1 << 42;
 
 /// Time between the starts of two store drills, in milliseconds: long enough for changes to be
 /// overdue in between.
@@ -77,6 +77,8 @@
     Crash,
     /// A backend server drains and leaves, and another one starts in its place.
     Replace,
+    /// A backend server closes its TCP port for a while and serves on.
+    Relisten,
     /// The callers' route points to the other service for a while.
     Move,
     /// A zone is taken out of service and returned to service later.
@@ -137,6 +139,9 @@
     Fault::ZoneOut,
 ];
 
+/// Faults in which all processes live on, drawn uniformly beside [`WEIGHTED_FAULTS`].
+const MOMENTARY_FAULTS: [Fault; 2] = [Fault::PauseSeries, Fault::Relisten];
+
 /// Planned work of which each run has at least one series.
 const REQUIRED_WORK: [Fault; 2] = [Fault::Replace, Fault::Restart];
 /// Planned work, drawn uniformly for further series.
@@ -197,14 +202,9 @@
     let faults = draw(&WEIGHTED_FAULTS, FAULT_INTERVAL_MS, duration, &mut rng);
     match scenario {
         Scenario::Mixed => {
-            let mut rng = SmallRng::seed_from_u64(seed ^ SERIES_SALT);
-            let series = draw(
-                &[Fault::PauseSeries],
-                SERIES_INTERVAL_MS,
-                duration,
-                &mut rng,
-            );
-            faults.into_iter().chain(series).collect()
+            let mut rng = SmallRng::seed_from_u64(seed ^ MOMENTARY_SALT);
+            let momentary = draw(&MOMENTARY_FAULTS, MOMENTARY_INTERVAL_MS, duration, &mut rng);
+            faults.into_iter().chain(momentary).collect()
         }
         Scenario::StoreDrills => {
             let drills = draw(&DRILLS, DRILL_INTERVAL_MS, duration, &mut rng);
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -239,6 +239,10 @@
                 self.command_backend(entry.target, BackendCommand::Replace(entry.span))
                     .await;
             }
+            Fault::Relisten => {
+                self.command_backend(entry.target, BackendCommand::Relisten(entry.span))
+                    .await;
+            }
             Fault::Move => self.move_route(entry.span).await,
             Fault::ZoneOut => {
                 let zone = self.zone(entry.target);
--- a/buckthornlink-soak/tests/unit/plan.rs
+++ b/buckthornlink-soak/tests/unit/plan.rs
@@ -5,10 +5,10 @@
 /// Guards against a series that is one long pause, or none.
 #[test]
 fn pauses_of_a_series_are_short_and_fill_its_span() {
-    let faults = generate(Scenario::Mixed, 7, DURATION);
-    let is_series = |e: &&Entry| e.fault == Fault::PauseSeries;
-    let series: Vec<_> = faults.iter().filter(is_series).collect();
-    assert!(series.len() > 2);
+    let faults = (0..10).flat_map(|seed| generate(Scenario::Mixed, seed, DURATION));
+    let is_series = |e: &Entry| e.fault == Fault::PauseSeries;
+    let series: Vec<_> = faults.filter(is_series).collect();
+    assert!(series.len() > 20, "{}", series.len());
     for entry in series {
         let pauses: Vec<_> = entry.pauses().collect();
         let total: Duration = pauses.iter().flatten().sum();
@@ -25,7 +25,7 @@
     let faults = generate(Scenario::Mixed, 64_000, DURATION);
     let faults = faults.iter().map(|e| e.fault);
     let first: Vec<_> = faults
-        .filter(|&fault| fault != Fault::PauseSeries)
+        .filter(|fault| !MOMENTARY_FAULTS.contains(fault))
         .take(4)
         .collect();
     let expected = [
