--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -14,6 +14,13 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..3_500;
 
+/// Time between the starts of two of [`MOMENTARY_FAULTS`], in milliseconds.
+const MOMENTARY_INTERVAL_MS: std::ops::Range<u64> = 2_000..6_000;
+/// Duration of each pause of a series, and of the time between two, in milliseconds.
+const SHORT_PAUSE_MS: std::ops::Range<u64> = 50..250;
+/// Distinguishes the random numbers of [`MOMENTARY_FAULTS`] from those of the other faults.
+const MOMENTARY_SALT: u64 = 1 << 42;
+
 /// Time between the starts of two store drills, in milliseconds: long enough for changes to be
 /// overdue in between.
 const DRILL_INTERVAL_MS: std::ops::Range<u64> = 9_000..12_000;
@@ -29,6 +36,8 @@
     Mixed,
     /// Store drills with time in between, and those other faults that do not affect the store.
     StoreDrills,
+    /// Releases, rolls, reloads and route moves in series that overlap, and no other faults.
+    PlannedWork,
 }
 
 /// A fault or planned change in a run.
@@ -42,6 +51,8 @@
     Restart,
     /// A process is paused (SIGSTOP) and resumed.
     Pause,
+    /// A process is paused and resumed again and again, for a moment each.
+    PauseSeries,
     /// A process is told to reload its settings (SIGHUP).
     Reload,
     /// The standard output of a process is not read for a while.
@@ -66,6 +77,8 @@
     Crash,
     /// A backend server drains and leaves, and another one starts in its place.
     Replace,
+    /// A backend server closes its TCP port for a while and serves on.
+    Relisten,
     /// The callers' route points to the other service for a while.
     Move,
     /// A zone is taken out of service and returned to service later.
@@ -126,6 +139,27 @@
     Fault::ZoneOut,
 ];
 
+/// Faults in which all processes live on, drawn uniformly beside [`WEIGHTED_FAULTS`].
+const MOMENTARY_FAULTS: [Fault; 2] = [Fault::PauseSeries, Fault::Relisten];
+
+/// Planned work of which each run has at least one series.
+const REQUIRED_WORK: [Fault; 2] = [Fault::Replace, Fault::Restart];
+/// Planned work, drawn uniformly for further series.
+const PLANNED_WORK: [Fault; 6] = [
+    Fault::Replace,
+    Fault::Replace,
+    Fault::Restart,
+    Fault::Restart,
+    Fault::Reload,
+    Fault::Move,
+];
+/// Number of further series in a run.
+const FURTHER_SERIES: std::ops::Range<usize> = 2..5;
+/// Number of steps in a series of planned work.
+const SERIES_STEPS: std::ops::Range<usize> = 4..30;
+/// Time between two steps of a series of planned work, in milliseconds.
+const STEP_INTERVAL_MS: std::ops::Range<u64> = 700..1_400;
+
 /// A scheduled fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -140,6 +174,18 @@
 }
 
 impl Entry {
+    /// Durations of the pauses of a series and of the times between them, in turn.
+    pub fn pauses(&self) -> impl Iterator<Item = [Duration; 2]> {
+        let mut rng = SmallRng::seed_from_u64(self.target as u64);
+        let mut draw = move || Duration::from_millis(rng.random_range(SHORT_PAUSE_MS));
+        let mut rest = self.span;
+        std::iter::repeat_with(move || [draw(), draw()]).take_while(move |[pause, gap]| {
+            let is_left = !rest.is_zero();
+            rest = rest.saturating_sub(*pause + *gap);
+            is_left
+        })
+    }
+
     /// Whether `other` would hide what this store drill shows: a process that starts reads the store
     /// and tells the others. Every other drill is left undisturbed.
     fn is_disturbed_by(&self, other: &Self) -> bool {
@@ -155,7 +201,11 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let faults = draw(&WEIGHTED_FAULTS, FAULT_INTERVAL_MS, duration, &mut rng);
     match scenario {
-        Scenario::Mixed => faults,
+        Scenario::Mixed => {
+            let mut rng = SmallRng::seed_from_u64(seed ^ MOMENTARY_SALT);
+            let momentary = draw(&MOMENTARY_FAULTS, MOMENTARY_INTERVAL_MS, duration, &mut rng);
+            faults.into_iter().chain(momentary).collect()
+        }
         Scenario::StoreDrills => {
             let drills = draw(&DRILLS, DRILL_INTERVAL_MS, duration, &mut rng);
             let is_disturbing = |e: &Entry| drills.iter().any(|drill| drill.is_disturbed_by(e));
@@ -164,9 +214,45 @@
             entries.extend(drills);
             entries
         }
+        Scenario::PlannedWork => draw_planned_work(duration, &mut rng),
     }
 }
 
+/// Draws series of planned work that overlap.
+fn draw_planned_work(duration: Duration, rng: &mut SmallRng) -> Vec<Entry> {
+    let end = duration.saturating_sub(RECOVERY_TIME);
+    let further = rng.random_range(FURTHER_SERIES);
+    let further: Vec<_> = (0..further)
+        .map(|_| PLANNED_WORK[rng.random_range(0..PLANNED_WORK.len())])
+        .collect();
+    let kinds = REQUIRED_WORK.into_iter().chain(further);
+    kinds
+        .flat_map(|fault| draw_series(fault, end, rng))
+        .collect()
+}
+
+/// Draws a series that affects one instance after the other, until `end` at the latest.
+fn draw_series(fault: Fault, end: Duration, rng: &mut SmallRng) -> Vec<Entry> {
+    let latest = FIRST_FAULT_TIME.max(end / 2);
+    let start = rng.random_range(FIRST_FAULT_TIME..=latest);
+    let step = Duration::from_millis(rng.random_range(STEP_INTERVAL_MS));
+    let first = rng.random_range(0..usize::from(u8::MAX));
+    let steps = rng.random_range(SERIES_STEPS);
+    let times = std::iter::successors(Some(start), |at| Some(*at + step));
+    let times = times.take(steps).take_while(|at| *at < end);
+    let mut entries = Vec::new();
+    for (target, at) in (first..).zip(times) {
+        let span = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        entries.push(Entry {
+            at,
+            span,
+            fault,
+            target,
+        });
+    }
+    entries
+}
+
 /// Draws faults that start at these intervals.
 fn draw(
     faults: &[Fault],
@@ -188,3 +274,7 @@
     }
     entries
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/plan.rs"]
+mod tests;
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -12,13 +12,15 @@
 
 use buckthornlink_standin::{KvServer, Operator, ResponseMode, RouteSpec};
 
-use crate::endpoints::{BackendCommand, FlowUse, ReadyBalancers, run_backend, run_caller};
+use crate::backend_server::{BackendCommand, run_backend};
+use crate::callers::{CallerProfile, FlowUse, ReadyBalancers, run_caller};
 use crate::invariants::{InvariantChecker, Summary};
 use crate::plan::{Entry, Fault, Scenario, generate};
 use crate::process::{ManagedProcess, StopOutcome};
 use crate::rebind::rebind;
+use crate::shape::Shape;
 use crate::tcp_proxy::{ProxyMode, TcpProxy};
-use crate::topology::{Role, SERVICES, Topology, ZONES};
+use crate::topology::{Role, SERVICES, Topology};
 
 /// Time that processes and backend servers have to start before the callers do.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
@@ -53,8 +55,8 @@
     pub scenario: Scenario,
     /// Duration of the run.
     pub duration: Duration,
-    /// Numbers of balancers, agents and callers.
-    pub counts: [u8; 3],
+    /// Numbers of instances and callers.
+    pub shape: Shape,
 }
 
 /// Runs a seed on a block of loopback addresses.
@@ -66,12 +68,11 @@
     let work_dir = setup.work_dir.join(format!("seed-{seed}"));
     let _ = std::fs::remove_dir_all(&work_dir);
     std::fs::create_dir_all(&work_dir)?;
-    let [balancers, agents, callers] = setup.counts;
-    let topology = Topology::new(block, balancers, agents);
+    let topology = Topology::new(block, &setup.shape);
     let cluster = Arc::new(Cluster::start(topology, &setup.program_dir, &work_dir, seed).await?);
     let mut endpoints = JoinSet::new();
     cluster
-        .spawn_endpoints(&mut endpoints, callers, setup.scenario, seed)
+        .spawn_endpoints(&mut endpoints, setup.shape.callers, setup.scenario, seed)
         .await;
     let mut faults = JoinSet::new();
     let started_at = tokio::time::Instant::now();
@@ -143,7 +144,7 @@
     async fn spawn_endpoints(
         &self,
         endpoints: &mut JoinSet<anyhow::Result<()>>,
-        callers: u8,
+        callers: u16,
         scenario: Scenario,
         seed: u64,
     ) {
@@ -170,7 +171,7 @@
                 topology,
                 index,
                 route_address(),
-                flow_use,
+                CallerProfile::new(index, flow_use),
                 ready_balancers,
                 checker,
                 seed,
@@ -214,6 +215,12 @@
             Fault::KillAll => self.kill_all(entry.span).await,
             Fault::Restart => self.restart(index).await,
             Fault::Pause => self.pause(index, entry.span).await,
+            Fault::PauseSeries => {
+                for [pause, gap] in entry.pauses() {
+                    self.pause(index, pause).await;
+                    sleep(gap).await;
+                }
+            }
             Fault::Reload => self.processes[index].lock().await.reload().await,
             Fault::Stall => self.stall_output(index, entry.span).await,
             Fault::StoreBusy => self.disrupt_store(ResponseMode::Busy, entry.span).await,
@@ -232,9 +239,13 @@
                 self.command_backend(entry.target, BackendCommand::Replace(entry.span))
                     .await;
             }
+            Fault::Relisten => {
+                self.command_backend(entry.target, BackendCommand::Relisten(entry.span))
+                    .await;
+            }
             Fault::Move => self.move_route(entry.span).await,
             Fault::ZoneOut => {
-                let zone = ZONES[entry.target % ZONES.len()];
+                let zone = self.zone(entry.target);
                 let duration = entry.span * ZONE_OUT_DURATION_FACTOR;
                 self.take_zone_out(zone, duration).await;
             }
@@ -255,6 +266,11 @@
         self.topology.instances[index].ip
     }
 
+    /// Zone with an index, modulo the number of zones.
+    const fn zone(&self, index: usize) -> &'static str {
+        self.topology.zones[index % self.topology.zones.len()]
+    }
+
     async fn kill(&self, index: usize, downtime: Duration) {
         let mut process = self.processes[index].lock().await;
         self.checker.record_disruption(self.ip(index));
@@ -360,7 +376,7 @@
     /// part of that time and a moment without the store.
     async fn restore_store(&self, entry: Entry) {
         let copy = self.store.copy();
-        let zone = ZONES[entry.target / 2 % ZONES.len()];
+        let zone = self.zone(entry.target / 2);
         self.take_zone_out(zone, COPY_AGE / 2).await;
         for _ in 0..EDITS_BEFORE_RESTORE {
             self.publish_config(SERVICES[0]).await;
@@ -386,7 +402,7 @@
         if entry.target.is_multiple_of(2) {
             self.move_route(MIN_CHANGE_TIME + entry.span).await;
         } else {
-            let zone = ZONES[entry.target / 2 % ZONES.len()];
+            let zone = self.zone(entry.target / 2);
             self.take_zone_out(zone, MIN_CHANGE_TIME + entry.span).await;
         }
     }
