fix(core): do not take the announcement of an end for the end

Cause: DELETE says that the process is about to exit. The agent stored that as if it had seen the exit: it ended all flows and announced 'Over', on which home agents and balancers reset those that it owned. Change: an announced end only stops new flows. Flows end on signs that the agent observes: connections are refused and beside that packets are refused too (the socket to the backend server is connected now, so the system reports it), or three packets stay unanswered for 500 ms, or nothing comes for two and a half heartbeat intervals (3 s after an announcement). A packet or heartbeat takes the conclusion back; signs that this process could not see while it was paused do not count; a late announcement for an earlier boot of the same name is taken back by the next heartbeat. A stopping agent waits for the end that was announced. Evidence: log lines with evidence=announced name each of these resets. In the interleavings both refusals come with the end, as before.

--- a/buckthornlink-core/src/datagram.rs
+++ b/buckthornlink-core/src/datagram.rs
@@ -40,7 +40,7 @@
 mod table;
 
 pub use agent::Agent;
-pub use backend::{Backend, BackendHeartbeat, BackendState};
+pub use backend::{Backend, BackendHeartbeat, BackendState, Connection};
 pub use balancer::Balancer;
 pub use decision::{Decision, Reason};
 pub use effect::{Effect, Measure};
--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -17,9 +17,9 @@
 use std::sync::Arc;
 
 use super::{
-    Backend, BackendHeartbeat, Decision, Effect, Event, Evidence, Fact, Flow, FlowCounts, Flows,
-    Gossip, Load, Message, Outcomes, OwnerRecord, Packet, Phase, Reason, Reducer, Role, ServiceTag,
-    Setup, Source, Status, Table,
+    Backend, BackendHeartbeat, Connection, Decision, Effect, Event, Evidence, Fact, Flow,
+    FlowCounts, Flows, Gossip, Load, Message, Outcomes, OwnerRecord, Packet, Phase, Reason,
+    Reducer, Role, ServiceTag, Setup, Source, Status, Table,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -183,14 +183,16 @@
             return;
         }
         let boot = self.backend.boot();
+        let was_over = self.backend.is_over();
         if !self.backend.receive_heartbeat(heartbeat, now) {
             return;
         }
-        let is_known = boot != BootId::default();
         let has_restarted = self.backend.boot() != boot;
-        if is_known && has_restarted {
+        if has_restarted && boot != BootId::default() {
             self.end_flows(Evidence::Replaced, now);
             self.outcomes.clear();
+        } else if was_over {
+            self.keep_ended_flows();
         }
         self.update_own_fact(now, out);
         if has_restarted {
@@ -205,16 +207,36 @@
         own == Some(service) || self.table.services.contains_key(&service)
     }
 
-    fn end_backend(&mut self, id: &str, now: Millis, out: &mut Vec<Effect>) {
-        if self.backend.mark_ended(id, now) {
-            self.end_flows(Evidence::Announced, now);
+    fn announce_backend_end(&mut self, id: &str, now: Millis, out: &mut Vec<Effect>) {
+        if self.backend.announce_end(id, now) {
             self.update_own_fact(now, out);
         }
     }
 
-    fn mark_backend_absent(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if self.backend.mark_absent(self.heartbeat_interval, now) {
-            self.end_flows(Evidence::ConnectionsRefused, now);
+    fn record_connection(&mut self, connection: Connection, now: Millis, out: &mut Vec<Effect>) {
+        self.backend.record_connection(connection);
+        self.conclude_backend_end(now, out);
+        self.update_own_fact(now, out);
+    }
+
+    fn record_refused_delivery(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.backend.record_refused_delivery();
+        self.conclude_backend_end(now, out);
+    }
+
+    /// Ends the flows of the backend server if the signs observed so far show that it has ended.
+    fn conclude_backend_end(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let evidence = self.backend.conclude_end(self.heartbeat_interval, now);
+        if let Some(evidence) = evidence {
+            self.end_flows(evidence, now);
+            self.update_own_fact(now, out);
+        }
+    }
+
+    /// Records a packet of the backend server; one that was taken for ended keeps its flows.
+    fn record_backend_life(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.backend.record_packet(now) {
+            self.keep_ended_flows();
             self.update_own_fact(now, out);
         }
     }
@@ -226,6 +248,7 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.update_mean_waiting();
+        self.conclude_backend_end(now, out);
         self.update_own_fact(now, out);
         self.gossip.tick(now, out);
         self.reset_ended_flows(now, out);
@@ -379,8 +402,9 @@
             Event::Published(members) => self.gossip.confirm_publication(members, now),
             Event::StoreReachable(answers) => self.gossip.set_store_reachable(answers, now, out),
             Event::BackendHeartbeat(heartbeat) => self.receive_heartbeat(&heartbeat, now, out),
-            Event::BackendAbsent => self.mark_backend_absent(now, out),
-            Event::BackendEnded(id) => self.end_backend(&id, now, out),
+            Event::BackendConnection(connection) => self.record_connection(connection, now, out),
+            Event::DeliveryRefused => self.record_refused_delivery(now, out),
+            Event::BackendEnding(id) => self.announce_backend_end(&id, now, out),
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
         }
@@ -402,6 +426,11 @@
         FlowCounts {
             open: self.flows.open_count(),
             waiting: self.flows.waiting_count(),
+            undecided: if self.backend.is_end_pending() {
+                self.flows.open_count()
+            } else {
+                0
+            },
             known: self.flows.len(),
         }
     }
--- a/buckthornlink-core/src/datagram/agent/ended.rs
+++ b/buckthornlink-core/src/datagram/agent/ended.rs
@@ -4,12 +4,10 @@
 //! not be repeated unless it is idempotent.
 
 use super::Agent;
-use crate::datagram::{Effect, Evidence, Flow, Ownership, Reason};
+use crate::datagram::backend::LATE_PACKET_TIME;
+use crate::datagram::{Effect, Evidence, Flow, FlowState, Ownership, Reason};
 use crate::time::Millis;
 
-/// Time for which answers that the backend server sent before its end may still arrive.
-const LATE_ANSWER_TIME: Millis = Millis(100);
-
 /// Flows whose callers are yet to be told that the backend server has ended.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EndedFlows {
@@ -27,6 +25,13 @@
         self.ended_flows.evidence = Some(evidence);
     }
 
+    /// Keeps the flows whose callers are yet to be told of an end that was taken back.
+    pub(super) fn keep_ended_flows(&mut self) {
+        for flow in std::mem::take(&mut self.ended_flows.flows) {
+            self.flows.update(&flow, FlowState::revert_end);
+        }
+    }
+
     /// What showed that the backend server of ended flows has ended, and how long ago.
     pub(super) fn ended_flows_evidence(&self, now: Millis) -> (Option<Evidence>, Millis) {
         let ended = &self.ended_flows;
@@ -35,7 +40,7 @@
 
     /// Resets the flows that have ended, once no answer is on its way any more.
     pub(super) fn reset_ended_flows(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if now.since(self.ended_flows.ended_at) < LATE_ANSWER_TIME {
+        if now.since(self.ended_flows.ended_at) < LATE_PACKET_TIME {
             return;
         }
         for flow in std::mem::take(&mut self.ended_flows.flows) {
@@ -55,3 +60,12 @@
         }
     }
 }
+
+impl FlowState {
+    /// Takes back the end of the flow, unless its caller was told.
+    fn revert_end(&mut self) {
+        if self.ownership == Ownership::Ended && !self.was_reset {
+            self.ownership = Ownership::Open;
+        }
+    }
+}
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -33,7 +33,7 @@
                 });
                 self.deliver(from, packet, now, out);
             }
-            Ownership::Trial { .. } => out.push(Effect::Deliver(packet.tag)),
+            Ownership::Trial { .. } => self.deliver_to_backend(packet, now, out),
             Ownership::Ended => {
                 let basis = self.ended_flows_evidence(now);
                 out.push(self.end_decision(Reason::BackendOver, Some(packet.flow), basis));
@@ -48,7 +48,7 @@
 
     /// Handles a packet that the backend server sent or bounced.
     pub(super) fn handle_outbound(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
-        self.backend.record_packet(now);
+        self.record_backend_life(now, out);
         if packet.flags.bounced {
             self.handle_bounce(packet, now, out);
             return;
@@ -109,7 +109,7 @@
             }
             is_record_due
         });
-        out.push(Effect::Deliver(packet.tag));
+        self.deliver_to_backend(packet, now, out);
         if is_record_due && !packet.tag.origin.is_unspecified() {
             self.send_owner_record(packet.tag.origin, packet, out);
         }
@@ -118,6 +118,19 @@
         }
     }
 
+    /// Passes a packet to the backend server.
+    pub(super) fn deliver_to_backend(
+        &mut self,
+        packet: &Packet,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        if packet.is_opening() || packet.len > 0 {
+            self.backend.record_delivery(now);
+        }
+        out.push(Effect::Deliver(packet.tag));
+    }
+
     /// Sends an instance the owner record of a packet's flow.
     fn send_owner_record(&self, to: Ipv4Addr, packet: &Packet, out: &mut Vec<Effect>) {
         let message = Message::OwnerRecords(vec![self.owner_record(&packet.flow)]);
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -1,5 +1,7 @@
 //! State of the local backend server, as the agent observes it.
 
+mod signs;
+
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
@@ -7,16 +9,16 @@
 use super::{Evidence, Phase, ServiceTag};
 use crate::id::BootId;
 use crate::time::Millis;
+pub use signs::Connection;
+use signs::Signs;
 
 /// Window over which admissions are counted.
 const ADMISSION_WINDOW: Millis = Millis(1_000);
 /// Time without a heartbeat after which a backend server counts as silent, in tenths of the
 /// heartbeat interval.
 const SILENCE_TIMEOUT_TENTHS: u64 = 16;
-/// Time without a heartbeat or packet after which a backend server that may be leaving, and to which
-/// connections are refused, counts as absent, in tenths of the heartbeat interval: two heartbeats are
-/// missing.
-const ABSENCE_TIMEOUT_TENTHS: u64 = 25;
+/// Time for which packets that the backend server sent before its end may still arrive.
+pub(super) const LATE_PACKET_TIME: Millis = Millis(100);
 /// Sequence number of the heartbeat with which a backend server starts. A process that hears a later one
 /// first may have a predecessor that admitted flows.
 const FIRST_SEQ: u64 = 1;
@@ -40,7 +42,7 @@
     pub slots: u16,
 }
 
-/// State of a backend server, apart from silence and cold start.
+/// State of a backend server by its heartbeats, apart from silence, cold start and its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackendState {
     /// No heartbeat has been received yet.
@@ -50,10 +52,6 @@
     Ready,
     /// It is leaving and accepts no new flows.
     Draining,
-    /// Nothing listens at its address, and nothing else shows that it runs.
-    Absent,
-    /// Its end has been reported.
-    Ended,
 }
 
 /// The local backend server, as its heartbeats describe it, and the flows that it was given. Those count
@@ -65,11 +63,14 @@
     seq: u64,
     service: ServiceTag,
     state: BackendState,
+    signs: Signs,
     /// What showed its end, and when.
     end: Option<(Evidence, Millis)>,
+    /// Whether it has announced its end since its last heartbeat.
+    is_exiting: bool,
+    /// Whether it was taken for ended and sent a packet since, but no heartbeat that tells its boot.
+    is_revived: bool,
     last_heartbeat: Millis,
-    /// When it last sent a heartbeat or a packet; at first, when this process started.
-    last_sign: Millis,
     cold_until: Millis,
     slots: u16,
     is_tracked: bool,
@@ -85,7 +86,7 @@
     pub fn new(now: Millis) -> Self {
         Self {
             counted_since: now,
-            last_sign: now,
+            signs: Signs::new(now),
             ..Self::default()
         }
     }
@@ -100,7 +101,10 @@
         }
         self.seq = heartbeat.seq;
         self.last_heartbeat = now;
-        self.last_sign = now;
+        self.signs.record_life(now);
+        self.end = None;
+        self.is_exiting = false;
+        self.is_revived = false;
         self.slots = heartbeat.slots;
         self.cold_until = now + heartbeat.cold;
         self.state = if heartbeat.draining || self.state == BackendState::Draining {
@@ -111,54 +115,85 @@
         true
     }
 
-    /// Records that the backend server named `id` has ended; returns whether it is the current one.
-    pub fn mark_ended(&mut self, id: &str, now: Millis) -> bool {
+    /// Records that the backend server named `id` announced its end; returns whether it is the current one.
+    ///
+    /// Its process goes on serving its flows until it exits. A later heartbeat reverts this, as the
+    /// announcement may be a late one of an earlier boot with the same name.
+    pub fn announce_end(&mut self, id: &str, now: Millis) -> bool {
         let is_current = self.id == id && self.state != BackendState::Unknown;
         if is_current {
-            self.state = BackendState::Ended;
-            self.end = Some((Evidence::Announced, now));
+            self.is_exiting = true;
+            self.signs.record_announcement(now);
         }
         is_current
     }
 
-    /// Records a packet from the backend server, which shows that it runs.
-    pub const fn record_packet(&mut self, now: Millis) {
-        self.last_sign = now;
+    /// Records a packet from the backend server, which shows that it runs unless it is a late one; returns
+    /// whether the backend server was taken for ended.
+    pub fn record_packet(&mut self, now: Millis) -> bool {
+        if self.is_late(now) {
+            return false;
+        }
+        self.signs.record_life(now);
+        let was_over = self.end.take().is_some();
+        self.is_revived |= was_over;
+        was_over
     }
 
-    /// Records that connections to the backend server's address are refused; returns whether it counts
-    /// as absent now and did not before.
-    ///
-    /// One that is ready accepts connections as long as it runs. One that is leaving may stop earlier and
-    /// serve its flows on, and a process that has heard no heartbeat yet cannot tell the two apart. In
-    /// both cases, heartbeats and packets have to be missing as well.
-    ///
-    /// A later heartbeat of the same boot reverts this.
-    pub fn mark_absent(&mut self, interval: Millis, now: Millis) -> bool {
-        let timeout = Millis(interval.0 * ABSENCE_TIMEOUT_TENTHS / 10);
-        let is_new = match self.state {
-            BackendState::Ready => true,
-            BackendState::Unknown | BackendState::Draining => now.since(self.last_sign) > timeout,
-            BackendState::Absent | BackendState::Ended => false,
-        };
-        if is_new {
-            self.state = BackendState::Absent;
-            self.end = Some((Evidence::ConnectionsRefused, now));
+    /// Whether a packet that arrives now may have been sent before the ports were seen to refuse.
+    fn is_late(&self, now: Millis) -> bool {
+        let end = self.end.filter(|(e, _)| *e == Evidence::PortsRefused);
+        end.is_some_and(|(_, at)| now.since(at) < LATE_PACKET_TIME)
+    }
+
+    /// Records that a packet that calls for an answer was delivered.
+    pub fn record_delivery(&mut self, now: Millis) {
+        if !self.is_over() {
+            self.signs.record_delivery(now);
+        }
+    }
+
+    /// Records what became of a connection to the backend server.
+    pub const fn record_connection(&mut self, connection: Connection) {
+        self.signs.record_connection(connection);
+    }
+
+    /// Records that a packet to the backend server was refused.
+    pub const fn record_refused_delivery(&mut self) {
+        self.signs.record_refused_delivery();
+    }
+
+    /// Concludes from the signs observed so far whether the backend server has ended; returns the evidence
+    /// if it counts as ended now and did not before. A heartbeat or packet reverts this.
+    pub fn conclude_end(&mut self, interval: Millis, now: Millis) -> Option<Evidence> {
+        let interval = (!self.is_exiting).then_some(interval);
+        let evidence = self.signs.check(interval, now);
+        let is_refused = self.state == BackendState::Ready && self.signs.is_refused();
+        let refused = is_refused.then_some(Evidence::ConnectionsRefused);
+        let evidence = evidence.or(refused.filter(|_| !self.is_exiting));
+        if self.is_over() {
+            return None;
         }
-        is_new
+        self.end = evidence.map(|evidence| (evidence, now));
+        evidence
+    }
+
+    /// Whether it announced its end and is not known to have ended.
+    #[must_use]
+    pub const fn is_end_pending(&self) -> bool {
+        self.is_exiting && !self.is_over()
     }
 
-    /// Whether the backend server is absent or has ended, and so holds no flows.
+    /// Whether the backend server has ended, and so holds no flows.
     #[must_use]
     pub const fn is_over(&self) -> bool {
-        matches!(self.state, BackendState::Absent | BackendState::Ended)
+        self.end.is_some()
     }
 
-    /// What showed that the backend server is absent or has ended, and how long ago.
+    /// What showed that the backend server has ended, and how long ago.
     #[must_use]
     pub fn end_evidence(&self, now: Millis) -> Option<(Evidence, Millis)> {
-        let end = self.end.filter(|_| self.is_over());
-        end.map(|(evidence, at)| (evidence, now.since(at)))
+        self.end.map(|(evidence, at)| (evidence, now.since(at)))
     }
 
     /// Boot of the backend server; zero if none is known.
@@ -196,10 +231,12 @@
     pub fn phase(&self, interval: Millis, now: Millis) -> Phase {
         let silence_timeout = Millis(interval.0 * SILENCE_TIMEOUT_TENTHS / 10);
         match self.state {
+            _ if self.is_over() => Phase::Over,
             BackendState::Unknown => Phase::Starting,
-            BackendState::Absent | BackendState::Ended => Phase::Over,
-            _ if self.age(now) > silence_timeout => Phase::Silent,
+            _ if self.is_revived || self.age(now) > silence_timeout => Phase::Silent,
             BackendState::Draining => Phase::Draining,
+            BackendState::Ready if self.is_exiting => Phase::Draining,
+            BackendState::Ready if self.signs.is_refused() => Phase::Silent,
             BackendState::Ready if now < self.cold_until => Phase::Cold,
             BackendState::Ready => Phase::Ready,
         }
@@ -245,7 +282,7 @@
             return None;
         }
         let is_current = boot == self.boot && self.state != BackendState::Unknown;
-        let is_stale = heartbeat.seq <= self.seq || self.state == BackendState::Ended;
+        let is_stale = heartbeat.seq <= self.seq;
         (!is_current || !is_stale).then_some(boot)
     }
 
@@ -255,5 +292,6 @@
         self.boot = boot;
         self.service = heartbeat.service;
         self.state = BackendState::Ready;
+        self.signs.record_start();
     }
 }
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -251,7 +251,10 @@
             Event::RegisteredAgents(ips) => self.gossip.set_registered_agents(ips, now, out),
             Event::Published(members) => self.gossip.confirm_publication(members, now),
             Event::StoreReachable(answers) => self.gossip.set_store_reachable(answers, now, out),
-            Event::BackendHeartbeat(_) | Event::BackendAbsent | Event::BackendEnded(_) => {}
+            Event::BackendHeartbeat(_)
+            | Event::BackendConnection(_)
+            | Event::DeliveryRefused
+            | Event::BackendEnding(_) => {}
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
         }
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use super::{BackendHeartbeat, Effect, Gossip, Message, Packet, Table, ZoneMembers};
+use super::{BackendHeartbeat, Connection, Effect, Gossip, Message, Packet, Table, ZoneMembers};
 use crate::member::{ZoneRecord, ZoneSnapshot};
 use crate::time::Millis;
 
@@ -40,10 +40,13 @@
     StoreReachable(bool),
     /// The backend server sent a heartbeat.
     BackendHeartbeat(BackendHeartbeat),
-    /// Connections to the backend server's address are refused; reported again while they are.
-    BackendAbsent,
-    /// The backend server with this id has ended.
-    BackendEnded(String),
+    /// The idle connection to the backend server was accepted, closed or refused; a refusal is reported
+    /// again while it lasts.
+    BackendConnection(Connection),
+    /// A packet to the backend server was refused: nothing receives packets at its address.
+    DeliveryRefused,
+    /// The backend server with this id announced that it is about to end.
+    BackendEnding(String),
     /// The process was asked to terminate.
     Leave,
     /// The periodic timer fired.
@@ -68,6 +71,8 @@
     pub open: usize,
     /// Flows with a request that the backend server has not begun to answer.
     pub waiting: usize,
+    /// Open flows of a backend server that announced its end and is not known to have ended.
+    pub undecided: usize,
     /// Flows with remembered state, those of other owners included.
     pub known: usize,
 }
--- a/buckthornlink-core/src/datagram/evidence.rs
+++ b/buckthornlink-core/src/datagram/evidence.rs
@@ -6,10 +6,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Evidence {
-    /// The backend server announced its end.
-    Announced,
-    /// Connections to it are refused.
+    /// Nothing listens at its port and nothing receives packets at its address.
+    PortsRefused,
+    /// Connections to it are refused while it is ready.
     ConnectionsRefused,
+    /// Connections to it are refused, and it leaves packets unanswered.
+    Unanswered,
+    /// Connections to it are refused, and neither heartbeats nor packets come from it.
+    Silent,
     /// Another boot sent a heartbeat.
     Replaced,
     /// It returned a packet of the flow.
@@ -27,8 +31,6 @@
 pub enum Basis {
     /// The deciding process saw it itself.
     Observed,
-    /// The backend server said so in advance.
-    Announced,
     /// It is concluded from something that may have another reason.
     Inferred,
     /// Another instance said so.
@@ -37,9 +39,11 @@
 
 impl Evidence {
     /// All evidence, in the order of its declaration.
-    pub const ALL: [Self; 7] = [
-        Self::Announced,
+    pub const ALL: [Self; 9] = [
+        Self::PortsRefused,
         Self::ConnectionsRefused,
+        Self::Unanswered,
+        Self::Silent,
         Self::Replaced,
         Self::Bounced,
         Self::ReportedOver,
@@ -51,13 +55,15 @@
     ///
     /// ```
     /// # use buckthornlink_core::datagram::Evidence;
-    /// assert_eq!(Evidence::ConnectionsRefused.name(), "connections_refused");
+    /// assert_eq!(Evidence::PortsRefused.name(), "ports_refused");
     /// ```
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
-            Self::Announced => "announced",
+            Self::PortsRefused => "ports_refused",
             Self::ConnectionsRefused => "connections_refused",
+            Self::Unanswered => "unanswered",
+            Self::Silent => "silent",
             Self::Replaced => "replaced",
             Self::Bounced => "bounced",
             Self::ReportedOver => "reported_over",
@@ -70,15 +76,16 @@
     ///
     /// ```
     /// # use buckthornlink_core::datagram::{Basis, Evidence};
-    /// assert_eq!(Evidence::Announced.basis(), Basis::Announced);
+    /// assert_eq!(Evidence::Silent.basis(), Basis::Inferred);
     /// assert_eq!(Evidence::Bounced.basis(), Basis::Observed);
     /// ```
     #[must_use]
     pub const fn basis(self) -> Basis {
         match self {
-            Self::Announced => Basis::Announced,
-            Self::Bounced => Basis::Observed,
-            Self::ConnectionsRefused | Self::Replaced => Basis::Inferred,
+            Self::PortsRefused | Self::Bounced => Basis::Observed,
+            Self::ConnectionsRefused | Self::Unanswered | Self::Silent | Self::Replaced => {
+                Basis::Inferred
+            }
             Self::ReportedOver | Self::ReportedReplaced | Self::Denied => Basis::Reported,
         }
     }
@@ -95,7 +102,6 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Observed => "observed",
-            Self::Announced => "announced",
             Self::Inferred => "inferred",
             Self::Reported => "reported",
         }
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -51,9 +51,9 @@
     Cold,
     /// Keeps its flows but accepts no new ones.
     Draining,
-    /// The backend server no longer sends heartbeats.
+    /// The backend server no longer sends heartbeats, or refuses connections.
     Silent,
-    /// The backend server has ended, and its flows with it, or nothing listens at its address.
+    /// The backend server has ended, and its flows with it.
     Over,
     /// The process has announced its shutdown, and holds no flows: it is a balancer, or its backend
     /// server has ended.
--- a/buckthornlink-datagram/src/backend_monitor.rs
+++ b/buckthornlink-datagram/src/backend_monitor.rs
@@ -1,8 +1,8 @@
-//! Detects without delay that the backend server has ended without reporting it.
+//! Observes by an idle TCP connection whether the backend server accepts connections.
 //!
-//! An idle TCP connection to the backend server is kept open. When it closes, new connection
-//! attempts show whether anything still listens. The connection is replaced at intervals, since it may
-//! have fallen silent. What refused connections mean is decided by the reducer.
+//! When the connection closes, new connection attempts show whether anything still listens. The connection
+//! is replaced at intervals, since it may have fallen silent. What is observed goes to the reducer, which
+//! decides what it means.
 
 use std::io;
 use std::net::SocketAddrV4;
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use buckthornlink_core::datagram::Event;
+use buckthornlink_core::datagram::{Connection, Event};
 
 use crate::ReducerHandle;
 
@@ -42,7 +42,10 @@
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => {
                 refusals = 0;
-                let _ = timeout(lifetime, wait_closed(stream)).await;
+                report(&handle, Connection::Accepted);
+                if timeout(lifetime, wait_closed(stream)).await.is_ok() {
+                    report(&handle, Connection::Closed);
+                }
             }
             Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
                 refusals += 1;
@@ -54,7 +57,7 @@
                     );
                 }
                 if refusals >= ABSENT_REFUSALS {
-                    handle.send(Event::BackendAbsent);
+                    report(&handle, Connection::Refused);
                 }
             }
             Ok(Err(_)) | Err(_) => refusals = 0,
@@ -63,6 +66,10 @@
     }
 }
 
+fn report(handle: &ReducerHandle, connection: Connection) {
+    handle.send(Event::BackendConnection(connection));
+}
+
 /// Waits until the backend server closes the connection.
 async fn wait_closed(mut stream: TcpStream) {
     let mut byte = [0];
--- a/buckthornlink-datagram/src/event_loop.rs
+++ b/buckthornlink-datagram/src/event_loop.rs
@@ -13,7 +13,9 @@
 use crate::config_transfer::{self, SharedTable};
 use crate::decision_log::DecisionLog;
 use crate::metrics::Metrics;
-use crate::sockets::{MAX_DATAGRAM_BYTES, Received, Sockets, try_receive, wait_readable};
+use crate::sockets::{
+    MAX_DATAGRAM_BYTES, Received, Sockets, send_connected, take_refusal, try_receive, wait_readable,
+};
 use crate::store_control::StoreHandle;
 use crate::{Adapter, Input, ReducerHandle, Settings, clock};
 
@@ -38,7 +40,7 @@
     sockets: Sockets,
     shared: SharedState,
     http: reqwest::Client,
-    destinations: Destinations,
+    ports: Ports,
     grace_period: Millis,
     decision_log: DecisionLog,
     effects: Vec<Effect>,
@@ -58,13 +60,12 @@
     pub store: StoreHandle,
 }
 
-/// Ports and addresses to which packets and messages are sent.
+/// Ports to which packets and messages are sent.
 #[derive(Clone, Copy, Debug)]
-struct Destinations {
-    caller_port: u16,
-    link_port: u16,
-    relay_port: u16,
-    backend_addr: Option<SocketAddrV4>,
+struct Ports {
+    caller: u16,
+    link: u16,
+    relay: u16,
 }
 
 /// Progress of a requested termination.
@@ -74,15 +75,16 @@
     elapsed: Millis,
     /// Time since the last packet.
     quiet: Millis,
-    /// Flows with a request that the backend server has not begun to answer.
-    waiting: usize,
+    /// Flows with a request that the backend server has not begun to answer, and those whose end is
+    /// announced but not known.
+    pending: usize,
 }
 
 impl Shutdown {
-    /// Whether the process may end: no more packets arrive and no request is left without its
-    /// answer, or the grace period is over.
+    /// Whether the process may end: no more packets arrive and no flow is left whose caller waits for an
+    /// answer or is to be told of its end, or the grace period is over.
     fn is_complete(self, grace_period: Millis) -> bool {
-        let is_idle = self.quiet >= QUIET_PERIOD && self.waiting == 0;
+        let is_idle = self.quiet >= QUIET_PERIOD && self.pending == 0;
         self.elapsed >= grace_period || self.elapsed >= MIN_SHUTDOWN_TIME && is_idle
     }
 }
@@ -102,11 +104,10 @@
             sockets,
             shared,
             http: config_transfer::http_client()?,
-            destinations: Destinations {
-                caller_port: settings.data.port(),
-                link_port: settings.link_port,
-                relay_port: settings.relay_port,
-                backend_addr: settings.backend.as_ref().map(|b| b.address),
+            ports: Ports {
+                caller: settings.data.port(),
+                link: settings.link_port,
+                relay: settings.relay_port,
             },
             grace_period: Millis(settings.grace_ms),
             decision_log: DecisionLog::default(),
@@ -150,6 +151,9 @@
     }
 
     fn tick(&mut self) {
+        if self.sockets.delivery.as_ref().is_some_and(take_refusal) {
+            self.reduce(Event::DeliveryRefused, 0);
+        }
         self.reduce(Event::Tick, 0);
         let now = clock::now();
         self.decision_log.advance_window(now);
@@ -160,10 +164,11 @@
     /// Whether a process that was asked to terminate at `since` may end.
     fn can_stop(&self, since: Millis) -> bool {
         let now = clock::now();
+        let flows = self.reducer.flow_counts();
         let shutdown = Shutdown {
             elapsed: now.since(since),
             quiet: now.since(self.last_packet),
-            waiting: self.reducer.flow_counts().waiting,
+            pending: flows.waiting + flows.undecided,
         };
         shutdown.is_complete(self.grace_period)
     }
@@ -258,7 +263,7 @@
 
     fn relay(&mut self, to: Ipv4Addr, tag: RelayTag, len: usize) {
         self.adapter.write_tag(&mut self.buffer[..len], tag);
-        let to = SocketAddrV4::new(to, self.destinations.relay_port);
+        let to = SocketAddrV4::new(to, self.ports.relay);
         let _ = self
             .sockets
             .relay
@@ -267,8 +272,11 @@
 
     fn deliver(&mut self, tag: RelayTag, len: usize) {
         self.adapter.write_tag(&mut self.buffer[..len], tag);
-        if let (Some(socket), Some(to)) = (&self.sockets.backend, self.destinations.backend_addr) {
-            let _ = socket.try_send_to(&self.buffer[..len], to.into());
+        let Some(socket) = &self.sockets.delivery else {
+            return;
+        };
+        if send_connected(socket, &self.buffer[..len]) {
+            self.shared.handle.send(Event::DeliveryRefused);
         }
     }
 
@@ -289,7 +297,7 @@
     }
 
     fn send_to_caller(&self, flow: &Flow, bytes: &[u8]) {
-        let to = SocketAddrV4::new(*flow.caller.ip(), self.destinations.caller_port);
+        let to = SocketAddrV4::new(*flow.caller.ip(), self.ports.caller);
         let socket = self.sockets.fabric.as_ref().unwrap_or(&self.sockets.relay);
         let _ = socket.try_send_to(bytes, to.into());
     }
@@ -298,7 +306,7 @@
         let Ok(bytes) = rmp_serde::to_vec(message) else {
             return;
         };
-        let to = SocketAddrV4::new(to, self.destinations.link_port);
+        let to = SocketAddrV4::new(to, self.ports.link);
         let _ = self.sockets.link.try_send_to(&bytes, to.into());
     }
 
@@ -306,7 +314,7 @@
     fn fetch_config(&self, from: Ipv4Addr) {
         let http = self.http.clone();
         let handle = self.shared.handle.clone();
-        let port = self.destinations.link_port;
+        let port = self.ports.link;
         tokio::spawn(async move {
             match config_transfer::fetch_config(&http, from, port).await {
                 Ok(table) => {
--- a/buckthornlink-datagram/src/reducer_handle.rs
+++ b/buckthornlink-datagram/src/reducer_handle.rs
@@ -54,10 +54,10 @@
         self.try_send(Event::BackendHeartbeat(heartbeat))
     }
 
-    /// Reports that the backend server `id` has ended; returns whether the channel accepted it.
+    /// Reports that the backend server `id` is about to end; returns whether the channel accepted it.
     #[must_use]
-    pub fn send_backend_ended(&self, id: String) -> bool {
-        self.try_send(Event::BackendEnded(id))
+    pub fn send_backend_ending(&self, id: String) -> bool {
+        self.try_send(Event::BackendEnding(id))
     }
 
     /// Sends an event, which is dropped if the channel is full; important events are repeated.
--- a/buckthornlink-datagram/src/sockets.rs
+++ b/buckthornlink-datagram/src/sockets.rs
@@ -22,20 +22,28 @@
     pub relay: UdpSocket,
     /// Control messages.
     pub link: UdpSocket,
-    /// Packets from and to the backend server; agents only.
+    /// Packets from the backend server; agents only.
     pub backend: Option<UdpSocket>,
+    /// Packets to the backend server; agents only. It is connected, so that the system reports when nothing
+    /// receives packets at the backend server's address.
+    pub delivery: Option<UdpSocket>,
 }
 
 impl Sockets {
     /// Binds the addresses in the settings.
     pub(crate) async fn bind(settings: &Settings) -> anyhow::Result<Self> {
         let at = |port| SocketAddrV4::new(settings.ip, port);
-        let (fabric, backend) = match &settings.backend {
-            Some(backend) => (None, Some(bind(backend.outbound).await?)),
-            None => (Some(bind(settings.data).await?), None),
-        };
+        let (mut fabric, mut backend, mut delivery) = (None, None, None);
+        match &settings.backend {
+            Some(server) => {
+                backend = Some(bind(server.outbound).await?);
+                delivery = Some(connect(*server.outbound.ip(), server.address).await?);
+            }
+            None => fabric = Some(bind(settings.data).await?),
+        }
         Ok(Self {
             fabric,
+            delivery,
             relay: bind(at(settings.relay_port)).await?,
             link: bind(at(settings.link_port)).await?,
             backend,
@@ -57,6 +65,33 @@
     socket.with_context(|| format!("cannot bind the datagram socket {addr}"))
 }
 
+/// Opens a socket at any port of `from` that sends to `to` only.
+async fn connect(from: Ipv4Addr, to: SocketAddrV4) -> anyhow::Result<UdpSocket> {
+    let socket = bind(SocketAddrV4::new(from, 0)).await?;
+    let connected = socket.connect(to).await;
+    connected.with_context(|| format!("cannot connect the datagram socket to {to}"))?;
+    Ok(socket)
+}
+
+/// Sends a datagram over a connected socket without waiting; returns whether an earlier one was refused.
+pub(crate) fn send_connected(socket: &UdpSocket, bytes: &[u8]) -> bool {
+    let is_refused = |result: io::Result<usize>| {
+        result.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+    };
+    // The system reports a refusal instead of sending the next datagram.
+    let was_refused = is_refused(socket.try_send(bytes));
+    if was_refused {
+        let _ = socket.try_send(bytes);
+    }
+    was_refused
+}
+
+/// Whether a datagram sent over a connected socket was refused since the last call.
+pub(crate) fn take_refusal(socket: &UdpSocket) -> bool {
+    let error = socket.take_error().ok().flatten();
+    error.is_some_and(|err| err.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Receives one datagram without waiting.
 pub(crate) fn try_receive(socket: &UdpSocket, buffer: &mut [u8]) -> Received {
     match socket.try_recv_from(buffer) {
@@ -86,3 +121,7 @@
         None => std::future::pending().await,
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/sockets.rs"]
+mod tests;
--- a/buckthornlink-fakes/src/datagram/simulation/faults.rs
+++ b/buckthornlink-fakes/src/datagram/simulation/faults.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use buckthornlink_core::datagram::{Event, Role};
+use buckthornlink_core::datagram::{Connection, Event, Role};
 use buckthornlink_core::member::ZoneRecord;
 use buckthornlink_core::{Millis, ZoneTag};
 use rand::Rng;
@@ -133,7 +133,7 @@
         if let Some(instance) = self.instances.get_mut(&ip) {
             instance.disrupted_until = Some(self.now);
         }
-        self.dispatch(ip, Event::BackendAbsent);
+        self.dispatch(ip, Event::BackendConnection(Connection::Refused));
         self.send_heartbeat(ip);
     }
 
@@ -251,10 +251,12 @@
 
     fn end_agent(&mut self, ip: Ipv4Addr) {
         let born = self.instances[&ip].backend.as_ref().map_or(0, |b| b.born);
-        self.dispatch(ip, Event::BackendEnded(format!("i-{born}")));
+        self.dispatch(ip, Event::BackendEnding(format!("i-{born}")));
         if let Some(instance) = self.instances.get_mut(&ip) {
             instance.backend = None;
         }
+        self.dispatch(ip, Event::BackendConnection(Connection::Refused));
+        self.dispatch(ip, Event::DeliveryRefused);
         self.dispatch(ip, Event::Leave);
         self.instances.remove(&ip);
     }
