fix(core): do not take refused connections of a ready backend server for its end

Cause: two refused connections within 0.2 s counted as the end of a backend server whose last heartbeat said ready. That is a guess from one of its two ports; the packets' port was open. Change: refused connections alone only stop new flows (phase Silent) until a connection is accepted. The end needs a second sign beside them, as for one that is leaving. Why it works: a process that serves its flows answers, and its packets' port is open; both are seen by the agent itself. A crash is seen by the packets' port at the next packet, or by three unanswered packets within 500 ms, or after 3 s without load.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -168,9 +168,6 @@
     pub fn conclude_end(&mut self, interval: Millis, now: Millis) -> Option<Evidence> {
         let interval = (!self.is_exiting).then_some(interval);
         let evidence = self.signs.check(interval, now);
-        let is_refused = self.state == BackendState::Ready && self.signs.is_refused();
-        let refused = is_refused.then_some(Evidence::ConnectionsRefused);
-        let evidence = evidence.or(refused.filter(|_| !self.is_exiting));
         if self.is_over() {
             return None;
         }
--- a/buckthornlink-core/src/datagram/evidence.rs
+++ b/buckthornlink-core/src/datagram/evidence.rs
@@ -8,8 +8,6 @@
 pub enum Evidence {
     /// Nothing listens at its port and nothing receives packets at its address.
     PortsRefused,
-    /// Connections to it are refused while it is ready.
-    ConnectionsRefused,
     /// Connections to it are refused, and it leaves packets unanswered.
     Unanswered,
     /// Connections to it are refused, and neither heartbeats nor packets come from it.
@@ -39,9 +37,8 @@
 
 impl Evidence {
     /// All evidence, in the order of its declaration.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 8] = [
         Self::PortsRefused,
-        Self::ConnectionsRefused,
         Self::Unanswered,
         Self::Silent,
         Self::Replaced,
@@ -61,7 +58,6 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::PortsRefused => "ports_refused",
-            Self::ConnectionsRefused => "connections_refused",
             Self::Unanswered => "unanswered",
             Self::Silent => "silent",
             Self::Replaced => "replaced",
@@ -83,9 +79,7 @@
     pub const fn basis(self) -> Basis {
         match self {
             Self::PortsRefused | Self::Bounced => Basis::Observed,
-            Self::ConnectionsRefused | Self::Unanswered | Self::Silent | Self::Replaced => {
-                Basis::Inferred
-            }
+            Self::Unanswered | Self::Silent | Self::Replaced => Basis::Inferred,
             Self::ReportedOver | Self::ReportedReplaced | Self::Denied => Basis::Reported,
         }
     }
--- a/buckthornlink-core/tests/datagram_refused.rs
+++ b/buckthornlink-core/tests/datagram_refused.rs
@@ -5,10 +5,12 @@
 use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::{Connection, Effect, Event, Message, Mode, Phase};
 
-use datagram::{AgentDriver, answer, bounced, data, draining, is_reset};
+use datagram::{AgentDriver, TICK_INTERVAL, answer, bounced, data, draining, is_reset, opening};
 
 const HEARTBEAT_INTERVAL: Millis = Millis(1_200);
 const REPORT_INTERVAL: Millis = Millis(300);
+/// Time within which the end of a backend server that gets packets has to be known.
+const BUSY_DETECTION_TIME: Millis = Millis(1_000);
 /// Time after the last sign of life within which the end of a backend server has to be known.
 const DETECTION_TIME: Millis = Millis(4_000);
 
@@ -108,3 +110,112 @@
     }
     assert_ne!(agent.phase(), Phase::Over);
 }
+
+/// Guards against the reset of all flows of a backend server that stops to listen before its heartbeats say
+/// that it drains, or whose listener is replaced.
+#[test]
+fn flows_of_a_ready_backend_server_that_refuses_connections_are_kept() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    let mut effects = refuse(&mut agent, HEARTBEAT_INTERVAL);
+    agent.heartbeat(draining(2));
+    effects.extend(refuse(&mut agent, HEARTBEAT_INTERVAL));
+    assert!(!effects.iter().any(is_reset), "{effects:?}");
+    let next = agent.packet_from_peer(data(1), Mode::Known);
+    assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+    assert_eq!(agent.phase(), Phase::Draining);
+}
+
+/// Guards against new flows at a backend server that may be gone.
+#[test]
+fn a_backend_server_gets_no_new_flows_while_it_refuses_connections() {
+    let mut agent = AgentDriver::ready();
+    refuse(&mut agent, REPORT_INTERVAL);
+    let next = agent.packet_from_peer(opening(1), Mode::Placed);
+    assert!(
+        !next.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{next:?}"
+    );
+    agent.reduce(Event::BackendConnection(Connection::Accepted));
+    let next = agent.packet_from_peer(opening(1), Mode::Placed);
+    assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+}
+
+/// Guards against crashes that are noticed late because a refused connection no longer shows them.
+#[test]
+fn a_backend_server_that_crashes_under_load_is_noticed_by_unanswered_packets() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.open_flow(2);
+    agent.reduce(Event::BackendConnection(Connection::Closed));
+    let end = agent.now + BUSY_DETECTION_TIME;
+    let mut effects = Vec::new();
+    while agent.now < end {
+        effects.extend(agent.packet_from_peer(data(1), Mode::Known));
+        effects.extend(agent.advance(TICK_INTERVAL));
+        effects.extend(agent.reduce(Event::BackendConnection(Connection::Refused)));
+    }
+    for port in [1, 2] {
+        let is_of_flow =
+            |e: &Effect| matches!(e, Effect::Reset { flow, .. } if flow.caller.port() == port);
+        assert!(effects.iter().any(is_of_flow), "{port}: {effects:?}");
+    }
+}
+
+#[test]
+fn a_ready_backend_server_that_ends_without_a_word_is_noticed_without_load() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.packet_from_backend(answer(1));
+    let effects = refuse(&mut agent, DETECTION_TIME);
+    assert!(effects.iter().any(is_reset), "{effects:?}");
+    assert_eq!(agent.phase(), Phase::Over);
+}
+
+/// Guards against a paused agent that takes the answers which it has yet to read for missing ones.
+#[test]
+fn a_paused_agent_does_not_take_its_own_silence_for_that_of_the_backend_server() {
+    let mut agent = AgentDriver::ready();
+    for port in [1, 2, 3] {
+        agent.open_flow(port);
+    }
+    refuse(&mut agent, REPORT_INTERVAL);
+    let effects = agent.advance(Millis(4_000));
+    assert!(!effects.iter().any(is_reset), "{effects:?}");
+    assert_ne!(agent.phase(), Phase::Over);
+}
+
+/// Guards against an end that is believed although the backend server shows that it runs.
+#[test]
+fn an_end_is_taken_back_by_a_packet_of_the_backend_server() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.packet_from_backend(answer(1));
+    while agent.phase() != Phase::Over {
+        refuse(&mut agent, REPORT_INTERVAL);
+    }
+    agent.packet_from_backend(answer(1));
+    assert_eq!(
+        agent.phase(),
+        Phase::Silent,
+        "no new flows before a heartbeat"
+    );
+    let effects = agent.run(Millis(400));
+    assert!(!effects.iter().any(is_reset), "{effects:?}");
+    let next = agent.packet_from_peer(data(1), Mode::Known);
+    assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+}
+
+/// Guards against an end that the last packets of a process take back, which arrive after its ports refuse.
+#[test]
+fn a_late_packet_does_not_take_back_the_end_of_a_backend_server_whose_ports_refuse() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.end_backend();
+    let late = agent.packet_from_backend(answer(1));
+    assert!(late.contains(&Effect::SendToCaller), "{late:?}");
+    assert_eq!(agent.phase(), Phase::Over);
+    agent.run(Millis(400));
+    agent.packet_from_backend(answer(1));
+    assert_ne!(agent.phase(), Phase::Over);
+}
