fix(cli): explain reads logs line by line and stops on an unreadable file

Cause: 'explain' kept every line of every file until all were read, and took an I/O error for one more line that can't be parsed. A folder among the files fails on each read, so the command never ended (stopped by timeout after 5 s). A file without line ends was read into memory as one line. Change: lines are selected as they are read, at most 16 KiB of each; an I/O error ends the command with exit code 1 and names the file. The module is split into the reading of files, the lines and the history of a flow; the test of it moves to a file of its own, with its checks unchanged.

--- /dev/null
+++ b/buckthornlink/src/command/explain/log_line.rs
@@ -0,0 +1,92 @@
+//! One line of a process's log.
+
+use std::fmt;
+
+use serde::Deserialize;
+
+/// The fields of a log line that are used here.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct LogLine {
+    pub(super) timestamp: String,
+    pub(super) message: String,
+    #[serde(default)]
+    pub(super) kvs: KeyValues,
+    #[serde(skip)]
+    pub(super) process: String,
+}
+
+/// Keys of the lines about decisions; `-` stands for a value that does not apply.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct KeyValues {
+    /// Sequence number of the decision, starting anew with each start of the process.
+    pub(super) n: u64,
+    pub(super) reason: String,
+    pub(super) caller: String,
+    pub(super) route: String,
+    pub(super) peer: String,
+    pub(super) phase: String,
+    pub(super) version: u64,
+    pub(super) age_ms: u64,
+    /// What shows the end that the line is about.
+    pub(super) evidence: String,
+    /// How the evidence came about.
+    pub(super) basis: String,
+}
+
+impl LogLine {
+    /// Parses a line. The last word before the JSON object, such as a log collector's column, names
+    /// the process; without one, `process` does.
+    pub(super) fn parse(text: &str, process: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let mut line: Self = serde_json::from_str(&text[start..]).ok()?;
+        let column = text[..start].split_whitespace().last();
+        column.unwrap_or(process).clone_into(&mut line.process);
+        Some(line)
+    }
+
+    /// Caller of the flow that the line is a decision about, if it is one.
+    pub(super) fn caller(&self) -> Option<&str> {
+        let caller = applicable(&self.kvs.caller)?;
+        (self.message == "decision").then_some(caller)
+    }
+
+    /// Evidence of the end that the line is about, if it names any.
+    pub(super) fn evidence(&self) -> Option<&str> {
+        applicable(&self.kvs.evidence)
+    }
+}
+
+/// Returns a value, unless it is missing or does not apply.
+fn applicable(value: &str) -> Option<&str> {
+    (!value.is_empty() && value != "-").then_some(value)
+}
+
+impl fmt::Display for LogLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let KeyValues {
+            reason,
+            route,
+            peer,
+            phase,
+            version,
+            age_ms,
+            basis,
+            ..
+        } = &self.kvs;
+        let event = if self.message == "decision" {
+            reason
+        } else {
+            &self.message
+        };
+        write!(
+            f,
+            "{} {} {event} route={route} peer={peer} phase={phase} version={version} age_ms={age_ms}",
+            self.timestamp, self.process
+        )?;
+        if let Some(evidence) = self.evidence() {
+            write!(f, " evidence={evidence} basis={basis}")?;
+        }
+        Ok(())
+    }
+}
--- a/buckthornlink/tests/cli.rs
+++ b/buckthornlink/tests/cli.rs
@@ -1,13 +1,16 @@
 //! Runs the command line as a process and checks its output and exit codes.
 
+mod support;
+
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 
-use std::process::{Command, Output, Stdio};
+use std::process::{Command, Stdio};
 
 use buckthornlink_fakes::{FakeStore, Fleet, Preset};
 use rustix::process::{Pid, Signal};
+use support::run;
 
 /// A temporary text file that is deleted when dropped.
 struct TempFile(PathBuf);
@@ -31,15 +34,6 @@
     }
 }
 
-fn run(args: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_buckthornlink"));
-    command
-        .args(args)
-        .env_remove("BUCKTHORNLINK_STORE")
-        .env("USER", "ana");
-    command.output().unwrap()
-}
-
 /// Placeholder of the number that the first edit of a session gets.
 const FIRST_VERSION: &str = "<1>";
 /// Minimum digits of the number of an edit, which is a time in microseconds.
@@ -306,32 +300,3 @@
     let listeners = [(); 5].map(|()| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
     listeners.map(|l| l.local_addr().unwrap().port())
 }
-
-#[test]
-fn explain_sorts_lines_by_time_and_counts_unreadable_ones() {
-    let line = |time: &str, n: u64, reason: &str, caller: &str| {
-        format!(
-            "{{\"timestamp\":\"2026-01-01T00:00:{time}+00:00\",\"level\":\"INFO\",\"message\":\"decision\",\
-             \"kvs\":{{\"n\":{n},\"reason\":\"{reason}\",\"caller\":\"{caller}\",\"route\":\"198.18.0.1:443\",\
-             \"peer\":\"10.1.0.2\",\"phase\":\"Ready\",\"version\":7,\"age_ms\":40}}}}\n"
-        )
-    };
-    let flow = "100.64.0.7:1024";
-    let agent = line("02.5", 9, "refused_cold", flow) + "not a line\n";
-    let balancer = line("02.0", 1, "placed", flow)
-        + &line("02.2", 2, "placed", "100.64.0.8:1")
-        + &line("02.6", 3, "no_agent", flow);
-    let agent = TempFile::new("agent.log", &agent);
-    let balancer = TempFile::new("balancer.log", &balancer);
-    let output = run(&["explain", "--flow", flow, agent.path(), balancer.path()]);
-    let text = String::from_utf8(output.stdout).unwrap();
-    let words: Vec<&str> = text
-        .lines()
-        .map(|l| l.split_whitespace().nth(2).unwrap_or_default())
-        .collect();
-    assert_eq!(
-        words,
-        ["placed", "refused_cold", "no_agent", "could"],
-        "{text}"
-    );
-}
--- /dev/null
+++ b/buckthornlink/tests/explain.rs
@@ -0,0 +1,167 @@
+//! Runs `buckthornlink explain` on recorded logs.
+
+mod support;
+
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+use support::run;
+
+/// The caller of the flow that the tests follow.
+const CALLER: &str = "100.64.0.7:1024";
+
+/// A decision as the programs log it. Values that a test does not set are those of an agent that admits
+/// the flow.
+struct Line<'a> {
+    time: &'a str,
+    n: u64,
+    reason: &'a str,
+    caller: &'a str,
+    phase: &'a str,
+    age: u64,
+    /// Evidence and basis; not written if absent, as in logs of earlier versions.
+    evidence: Option<(&'a str, &'a str)>,
+}
+
+const ADMITTED: Line<'static> = Line {
+    time: "00.000001",
+    n: 1,
+    reason: "admitted",
+    caller: CALLER,
+    phase: "Ready",
+    age: 0,
+    evidence: Some(("-", "-")),
+};
+
+impl Line<'_> {
+    fn text(&self) -> String {
+        let mut kvs = serde_json::json!({
+            "age_ms": self.age,
+            "caller": self.caller,
+            "n": self.n,
+            "peer": "10.1.0.2",
+            "phase": self.phase,
+            "reason": self.reason,
+            "route": "198.18.0.1:443",
+            "version": 7,
+        });
+        if let Some((evidence, basis)) = self.evidence {
+            kvs["evidence"] = evidence.into();
+            kvs["basis"] = basis.into();
+        }
+        log_line(self.time, "decision", &kvs)
+    }
+}
+
+fn log_line(time: &str, message: &str, kvs: &serde_json::Value) -> String {
+    let line = serde_json::json!({
+        "timestamp": format!("2026-01-01T00:00:{time}+00:00"),
+        "level": "INFO",
+        "target": "buckthornlink_datagram::journal",
+        "file": "buckthornlink-datagram/src/decision_log.rs",
+        "line": 36,
+        "message": message,
+        "kvs": kvs,
+    });
+    format!("{line}\n")
+}
+
+/// Log files in a temporary folder, which is deleted when dropped.
+struct LogFolder(PathBuf);
+
+impl LogFolder {
+    /// Creates the files; no two tests use the same name.
+    fn new(name: &str, files: &[(&str, &str)]) -> Self {
+        let name = format!("buckthornlink-{}-{name}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        for (file, text) in files {
+            let path = folder.join(file);
+            std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+            std::fs::write(path, text).unwrap();
+        }
+        Self(folder)
+    }
+
+    /// Runs the command on files of the folder; returns its standard output.
+    fn explain(&self, options: &[&str], files: &[&str]) -> String {
+        let paths = files.iter().map(|file| self.0.join(file));
+        let paths: Vec<PathBuf> = paths.collect();
+        let paths = paths.iter().map(|path| text_of_path(path));
+        let args: Vec<&str> = ["explain"]
+            .into_iter()
+            .chain(options.iter().copied())
+            .chain(paths)
+            .collect();
+        String::from_utf8(run(&args).stdout).unwrap()
+    }
+
+    /// Runs the command on one file with this text.
+    fn explain_text(name: &str, options: &[&str], text: &str) -> String {
+        let folder = Self::new(name, &[("agent-1.log", text)]);
+        folder.explain(options, &["agent-1.log"])
+    }
+}
+
+impl Drop for LogFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn text_of_path(path: &Path) -> &str {
+    path.to_str().unwrap()
+}
+
+// Guards against a history in the order of files, or one that hides how much of it could not be read.
+#[test]
+fn explain_sorts_lines_by_time_and_counts_unreadable_ones() {
+    let line = |time: &str, n: u64, reason: &str, caller: &str| {
+        format!(
+            "{{\"timestamp\":\"2026-01-01T00:00:{time}+00:00\",\"level\":\"INFO\",\"message\":\"decision\",\
+             \"kvs\":{{\"n\":{n},\"reason\":\"{reason}\",\"caller\":\"{caller}\",\"route\":\"198.18.0.1:443\",\
+             \"peer\":\"10.1.0.2\",\"phase\":\"Ready\",\"version\":7,\"age_ms\":40}}}}\n"
+        )
+    };
+    let flow = "100.64.0.7:1024";
+    let agent = line("02.5", 9, "refused_cold", flow) + "not a line\n";
+    let balancer = line("02.0", 1, "placed", flow)
+        + &line("02.2", 2, "placed", "100.64.0.8:1")
+        + &line("02.6", 3, "no_agent", flow);
+    let files = [
+        ("agent.log", agent.as_str()),
+        ("balancer.log", balancer.as_str()),
+    ];
+    let folder = LogFolder::new("sorts", &files);
+    let text = folder.explain(&["--flow", flow], &["agent.log", "balancer.log"]);
+    let words: Vec<&str> = text
+        .lines()
+        .map(|l| l.split_whitespace().nth(2).unwrap_or_default())
+        .collect();
+    assert_eq!(
+        words,
+        ["placed", "refused_cold", "no_agent", "could"],
+        "{text}"
+    );
+}
+
+// Guards against a command that never ends: reading a folder fails each time.
+#[test]
+fn a_file_that_cannot_be_read_is_an_error() {
+    let folder = std::env::temp_dir();
+    let output = run(&["explain", "--flow", CALLER, folder.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(1));
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert!(error.contains(folder.to_str().unwrap()), "{error}");
+}
+
+// Guards against memory that grows with a file without line ends, and against the loss of the lines
+// after it.
+#[test]
+fn an_overlong_line_is_skipped() {
+    let mut log = String::new();
+    writeln!(log, "{}", "x".repeat(100_000)).unwrap();
+    log += &ADMITTED.text();
+    let text = LogFolder::explain_text("overlong", &["--flow", CALLER], &log);
+    assert!(text.contains(" admitted "), "{text}");
+    assert!(text.contains("1 lines could not be read"), "{text}");
+}
