fix(cli): explain tells dropped lines apart from unreadable ones

Cause: 'log lines were dropped' has no timestamp, so 'explain' counted it as one line that could not be read, and hid how many are missing. Change: its count is added up and printed after the count of unreadable lines. Result: the new test passes; tests of the package pass.

--- a/buckthornlink/src/command/explain/log_files.rs
+++ b/buckthornlink/src/command/explain/log_files.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Gaps {
     unreadable: u64,
+    /// Lines that processes dropped because nothing read their output.
+    dropped: u64,
 }
 
 impl LogFiles {
@@ -59,8 +61,11 @@
         while read_line(&mut reader, &mut bytes)? {
             let text = std::str::from_utf8(&bytes).ok();
             match text.and_then(|text| LogLine::parse(text, &self.process)) {
-                Some(line) => visit(line),
-                None => gaps.unreadable += 1,
+                Some(line) if !line.timestamp.is_empty() => visit(line),
+                Some(line) if line.message == "log lines were dropped" => {
+                    gaps.dropped += line.kvs.count;
+                }
+                _ => gaps.unreadable += 1,
             }
         }
         Ok(())
@@ -73,6 +78,10 @@
             let count = self.unreadable;
             writeln!(f, "{count} lines could not be read and were skipped")?;
         }
+        if self.dropped > 0 {
+            let count = self.dropped;
+            writeln!(f, "{count} lines were dropped by their processes")?;
+        }
         Ok(())
     }
 }
--- a/buckthornlink/src/command/explain/log_line.rs
+++ b/buckthornlink/src/command/explain/log_line.rs
@@ -7,6 +7,8 @@
 /// The fields of a log line that are used here.
 #[derive(Clone, Debug, Deserialize)]
 pub(super) struct LogLine {
+    /// Empty in the line that counts dropped lines.
+    #[serde(default)]
     pub(super) timestamp: String,
     pub(super) message: String,
     #[serde(default)]
@@ -32,6 +34,8 @@
     pub(super) evidence: String,
     /// How the evidence came about.
     pub(super) basis: String,
+    /// Number of lines that were dropped.
+    pub(super) count: u64,
 }
 
 impl LogLine {
--- a/buckthornlink/tests/explain.rs
+++ b/buckthornlink/tests/explain.rs
@@ -165,3 +165,14 @@
     assert!(text.contains(" admitted "), "{text}");
     assert!(text.contains("1 lines could not be read"), "{text}");
 }
+
+// Guards against lines that a process dropped and the command counts as unreadable, as their count has
+// no time.
+#[test]
+fn dropped_lines_are_told_apart_from_unreadable_ones() {
+    let dropped = r#"{"level":"WARN","message":"log lines were dropped","kvs":{"count":3}}"#;
+    let log = format!("{}{dropped}\ncut of\n", ADMITTED.text());
+    let text = LogFolder::explain_text("dropped", &["--flow", CALLER], &log);
+    assert!(text.contains("1 lines could not be read"), "{text}");
+    assert!(text.contains("3 lines were dropped"), "{text}");
+}
