fix(cli): explain tells logs of the same name apart by their folder

Cause: without a log collector's column a process is named after its file, so the logs of 'a-1/agent.log' and 'a-2/agent.log' read as those of one process 'agent'. Change: files of the same name are named after their folder too. Result: the new test failed before; tests of the package pass.

--- a/buckthornlink/src/command/explain/log_files.rs
+++ b/buckthornlink/src/command/explain/log_files.rs
@@ -1,5 +1,6 @@
 //! Reads the log files of many processes, one line at a time.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read};
@@ -32,10 +33,15 @@
 }
 
 impl LogFiles {
-    /// Names the processes after their files.
+    /// Names the processes after their files, and after the folders too where files have the same
+    /// name.
     pub(super) fn new(paths: Vec<PathBuf>) -> Self {
+        let mut counts = BTreeMap::<String, usize>::new();
+        for path in &paths {
+            *counts.entry(stem(path)).or_default() += 1;
+        }
         let files = paths.into_iter().map(|path| LogFile {
-            process: stem(&path),
+            process: process_name(&path, counts[&stem(&path)] > 1),
             path,
         });
         Self {
@@ -102,3 +108,11 @@
     let stem = path.file_stem().unwrap_or_default();
     stem.to_string_lossy().into_owned()
 }
+
+fn process_name(path: &Path, is_ambiguous: bool) -> String {
+    let folder = path.parent().and_then(Path::file_name);
+    match folder.filter(|_| is_ambiguous) {
+        Some(folder) => format!("{}/{}", folder.to_string_lossy(), stem(path)),
+        None => stem(path),
+    }
+}
--- a/buckthornlink/tests/explain.rs
+++ b/buckthornlink/tests/explain.rs
@@ -176,3 +176,16 @@
     assert!(text.contains("1 lines could not be read"), "{text}");
     assert!(text.contains("3 lines were dropped"), "{text}");
 }
+
+// Guards against logs of many processes that are taken for one, since each folder's file has the same
+// name.
+#[test]
+fn files_of_the_same_name_are_told_apart_by_folder() {
+    let log = ADMITTED.text();
+    let files = ["a-1/agent.log", "a-2/agent.log", "b-1/balancer.log"];
+    let folder = LogFolder::new("same-name", &files.map(|file| (file, log.as_str())));
+    let text = folder.explain(&["--flow", CALLER], &files);
+    for process in [" a-1/agent ", " a-2/agent ", " balancer "] {
+        assert!(text.contains(process), "{text}");
+    }
+}
