feat(cli): table of ended flows by evidence, and a mark on the end of a flow

Cause: on call, the question after a reset is on what evidence flows were ended, by which process and how often. Ends that name no evidence, and ends that the rate limit kept out of the log, have rows of their own.

--- a/buckthornlink/src/command/explain/history.rs
+++ b/buckthornlink/src/command/explain/history.rs
@@ -1,5 +1,6 @@
 //! The history of one flow.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use super::log_line::LogLine;
@@ -39,9 +40,17 @@
 }
 
 impl fmt::Display for History {
+    /// Writes the lines and marks the one that ended the flow: the first that resets it, or the first
+    /// after the port was used for another flow.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut ended_routes = BTreeSet::new();
         for line in &self.lines {
-            writeln!(f, "{line}")?;
+            let route = line.kvs.route.as_str();
+            if line.kvs.reason == "admitted" {
+                ended_routes.remove(route);
+            }
+            let is_end = line.resets_flow() && ended_routes.insert(route);
+            writeln!(f, "{line}{}", if is_end { mark(line) } else { "" })?;
         }
         if self.lines.is_empty() {
             writeln!(f, "no line about {}", self.caller)?;
@@ -49,3 +58,12 @@
         Ok(())
     }
 }
+
+/// Returns the mark of the line that ended the flow.
+fn mark(line: &LogLine) -> &'static str {
+    if line.ends_open_flow() && line.evidence().is_none() {
+        " <- ended the flow, without evidence"
+    } else {
+        " <- ended the flow"
+    }
+}
--- a/buckthornlink/src/command/explain/log_line.rs
+++ b/buckthornlink/src/command/explain/log_line.rs
@@ -4,6 +4,11 @@
 
 use serde::Deserialize;
 
+/// Reasons of decisions that end an open flow.
+const OPEN_FLOW_ENDS: [&str; 3] = ["backend_over", "denied_by_all", "flow_lost"];
+/// Reasons of other decisions on which a flow is reset.
+const REFUSALS: [&str; 2] = ["no_agent", "no_route"];
+
 /// The fields of a log line that are used here.
 #[derive(Clone, Debug, Deserialize)]
 pub(super) struct LogLine {
@@ -34,7 +39,7 @@
     pub(super) evidence: String,
     /// How the evidence came about.
     pub(super) basis: String,
-    /// Number of lines that were dropped.
+    /// Number of lines that were left out or dropped.
     pub(super) count: u64,
 }
 
@@ -59,6 +64,28 @@
     pub(super) fn evidence(&self) -> Option<&str> {
         applicable(&self.kvs.evidence)
     }
+
+    /// Whether the line is a decision that ends an open flow. Evidence for the end of a flow shows it,
+    /// whatever the reason; so does a reason that does not occur otherwise, even without evidence.
+    pub(super) fn ends_open_flow(&self) -> bool {
+        self.caller().is_some() && (self.evidence().is_some() || self.has_end_reason())
+    }
+
+    /// Whether the line is a decision on which its flow, open or not, is reset.
+    pub(super) fn resets_flow(&self) -> bool {
+        let is_refusal = REFUSALS.contains(&self.kvs.reason.as_str());
+        self.ends_open_flow() || (self.caller().is_some() && is_refusal)
+    }
+
+    /// Number of ends of open flows that the rate limit kept out of the log, if the line tells one.
+    pub(super) fn left_out_ends(&self) -> Option<u64> {
+        let is_about_ends = self.message == "decisions left out" && self.has_end_reason();
+        is_about_ends.then_some(self.kvs.count)
+    }
+
+    fn has_end_reason(&self) -> bool {
+        OPEN_FLOW_ENDS.contains(&self.kvs.reason.as_str())
+    }
 }
 
 /// Returns a value, unless it is missing or does not apply.
--- a/buckthornlink/tests/explain.rs
+++ b/buckthornlink/tests/explain.rs
@@ -66,6 +66,10 @@
     format!("{line}\n")
 }
 
+fn text_of(lines: &[Line]) -> String {
+    lines.iter().map(Line::text).collect()
+}
+
 /// Log files in a temporary folder, which is deleted when dropped.
 struct LogFolder(PathBuf);
 
@@ -112,6 +116,79 @@
     path.to_str().unwrap()
 }
 
+/// Log of an agent: the flow ends on evidence that this version of the command does not know, then the
+/// caller's next packet is reset too, and its port is used again.
+fn agent_log() -> String {
+    let refused = ("data_port_refused", "observed");
+    let over = Line {
+        time: "20.5",
+        n: 2,
+        reason: "backend_over",
+        phase: "Over",
+        age: 100,
+        evidence: Some(refused),
+        ..ADMITTED
+    };
+    let repeated = Line {
+        time: "21",
+        n: 3,
+        age: 600,
+        ..over
+    };
+    let other = Line {
+        time: "20.500001",
+        n: 4,
+        caller: "100.64.0.8:1024",
+        evidence: Some(("announced", "announced")),
+        age: 188,
+        ..over
+    };
+    let next_flow = Line {
+        time: "40",
+        n: 5,
+        ..ADMITTED
+    };
+    let lost = Line {
+        time: "41",
+        n: 6,
+        reason: "flow_lost",
+        evidence: Some(("bounced", "observed")),
+        ..ADMITTED
+    };
+    let mut log = text_of(&[ADMITTED, over, repeated, other, next_flow, lost]);
+    let left_out = serde_json::json!({ "reason": "backend_over", "count": 37 });
+    log += &log_line("21.5", "decisions left out", &left_out);
+    let left_out = serde_json::json!({ "reason": "admitted", "count": 5 });
+    log += &log_line("21.6", "decisions left out", &left_out);
+    log
+}
+
+/// Log of an earlier version: it names no evidence.
+fn old_balancer_log() -> String {
+    let placed = Line {
+        time: "00",
+        reason: "placed",
+        evidence: None,
+        ..ADMITTED
+    };
+    let over = Line {
+        time: "20.6",
+        n: 2,
+        reason: "backend_over",
+        phase: "Over",
+        evidence: None,
+        ..ADMITTED
+    };
+    let changed = Line {
+        time: "20.7",
+        n: 3,
+        reason: "backend_changed",
+        caller: "-",
+        ..over
+    };
+    text_of(&[placed, over, changed])
+}
+
 // Guards against a history in the order of files, or one that hides how much of it could not be read.
 #[test]
 fn explain_sorts_lines_by_time_and_counts_unreadable_ones() {
@@ -189,3 +266,67 @@
         assert!(text.contains(process), "{text}");
     }
 }
+
+// Guards against ends that `--ends` leaves out, adds up across processes or evidence, or counts twice: ends
+// without evidence, with evidence of a later version, or kept out of the log by the rate limit, and
+// changes of a backend server that end no flow.
+#[test]
+fn ends_are_counted_by_process_and_evidence() {
+    let dropped = r#"{"level":"WARN","message":"log lines were dropped","kvs":{"count":3}}"#;
+    let balancer = format!("{}cut of\n{dropped}\n", old_balancer_log());
+    let agent = agent_log();
+    let files = [
+        ("agent-1.log", agent.as_str()),
+        ("balancer-1.log", &balancer),
+    ];
+    let folder = LogFolder::new("ends", &files);
+    let text = folder.explain(&["--ends"], &["agent-1.log", "balancer-1.log"]);
+    insta::assert_snapshot!(text);
+}
+
+// Guards against a table without rows, which leaves open whether there was anything to count.
+#[test]
+fn logs_without_ends_say_so() {
+    let text = LogFolder::explain_text("open", &["--ends"], &ADMITTED.text());
+    assert_eq!(text, "0 ends of flows, 0 without evidence\n");
+}
+
+// Guards against a history in which the reader takes a repeated reset, or that of another flow from the
+// same port, for the line that ended the flow.
+#[test]
+fn the_line_that_ended_the_flow_is_marked() {
+    let (agent, balancer) = (agent_log(), old_balancer_log());
+    let files = [
+        ("agent-1.log", agent.as_str()),
+        ("balancer-1.log", &balancer),
+    ];
+    let folder = LogFolder::new("flow", &files);
+    let text = folder.explain(&["--flow", CALLER], &["balancer-1.log", "agent-1.log"]);
+    insta::assert_snapshot!(text);
+}
+
+// Guards against an end without evidence that is marked like one that names it.
+#[test]
+fn an_end_without_evidence_is_marked_as_such() {
+    let text = LogFolder::explain_text("bare", &["--flow", CALLER], &old_balancer_log());
+    let marked: Vec<&str> = text.lines().filter(|l| l.contains("<-")).collect();
+    assert_eq!(marked.len(), 1, "{text}");
+    assert!(marked[0].contains(" backend_over "), "{text}");
+    assert!(marked[0].ends_with("<- ended the flow, without evidence"));
+}
+
+// Guards against a call that names no flow and prints the lines of all flows, or none.
+#[test]
+fn a_flow_or_all_ends_must_be_asked_for() {
+    let folder = LogFolder::new("usage", &[("agent-1.log", &ADMITTED.text())]);
+    let path = folder.0.join("agent-1.log");
+    let path = path.to_str().unwrap();
+    for options in [
+        &[][..],
+        &["--ends", "--flow", CALLER],
+        &["--ends", "--beliefs"],
+    ] {
+        let args = [&["explain"], options, &[path]].concat();
+        assert_eq!(run(&args).status.code(), Some(2), "{options:?}");
+    }
+}
