refactor(node,datagram): one backoff for tasks that repeat calls to the store

Cause: store synchronisation of both paths and the lists of members each kept a delay that doubles up to a maximum, and two of them the same jitter. Change: buckthornlink_node::backoff has both; minimum, maximum and jitter of each task stay.

--- a/buckthornlink-datagram/src/member_lists.rs
+++ b/buckthornlink-datagram/src/member_lists.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use buckthornlink_core::datagram::{Event, ZoneMembers};
+use buckthornlink_node::backoff::Backoff;
 use buckthornlink_platform::{
     Entry, MEMBERS_PREFIX, MemberList, Revision, Store, StoreError, SwapOutcome,
 };
@@ -40,11 +41,10 @@
     /// Reads the lists until a call succeeds, then performs the requests of the reducer. Never
     /// returns while their sender lives.
     pub(crate) async fn run(self, requests: flume::Receiver<StoreRequest>) {
-        let mut retry_delay = MIN_RETRY_DELAY;
+        let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
         while let Err(err) = self.discover().await {
             log::debug!(target: LOG_TARGET, err:% = err; "cannot read the lists of members; retrying");
-            sleep(retry_delay).await;
-            retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+            sleep(backoff.next_delay()).await;
         }
         while let Ok(request) = requests.recv_async().await {
             let result = match request {
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -9,6 +9,7 @@
 
 use buckthornlink_core::datagram::Event;
 use buckthornlink_core::member::{ZoneRecord, ZoneSeq, ZoneSnapshot};
+use buckthornlink_node::backoff::{Backoff, jittered};
 use buckthornlink_platform::{Change, Entry, Epoch, Position, Revision, Store, StoreError, Watch};
 
 use crate::metrics::{Metrics, StoreCall};
@@ -53,15 +54,14 @@
         last_answer: Instant::now(),
         is_unreachable: false,
     };
-    let mut retry_delay = MIN_RETRY_DELAY;
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     loop {
         let err = tokio::select! {
-            err = sync.watch_store(&mut retry_delay, watching.clone()) => err,
+            err = sync.watch_store(&mut backoff, watching.clone()) => err,
             () = watching_stopped(&mut watching) => continue,
         };
         sync.report_unreachable(&err);
-        sleep(retry_delay).await;
-        retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+        sleep(backoff.next_delay()).await;
     }
 }
 
@@ -114,10 +114,10 @@
     /// first call to the store that fails.
     async fn watch_store(
         &mut self,
-        retry_delay: &mut Duration,
+        backoff: &mut Backoff,
         mut watching: watch::Receiver<bool>,
     ) -> StoreError {
-        let result = self.read_until_watching(retry_delay, &mut watching).await;
+        let result = self.read_until_watching(backoff, &mut watching).await;
         let position = match result {
             Ok(position) => position,
             Err(err) => return err,
@@ -141,7 +141,7 @@
     /// read is recent then, so that a watch can start from its revision.
     async fn read_until_watching(
         &mut self,
-        retry_delay: &mut Duration,
+        backoff: &mut Backoff,
         watching: &mut watch::Receiver<bool>,
     ) -> Result<Position, StoreError> {
         loop {
@@ -151,7 +151,7 @@
             let outcome = if result.is_ok() { "ok" } else { "failed" };
             self.metrics.observe_store(outcome, start.elapsed());
             let position = result?;
-            *retry_delay = MIN_RETRY_DELAY;
+            backoff.reset();
             self.report_answer();
             if is_watching {
                 return Ok(position);
@@ -256,11 +256,6 @@
     }
 }
 
-/// Returns a random duration between 0.5 and 1.5 times `mean`.
-fn jittered(mean: Duration) -> Duration {
-    mean.mul_f64(rand::rng().random_range(0.5..1.5))
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/store_sync.rs"]
 mod tests;
--- a/buckthornlink-node/src/lib.rs
+++ b/buckthornlink-node/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`trace`] records the events of a reducer to a file and reads them back.
 //! * [`config_transfer`] serves and fetches configurations over HTTP at a process's link address.
 //! * [`store_sync`] watches or polls the operators' records in the store, and registers processes.
+//! * [`backoff`] spaces the attempts of a task that repeats a call until it succeeds.
 //! * [`metrics`] serves a Prometheus registry over HTTP.
 //!
 //! # Example
@@ -18,6 +19,7 @@
 //! # Ok::<(), settings::SettingsError>(())
 //! ```
 
+pub mod backoff;
 pub mod clock;
 pub mod config_transfer;
 pub mod event_loop;
--- a/buckthornlink-node/src/store_sync.rs
+++ b/buckthornlink-node/src/store_sync.rs
@@ -6,7 +6,6 @@
 
 use std::time::Duration;
 
-use rand::Rng;
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -20,6 +19,8 @@
     Watch, ZONES_PREFIX, ZoneEntry,
 };
 
+use crate::backoff::{Backoff, jittered};
+
 /// Target of the log records of this module. Operators name it in the filters of `log.level`, so
 /// it is kept although the module has another name.
 const LOG_TARGET: &str = "buckthornlink_node::source";
@@ -93,7 +94,7 @@
         let value = serde_json::to_vec(entry).unwrap_or_default();
         let (lease_sender, lease) = watch::channel(None);
         let task = tokio::spawn(async move {
-            let mut backoff = Backoff::default();
+            let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
             loop {
                 if let Err(err) =
                     maintain_entry(&store, &key, &value, &lease_sender, &mut backoff).await
@@ -104,7 +105,7 @@
                         "cannot maintain the entry in the store; retrying"
                     );
                 }
-                backoff.wait().await;
+                sleep(jittered(backoff.next_delay())).await;
             }
         });
         Self { task, lease }
@@ -136,7 +137,7 @@
     mut watching: watch::Receiver<bool>,
     on_update: impl Fn(Update) + Send + Sync,
 ) {
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     loop {
         let result = if *watching.borrow_and_update() {
             tokio::select! {
@@ -158,7 +159,7 @@
                 err:% = err;
                 "cannot read records from the store; retrying"
             );
-            backoff.wait().await;
+            sleep(jittered(backoff.next_delay())).await;
         }
     }
 }
@@ -261,34 +262,3 @@
         }
     }
 }
-
-/// Exponential backoff with a mean delay between [`MIN_RETRY_DELAY`] and [`MAX_RETRY_DELAY`]. Each
-/// delay is jittered.
-#[derive(Debug)]
-struct Backoff {
-    delay: Duration,
-}
-
-impl Default for Backoff {
-    fn default() -> Self {
-        Self {
-            delay: MIN_RETRY_DELAY,
-        }
-    }
-}
-
-impl Backoff {
-    const fn reset(&mut self) {
-        self.delay = MIN_RETRY_DELAY;
-    }
-
-    async fn wait(&mut self) {
-        sleep(jittered(self.delay)).await;
-        self.delay = (self.delay * 2).min(MAX_RETRY_DELAY);
-    }
-}
-
-/// Returns a random duration between 0.5 and 1.5 times `mean`.
-fn jittered(mean: Duration) -> Duration {
-    mean.mul_f64(rand::rng().random_range(0.5..1.5))
-}
