refactor(core): events and effects of the agent's reducer in modules of their own

Cause: agent.rs had 412 lines, a third of them the reducer's inputs and outputs. Change: agent::event and agent::effect hold them, as on the datagram path; all paths from outside stay.

--- a/buckthornlink-core/src/agent.rs
+++ b/buckthornlink-core/src/agent.rs
@@ -9,6 +9,8 @@
 //! * `flows` accepts, hands off and rebalances flows.
 //! * `heartbeat` sends heartbeats to balancers and processes their acknowledgements.
 
+mod effect;
+mod event;
 mod flows;
 mod heartbeat;
 mod limiter;
@@ -21,24 +23,21 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use effect::Effect;
+pub use event::{Event, TICK_INTERVAL};
 pub use limiter::{Limiter, Outcome};
 pub use queue::{Priority, Queue, QueuedRequest};
 pub use record::{RecordDecision, Records};
 pub use request::{Request, RequestId, Ticket};
 
-use crate::balancer::Candidate;
 use crate::config::{Config, Limits};
 use crate::id::{BootId, ServicePort, Version, ZoneTag};
 use crate::member::{Fact, Load, Phase, Role, ZoneRecord, ZoneTable};
-use crate::message::Message;
 use crate::time::Millis;
-use crate::verdict::{Refusal, Verdict};
+use crate::verdict::Refusal;
 use flows::Flows;
 use heartbeat::KnownBalancers;
 
-/// Interval of [`Event::Tick`].
-pub const TICK_INTERVAL: Millis = Millis(100);
-
 /// Parameters of an agent, fixed at process start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Setup {
@@ -60,118 +59,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct FlowId(pub u64);
 
-/// An input of [`Agent::reduce`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Event {
-    /// A datagram that opens a flow (an opener) arrived from a balancer or another agent.
-    Opener {
-        /// Number of agents that have handed the opener off.
-        hops: u8,
-        /// Remaining candidate agents, which may accept it instead.
-        rest: Vec<Candidate>,
-    },
-    /// A caller whose address is validated asks to open a flow.
-    FlowAsked(FlowId),
-    /// A flow ended.
-    FlowClosed(FlowId),
-    /// A request arrived on a flow.
-    Request(Request),
-    /// A running request ended.
-    Finished {
-        /// The request that ended.
-        ticket: Ticket,
-        /// How it ended.
-        outcome: Outcome,
-        /// Time from start to end.
-        took: Millis,
-    },
-    /// The caller cancelled a request.
-    Cancelled(Ticket),
-    /// A probe of the backend server's health endpoint completed.
-    Health {
-        /// Whether the endpoint reported the backend server as healthy.
-        is_up: bool,
-    },
-    /// A configuration was fetched.
-    Config {
-        /// Version of the fetched configuration.
-        version: Version,
-        /// The part of the configuration that concerns this agent.
-        config: Config,
-    },
-    /// A control message arrived.
-    Control {
-        /// Source address of the datagram.
-        from: SocketAddrV4,
-        /// The decoded message.
-        message: Message,
-    },
-    /// The process was asked to drain and exit.
-    Drain,
-    /// [`TICK_INTERVAL`] has elapsed.
-    Tick,
-}
-
-/// An action that [`Agent::reduce`] returns for the process to perform.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Effect {
-    /// Accept the opener and respond with address validation.
-    Accept,
-    /// Hand the opener off to another agent.
-    HandOn {
-        /// The next agent.
-        to: SocketAddrV4,
-        /// Candidate agents that remain after `to`.
-        rest: Vec<Candidate>,
-    },
-    /// Complete the handshake of a flow.
-    OpenFlow(FlowId),
-    /// Refuse the handshake of a flow.
-    RefuseFlow(FlowId),
-    /// Ask the callers to move these flows: running requests finish, new ones go to other agents.
-    MoveFlows(Vec<FlowId>),
-    /// Close all flows at once because the zone is out of service.
-    GiveUpFlows,
-    /// Send a request to the backend server.
-    Run(Ticket),
-    /// Abort a running request.
-    Abort(Ticket),
-    /// Respond to a request without running it.
-    Refuse {
-        /// The refused request.
-        ticket: Ticket,
-        /// Whether it may have run.
-        verdict: Verdict,
-        /// Reason for the refusal.
-        refusal: Refusal,
-    },
-    /// Respond to a request with the recorded response to an earlier one.
-    Replay {
-        /// The request to respond to.
-        ticket: Ticket,
-        /// The earlier request, whose response is recorded.
-        original: Ticket,
-    },
-    /// Drop the recorded response to a request.
-    Forget(Ticket),
-    /// Send a control message.
-    Send {
-        /// Destination address.
-        to: SocketAddrV4,
-        /// The message to send.
-        message: Message,
-    },
-    /// Fetch the configuration from a balancer.
-    Fetch {
-        /// Link address of the balancer.
-        from: SocketAddrV4,
-        /// Lowest acceptable version.
-        version: Version,
-    },
-    /// The drain is complete, with no flow or request left; the process may exit.
-    Drained,
-}
-
 /// A request that is running on the backend server; `id` is set if it has a record.
 #[derive(Clone, Debug)]
 struct RunningRequest {
