refactor(fakes): split the fleet by edits and hosts

Change: fleet::edits has the edits and the wait until they are in force, fleet::host the start and stop of hosts.

--- a/buckthornlink-fakes/src/fleet.rs
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet on loopback: real balancers and agents with a fake fabric, store, backend servers and
 //! callers.
 
+mod edits;
 mod host;
 mod imbalance;
 mod setup;
@@ -13,14 +14,11 @@
 use anyhow::Context;
 
 use buckthornlink::balancer::{Balancer, BalancerSettings, StoreSettings};
-use buckthornlink::platform::{Catalog, EtcdStore};
 use buckthornlink_agent::client::Flow;
-use buckthornlink_agent::{Agent, AgentSettings, BackendSettings};
 use buckthornlink_core::Version;
 use buckthornlink_core::balancer::Policy;
 use buckthornlink_node::settings::{KeySettings, LogSettings};
 
-use crate::backend::{BackendServer, BackendSetup};
 use crate::caller::{Callers, CallersSetup, caller_endpoint};
 use crate::certificate::SelfSignedCert;
 use crate::fabric::Fabric;
@@ -34,10 +32,8 @@
 const LINK_PORT: u16 = 4_400;
 /// Number of balancers that a fleet starts with.
 const BALANCER_COUNT: usize = 3;
-const CONFIG_TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
-const EDIT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Number of fleets that this process has started; gives each fleet different addresses.
 static FLEET_COUNT: AtomicU8 = AtomicU8::new(0);
@@ -167,134 +163,6 @@
         }
     }
 
-    /// Writes a configuration to the store, as an operator would.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the edit is not accepted.
-    pub async fn apply(&self, text: &str) -> anyhow::Result<Version> {
-        let edit = self.edit_id();
-        let accepted = self
-            .catalog()
-            .apply(text, None, &edit, "fleet", EDIT_TIMEOUT)
-            .await?;
-        Ok(accepted.record.version)
-    }
-
-    /// Takes a zone out of service or brings it back, as an operator would.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the edit is not accepted.
-    pub async fn set_zone(&self, zone: &str, out: bool) -> anyhow::Result<()> {
-        let edit = self.edit_id();
-        self.catalog()
-            .set_zone(zone, out, &edit, "fleet", EDIT_TIMEOUT)
-            .await?;
-        for host in self.hosts.iter().filter(|h| h.zone == zone) {
-            if let Some(handle) = &host.handle {
-                handle.set_out_of_service(out);
-            }
-        }
-        Ok(())
-    }
-
-    /// Configuration of this fleet, in the format that operators write.
-    #[must_use]
-    pub fn config_text(&self) -> String {
-        self.preset.config_at(ip(self.net, 1))
-    }
-
-    /// Waits until every balancer and agent has `version` or a later one in force; returns the time
-    /// that this took.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if that takes too long.
-    pub async fn wait_until_in_force(&self, version: Version) -> anyhow::Result<Duration> {
-        let start = Instant::now();
-        while !self.is_in_force(version) {
-            anyhow::ensure!(
-                start.elapsed() < CONFIG_TIMEOUT,
-                "timed out waiting for version {version} to be in force"
-            );
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        Ok(start.elapsed())
-    }
-
-    /// Drains a host's agent, then stops its backend server. Returns false if the drain did not
-    /// complete before its timeout.
-    pub async fn drain_host(&mut self, index: usize) -> bool {
-        let host = &mut self.hosts[index];
-        if let Some(handle) = &host.handle {
-            handle.set_out_of_service(true);
-        }
-        let Some(agent) = host.agent.take() else {
-            return true;
-        };
-        let is_drained = agent.drain().await.finish().await;
-        host.backend = None;
-        is_drained
-    }
-
-    /// Stops a host's agent and backend server without a drain.
-    pub fn kill_host(&mut self, index: usize) {
-        let host = &mut self.hosts[index];
-        host.agent = None;
-        host.backend = None;
-        if let Some(handle) = &host.handle {
-            handle.set_out_of_service(true);
-        }
-    }
-
-    /// Starts a host's backend server, cold, and its agent.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if an address cannot be bound.
-    pub async fn start_host(&mut self, index: usize) -> anyhow::Result<()> {
-        let agent_ip = ip(self.net, 200);
-        let any_port = SocketAddrV4::new(agent_ip, 0);
-        let boots = self.hosts[index].boots + 1;
-        let record = self.trace_path(&format!("agent-{}-{boots}", self.hosts[index].name));
-        let host = &mut self.hosts[index];
-        host.boots = boots;
-        let setup = BackendSetup {
-            name: host.name.clone(),
-            service: host.service,
-            request_log: self.request_log.clone(),
-            seed: self.seed * 1_000 + (index as u64) * 10 + host.boots,
-        };
-        let backend = BackendServer::spawn(any_port, setup).await?;
-        let settings = AgentSettings {
-            service: host.service.name.to_owned(),
-            service_port: host.service.port,
-            zone: host.zone.to_owned(),
-            link: any_port,
-            http: any_port,
-            dependencies: any_port,
-            entry: self.fabric.addr(LINK_PORT),
-            backend: BackendSettings {
-                addr: backend.addr(),
-                health: "/health".to_owned(),
-                load: "/load".to_owned(),
-            },
-            tls: self.certificate.settings().clone(),
-            keys: keys(),
-            dependency_flows: 8,
-            drain_ms: Duration::from_secs(5),
-            record,
-            log: LogSettings::default(),
-        };
-        let agent = Agent::spawn(settings).await?;
-        backend.handle().set_dependency_addr(agent.dependencies());
-        host.handle = Some(backend.handle());
-        host.backend = Some(backend);
-        host.agent = Some(agent);
-        Ok(())
-    }
-
     /// Starts callers of the first service.
     ///
     /// # Errors
@@ -350,46 +218,12 @@
         &self.request_log
     }
 
-    fn is_in_force(&self, version: Version) -> bool {
-        let balancers = self.balancers.iter().all(|(_, b)| b.version() >= version);
-        let mut agents = self.hosts.iter().filter_map(|h| h.agent.as_ref());
-        balancers && agents.all(|a| a.version() >= version)
-    }
-
-    async fn start_hosts(&mut self) -> anyhow::Result<()> {
-        let zones = self.preset.zones();
-        for service in self.preset.services() {
-            for index in 0..service.servers {
-                let zone = zones[index % zones.len()];
-                self.hosts.push(Host {
-                    service,
-                    zone,
-                    name: format!("{}-{index}@{zone}", service.name),
-                    boots: 0,
-                    backend: None,
-                    handle: None,
-                    agent: None,
-                });
-                self.start_host(self.hosts.len() - 1).await?;
-            }
-        }
-        Ok(())
-    }
-
-    fn catalog(&self) -> Catalog<EtcdStore> {
-        Catalog::new(EtcdStore::new(self.store.url()))
-    }
-
     /// Path of the trace that a process records, if traces are enabled.
     fn trace_path(&self, name: &str) -> Option<PathBuf> {
         self.trace_dir
             .as_ref()
             .map(|dir| dir.join(format!("{name}.trace.zst")))
     }
-
-    fn edit_id(&self) -> String {
-        format!("fleet-{}", self.edit_count.fetch_add(1, Ordering::Relaxed))
-    }
 }
 
 /// Waits until the balancer has a configuration, as the health check of a fabric does, or until
