test(datagram): count of ended flows by evidence

Cause: flow_ends_total, which the walk after a reset relies on, had no test. Change: a test that each evidence is counted once for a decision about a flow, and not for one about a backend server alone.

--- a/buckthornlink-datagram/src/metrics.rs
+++ b/buckthornlink-datagram/src/metrics.rs
@@ -176,3 +176,7 @@
     let opts: HistogramOpts = histogram_opts!(name, help, LATENCY_BUCKETS.to_vec());
     HistogramVec::new(opts, &[label])
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/metrics.rs"]
+mod tests;
