test(cli): refusals in the history of a flow

Cause: the mark of a flow that was refused on opening, and its absence from the table of ended flows, were not covered. Change: a test for no_agent and no_route. Result: tests of the command line pass.

--- a/buckthornlink/tests/explain.rs
+++ b/buckthornlink/tests/explain.rs
@@ -330,3 +330,16 @@
         assert_eq!(run(&args).status.code(), Some(2), "{options:?}");
     }
 }
+
+// Guards against a reset on opening that is not marked, or is said to lack evidence of an end: no backend
+// server held the flow.
+#[test]
+fn a_refusal_is_marked_as_the_end() {
+    for reason in ["no_agent", "no_route"] {
+        let refused = Line { reason, ..ADMITTED };
+        let text = LogFolder::explain_text(reason, &["--flow", CALLER], &refused.text());
+        assert!(text.ends_with("<- ended the flow\n"), "{text}");
+        let text = LogFolder::explain_text(reason, &["--ends"], &refused.text());
+        assert!(text.starts_with("0 ends of flows"), "{text}");
+    }
+}
--- a/buckthornlink/tests/unit/explain_ends.rs
+++ b/buckthornlink/tests/unit/explain_ends.rs
@@ -1,3 +1,5 @@
+//! The table of ended flows.
+
 use super::*;
 
 fn end(process: usize) -> LogLine {
