refactor(cli): plain words for ends that have no row in the table

Cause: 'uncounted' named a count, and its line of output did not say what is missing. Change: field and line renamed. Result: tests of the package pass.

--- a/buckthornlink/src/command/explain/ends.rs
+++ b/buckthornlink/src/command/explain/ends.rs
@@ -22,7 +22,7 @@
 pub(super) struct EndTable {
     rows: BTreeMap<Key, Ends>,
     /// Ends beyond the maximum number of rows.
-    uncounted: u64,
+    without_row: u64,
 }
 
 /// What the ends of one row have in common.
@@ -79,7 +79,7 @@
             basis: if basis.is_empty() { UNKNOWN } else { basis }.to_owned(),
         };
         if self.rows.len() >= MAX_ROWS && !self.rows.contains_key(&key) {
-            self.uncounted += count;
+            self.without_row += count;
             return;
         }
         let ends = self.rows.entry(key).or_insert_with(|| Ends::new(line));
@@ -141,9 +141,9 @@
         if left_out > 0 {
             writeln!(f, "{left_out} more were left out of the logs")?;
         }
-        if self.uncounted > 0 {
-            let count = self.uncounted;
-            writeln!(f, "{count} more need more than {MAX_ROWS} rows")?;
+        if self.without_row > 0 {
+            let count = self.without_row;
+            writeln!(f, "{count} more are not in the table of {MAX_ROWS} rows")?;
         }
         Ok(())
     }
--- a/buckthornlink/tests/unit/explain_ends.rs
+++ b/buckthornlink/tests/unit/explain_ends.rs
@@ -10,7 +10,7 @@
     LogLine::parse(&text, "file").unwrap()
 }
 
-// Guards against memory that grows with the logs, and against ends that go uncounted because of the
+// Guards against memory that grows with the logs, and against ends that go without_row because of the
 // bound.
 #[test]
 fn rows_are_bounded_and_further_ends_are_counted() {
@@ -20,6 +20,6 @@
     }
     table.add(&end(0));
     assert_eq!(table.rows.len(), MAX_ROWS);
-    assert_eq!(table.uncounted, 2);
+    assert_eq!(table.without_row, 2);
     assert_eq!(table.total(|_| true), MAX_ROWS as u64 + 1);
 }
