--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -176,6 +176,18 @@
         self.reduce(Event::Tick)
     }
 
+    /// Lets time pass in which the process runs, with a tick every 200 ms; returns the effects of the ticks
+    /// without log lines.
+    pub fn run(&mut self, span: Millis) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut effects = Vec::new();
+        while self.now < end {
+            let step = Millis(200.min(end.since(self.now).0));
+            effects.extend(self.advance(step));
+        }
+        effects
+    }
+
     /// Handles an event; returns its effects without log lines.
     pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -180,6 +180,7 @@
     let mut last = None;
     for round in 0..10 {
         balancer.now = balancer.now + Millis(200);
+        balancer.reduce(Event::Tick);
         let mut status_message = datagram::status(fact(AGENT_A, Phase::Ready, load(9, 90)));
         balancer.message(AGENT_A, status_message.clone());
         status_message = datagram::status(fact(AGENT_B, Phase::Ready, load(0, 0)));
--- a/buckthornlink-core/tests/datagram_partition.rs
+++ b/buckthornlink-core/tests/datagram_partition.rs
@@ -6,7 +6,7 @@
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::datagram::{
-    Effect, Fact, Load, Message, Mode, OwnerRecord, Phase, RelayTag,
+    Effect, Event, Fact, Load, Message, Mode, OwnerRecord, Phase, RelayTag,
 };
 use buckthornlink_core::{BootId, Millis, ZoneTag};
 
@@ -44,6 +44,7 @@
 fn cut_off_owner(balancer: &mut BalancerDriver, others: &[Fact]) {
     for _ in 0..20 {
         balancer.now = balancer.now + Millis(100);
+        balancer.reduce(Event::Tick);
         balancer.packet_from_caller(data(1));
         balancer.receive_facts(others);
     }
--- a/buckthornlink-core/tests/datagram_search.rs
+++ b/buckthornlink-core/tests/datagram_search.rs
@@ -46,11 +46,11 @@
     for ip in others.into_iter().chain([PEER]) {
         agent.add_agent(ip, datagram::service());
     }
-    agent.advance(Millis(2_000));
+    agent.run(Millis(2_000));
     for ip in others {
         agent.add_agent(ip, datagram::service());
     }
-    agent.advance(Millis(1_800));
+    agent.run(Millis(1_800));
     agent.packet_from_peer(data(1), Mode::Lookup);
     let mut effects = Vec::new();
     for from in others {
@@ -249,7 +249,7 @@
         matches!(before_timeout[..], [Effect::Deliver(_)]),
         "{before_timeout:?}"
     );
-    agent.advance(Millis(17_000));
+    agent.run(Millis(17_000));
     let after_timeout = agent.packet_from_peer(data(2), Mode::Lookup);
     assert!(
         matches!(after_timeout[0], Effect::Relay { to: PEER, .. }),
