fix(core): do not count an own absence as silence or as knowledge

Callers would see a reset of a living flow from an agent that was paused. In its first tick after the return, probes that it had sent just before looked unanswered for as long as it was away; instances looked silent; and times since its start (3 s after which all agents count as known, 16 s after which every flow of the backend server counts as seen) had run on while it saw nothing.

Cause: times were compared with the clock alone, so not looking counted as having seen nothing. The return was noticed for zones and configuration only.

Now a return, which was noticed already, leaves the absence out of the silence of others, and begins the times of what is known anew. What was silent before and after adds up as without the pause. Nothing changes for a process that ticks; the cost is one pass over the instances for each return.

Tests of core and datagram pass.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -262,13 +262,13 @@
 
     /// Whether the agent can deny a flow, because its backend server is known not to hold it.
     ///
-    /// An agent that has run for longer than an open flow may be idle has seen a packet of every
-    /// flow of its backend server, even if it started after the backend server. Before, an offer says
+    /// An agent that has run for longer than an open flow may be idle, with no absence, has seen a packet of
+    /// every flow of its backend server, even if it started after the backend server. Before, an offer says
     /// nothing: the opening packet may be a late copy of one that an earlier process delivered.
     pub(super) fn can_deny(&self, flow: &Flow, now: Millis) -> bool {
         let state = self.flows.get(flow);
         let ownership = state.map(|s| s.ownership).unwrap_or_default();
-        let has_seen_all = now.since(self.started_at) > self.table.idle + IDLE_MARGIN;
+        let has_seen_all = now.since(self.gossip.present_since()) > self.table.idle + IDLE_MARGIN;
         let is_observed = !matches!(
             ownership,
             Ownership::Unknown | Ownership::Offered | Ownership::HalfOpen { .. }
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -77,6 +77,8 @@
     last_exchange: Millis,
     last_contact: Option<Millis>,
     started_at: Millis,
+    /// When the process started, or last returned from an absence.
+    present_since: Millis,
     last_tick: Millis,
     catch_up: Option<CatchUp>,
     last_fetch: Option<(Version, Millis)>,
@@ -126,6 +128,7 @@
             last_exchange: now,
             last_contact: None,
             started_at: now,
+            present_since: now,
             last_tick: now,
             catch_up: None,
             last_fetch: None,
--- a/buckthornlink-core/src/datagram/gossip/catch_up.rs
+++ b/buckthornlink-core/src/datagram/gossip/catch_up.rs
@@ -2,7 +2,7 @@
 //!
 //! While it was away, a zone may have been taken out of service and a new configuration put in
 //! force. Until another instance has answered a question that was sent after the return, what the
-//! process believes may be out of date.
+//! process believes may be out of date. It has seen nothing meanwhile, neither a sign of life nor silence.
 
 use super::{Gossip, URGENT_FANOUT};
 use crate::datagram::{Effect, Status};
@@ -28,10 +28,13 @@
     /// Asks others for their status if the last tick was long ago. To be called before any event is
     /// handled.
     pub(crate) fn notice_absence(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        if now.since(self.last_tick) < AWAY_TIME {
+        let absence = now.since(self.last_tick);
+        if absence < AWAY_TIME {
             return;
         }
         self.last_tick = now;
+        self.present_since = now;
+        self.membership.exclude_absence(absence, now);
         self.exchange(now, URGENT_FANOUT, true, effects);
         self.catch_up = self.has_peers().then_some(CatchUp {
             returned_at: now,
@@ -40,6 +43,12 @@
         });
     }
 
+    /// When the process started, or last returned from an absence.
+    #[must_use]
+    pub const fn present_since(&self) -> Millis {
+        self.present_since
+    }
+
     /// Whether zone records and configuration may be out of date after an absence.
     #[must_use]
     pub fn is_catching_up(&self, now: Millis) -> bool {
--- a/buckthornlink-core/src/datagram/gossip/discovery.rs
+++ b/buckthornlink-core/src/datagram/gossip/discovery.rs
@@ -6,7 +6,7 @@
 use crate::datagram::Effect;
 use crate::time::Millis;
 
-/// Time after the start from which on the known agents are assumed to be all.
+/// Time after the start, or after an absence, from which on the known agents are assumed to be all.
 const DISCOVERY_TIMEOUT: Millis = Millis(3_000);
 /// Time without a newly known instance after which the known agents are assumed to be all, if no
 /// other instance knows more of them. Longer than two exchanges, in which instances that start at
@@ -44,15 +44,19 @@
     ///
     /// That is so once every agent that the store lists is known, if there are at least two, and nobody
     /// knows more instances: the lists are some time old. Without the store, or while it lists agents that
-    /// have failed, it is so once the known instances are stable, or `DISCOVERY_TIMEOUT` after the start.
+    /// have failed, it is so once the known instances are stable, or `DISCOVERY_TIMEOUT` after the start. A
+    /// process that was away has to hear from others first.
     #[must_use]
     pub fn has_all_agents(&self, now: Millis) -> bool {
+        if self.is_catching_up(now) {
+            return false;
+        }
         let is_known = |ip: &Ipv4Addr| self.membership.get(*ip).is_some();
         let registered = self.registered.as_ref();
         let is_complete = registered.is_some_and(|ips| ips.len() > 1 && ips.iter().all(is_known));
         is_complete && self.knows_most()
             || self.is_membership_stable(now)
-            || now.since(self.started_at) >= DISCOVERY_TIMEOUT
+            || now.since(self.present_since) >= DISCOVERY_TIMEOUT
     }
 
     /// Whether no instance has become known for a while, and nobody knows more instances.
@@ -61,7 +65,7 @@
         let agents = others.filter(|m| m.fact.ip != self.own.ip).count();
         agents >= MIN_STABLE_AGENTS
             && self.knows_most()
-            && now.since(self.last_new_member) >= STABLE_TIME
+            && now.since(self.last_new_member.max(self.present_since)) >= STABLE_TIME
     }
 
     /// Whether no other instance has said that it knows more instances.
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -137,6 +137,13 @@
         home.map(|m| m.fact.ip)
     }
 
+    /// Leaves a time in which this process was away, which ends now, out of the silence of others.
+    pub fn exclude_absence(&mut self, absence: Millis, now: Millis) {
+        for member in self.members.values_mut() {
+            member.exclude_absence(absence, now);
+        }
+    }
+
     /// Marks instances whose heartbeat has stopped as suspect, and later forgets them.
     ///
     /// If more than half of the running instances have stopped at once, this process itself is
--- a/buckthornlink-core/src/datagram/membership/member.rs
+++ b/buckthornlink-core/src/datagram/membership/member.rs
@@ -84,6 +84,14 @@
         self.unanswered_queries = self.unanswered_queries.saturating_add(1);
     }
 
+    /// Leaves a time in which this process was away, which ends now, out of the instance's silence.
+    pub(super) fn exclude_absence(&mut self, absence: Millis, now: Millis) {
+        let shift = |at| now.min(at + absence);
+        self.last_heard = now.min(self.last_heard + absence);
+        self.probed_since = self.probed_since.map(shift);
+        self.queried_since = self.queried_since.map(shift);
+    }
+
     /// Records that the instance answered.
     pub const fn record_answer(&mut self, now: Millis) {
         self.last_answer = now;
