fix(core): ignore an owner record of an earlier boot of the same owner

Callers would see a reset of a living flow from its home agent or a balancer. The record of a flow that used the same port at the boot before can arrive after that of the flow itself: records go by datagrams, and each replaced the one before. The flow's owner then reports a later boot than the record's, which counts as the end.

Boots of one backend server are ordered, so a record of an earlier one is ignored. A record without a boot, as an agent sends that has just started, still names the owner, and so does one of another agent, between which no order is known.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -333,10 +333,15 @@
     /// Stores the owner that another agent reported, unless the local backend server holds the flow;
     /// returns the time of the last search if the owner was unknown.
     fn apply_owner_record(&mut self, record: &OwnerRecord, now: Millis) -> Option<Millis> {
-        if self.ownership == Ownership::Open {
+        let known = match self.ownership {
+            Ownership::Open => return None,
+            Ownership::Remote { owner } => owner,
+            _ => None,
+        };
+        if known.is_some_and(|(owner, backend)| record.is_outdated_by(owner, backend)) {
             return None;
         }
-        let is_new = !matches!(self.ownership, Ownership::Remote { owner: Some(_) });
+        let is_new = known.is_none();
         self.ownership = Ownership::Remote {
             owner: Some((record.owner, record.backend)),
         };
--- a/buckthornlink-core/src/datagram/balancer/flow_cache.rs
+++ b/buckthornlink-core/src/datagram/balancer/flow_cache.rs
@@ -116,7 +116,12 @@
             last_seen: now,
             placement: Placement::default(),
         });
-        entry.owner = owner;
+        let known = entry.owner;
+        let is_outdated = matches!(known.backend, HolderBoot::Reported(backend)
+            if record.is_outdated_by(known.agent, backend));
+        if !is_outdated {
+            entry.owner = owner;
+        }
     }
 
     /// Removes a flow from the cache.
--- a/buckthornlink-core/src/datagram/message.rs
+++ b/buckthornlink-core/src/datagram/message.rs
@@ -101,3 +101,12 @@
     /// Boot id of the backend server that holds it.
     pub backend: BootId,
 }
+
+impl OwnerRecord {
+    /// Whether the record was sent before the one that named this owner and boot: it is of the same agent and an
+    /// earlier boot of its backend server. An agent that does not know the boot yet uses zero, which is none.
+    #[must_use]
+    pub fn is_outdated_by(&self, owner: Ipv4Addr, backend: BootId) -> bool {
+        self.owner == owner && self.backend != BootId::default() && self.backend < backend
+    }
+}
