fix(core): do not take the relayed fact of a forgotten instance for a sign of life

An instance that is gone for good stayed known to all. Each process forgets it 60 s after its last heartbeat, but at another moment than others, and whoever still knew it sent its fact to the first that had forgotten it. There it was new, so it counted as heard just now and was passed on. For some seconds of every minute, callers' new flows could be placed on it, and lookups went to it as a home.

Now a process remembers the last boot and sequence number of what it forgot, until no fact of that boot has arrived for 60 s, and ignores facts that are not newer. The memory is one fact for each instance that was lost in the last minutes.

--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -1,8 +1,10 @@
 //! The known instances of the datagram path.
 //!
+//! * `forgotten` remembers those that were forgotten.
 //! * `member` says what is known of one instance, and whether to wait for its answers.
 //! * `service_load` compares the load of a service's agents.
 
+mod forgotten;
 mod member;
 mod service_load;
 
@@ -12,6 +14,7 @@
 use super::{Fact, Flow, MemberHeartbeat, ServiceTag};
 use crate::id::stable_hash;
 use crate::time::Millis;
+use forgotten::Forgotten;
 pub use member::Member;
 pub use service_load::ServiceLoad;
 
@@ -32,12 +35,16 @@
     members: BTreeMap<Ipv4Addr, Member>,
     agents: BTreeMap<ServiceTag, Vec<Ipv4Addr>>,
     ring: BTreeMap<u64, Ipv4Addr>,
+    forgotten: Forgotten,
 }
 
 impl Membership {
     /// Merges a fact if it is newer than the known one; returns the outcome.
     pub fn merge(&mut self, fact: Fact, now: Millis) -> Merge {
         let Some(member) = self.members.get_mut(&fact.ip) else {
+            if self.forgotten.is_outdated(&fact, now) {
+                return Merge::Stale;
+            }
             self.insert(fact, now);
             return Merge::New;
         };
@@ -170,16 +177,18 @@
 
     fn remove_expired(&mut self, own: Ipv4Addr, now: Millis) {
         let is_old = |m: &&Member| m.fact.ip != own && now.since(m.last_heard) > FORGET_TIMEOUT;
-        let old: Vec<Fact> = self
-            .members
-            .values()
-            .filter(is_old)
-            .map(|m| m.fact)
-            .collect();
-        for fact in old {
+        let old: Vec<Member> = self.members.values().filter(is_old).copied().collect();
+        for Member {
+            fact,
+            heartbeat_seq,
+            ..
+        } in old
+        {
             self.members.remove(&fact.ip);
             self.unindex(&fact);
+            self.forgotten.insert(fact, heartbeat_seq, now);
         }
+        self.forgotten.expire(now);
     }
 
     fn insert(&mut self, fact: Fact, now: Millis) {
