fix(core): tell an instance at once of a later boot under its address

An agent or balancer whose process starts anew after its clock was set back publishes facts that are older than the last one of the process before, so all others ignore them. It raises its boot once it sees that last fact, but nobody sent it on purpose: it came among the facts of all instances while the new process still knew fewer instances than others. Until then callers' flows passed it by, and searches counted it as silent.

Now whoever gets a status from an earlier boot than it knows of answers with the fact that it knows, also of an instance that it forgot.

How often the old way failed was not measured.

--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -236,6 +236,7 @@
         }
         self.record_catch_up(status);
         self.max_known = self.max_known.max(status.known);
+        self.tell_later_boot(&status.from, effects);
         self.merge_fact(status.from, now, effects);
         for &fact in &status.facts {
             self.merge_fact(fact, now, effects);
@@ -330,6 +331,17 @@
         }
     }
 
+    /// Tells an instance of a later boot of it that is known here. Its facts are ignored until it raises its own.
+    fn tell_later_boot(&self, fact: &Fact, effects: &mut Vec<Effect>) {
+        if let Some(later) = self.membership.later_boot(fact) {
+            let message = self.status(vec![later], Vec::new(), false);
+            effects.push(Effect::Send {
+                to: fact.ip,
+                message,
+            });
+        }
+    }
+
     fn queue_fact(&mut self, ip: Ipv4Addr) {
         self.fact_queue.retain(|q| q.ip != ip);
         self.fact_queue.push_front(QueuedFact {
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -98,6 +98,14 @@
         self.members.get_mut(&ip)
     }
 
+    /// The last fact about the same instance, if it comes from a later boot, which may be forgotten.
+    #[must_use]
+    pub fn later_boot(&self, fact: &Fact) -> Option<Fact> {
+        let known = self.members.get(&fact.ip).map(|m| &m.fact);
+        let last = known.or_else(|| self.forgotten.get(fact.ip)).copied();
+        last.filter(|last| last.boot > fact.boot)
+    }
+
     /// All instances in the order of their addresses.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/buckthornlink-core/src/datagram/membership/forgotten.rs
+++ b/buckthornlink-core/src/datagram/membership/forgotten.rs
@@ -23,6 +23,11 @@
         self.facts.insert(fact.ip, (Fact { seq, ..fact }, now));
     }
 
+    /// The last fact of the instance at `ip`, if that was forgotten.
+    pub(super) fn get(&self, ip: Ipv4Addr) -> Option<&Fact> {
+        self.facts.get(&ip).map(|(fact, _)| fact)
+    }
+
     /// Whether a fact is older than the instance's last sign of life; if not, the instance is no longer
     /// forgotten. As long as facts of its last boot arrive, it is remembered.
     pub(super) fn is_outdated(&mut self, fact: &Fact, now: Millis) -> bool {
