fix(core): let agents and balancers of the QUIC path overtake a later boot

An agent or balancer of the QUIC path whose process starts anew after its clock was set back got no callers' openers for good, or was not named to others. Its facts are older than the last one of the process before, often that it has left. That fact was kept as long as heartbeats arrived from the address, and the new process never heard of it: acknowledgements carried it only if it was of the same boot, and exchanges leave out instances that have left.

Now acknowledgements carry a known fact of a later boot too, and the new process raises its own boot above it, as on the datagram path.

--- a/buckthornlink-core/src/agent/heartbeat.rs
+++ b/buckthornlink-core/src/agent/heartbeat.rs
@@ -204,12 +204,12 @@
         effects.extend(targets.into_iter().map(send));
     }
 
-    /// Applies an acknowledgement: refutes a silent mark on this agent with a higher sequence
-    /// number, merges zone records, and fetches a newer configuration.
+    /// Applies an acknowledgement: overtakes a silent mark on this agent, or a fact of a process before it whose
+    /// clock was ahead, merges zone records, and fetches a newer configuration.
     fn apply_ack(&mut self, ack: &Ack) -> Vec<Effect> {
         let mut effects = Vec::new();
         if let Some(known) = ack.silenced.filter(|k| k.supersedes(&self.own)) {
-            self.own.seq = known.seq + 1;
+            self.own.overtake(&known);
         }
         for &record in &ack.zones {
             effects.extend(self.merge_zone(record));
--- a/buckthornlink-core/src/balancer/gossip.rs
+++ b/buckthornlink-core/src/balancer/gossip.rs
@@ -92,6 +92,7 @@
                 self.request_members(ack.from, now, &mut effects);
                 self.merge_sender(ack.from, now);
                 self.merge_facts(&ack.peers);
+                self.merge_facts(ack.silenced.as_slice());
                 self.merge_zones(&ack.zones, now, &mut effects);
                 self.fetch_newer_config(ack.from.addr, ack.version, &mut effects);
             }
--- a/buckthornlink-core/src/balancer/observe.rs
+++ b/buckthornlink-core/src/balancer/observe.rs
@@ -75,7 +75,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let known = self.members.at(fact.addr).map(|m| m.fact);
-        let silenced = known.filter(|k| k.phase == Phase::Silent && k.boot == fact.boot);
+        let is_silenced = |k: &Fact| k.phase == Phase::Silent && k.boot == fact.boot;
+        let silenced = known.filter(|k| is_silenced(k) || k.boot > fact.boot);
         let ack = Ack {
             from: self.own,
             version: self.version,
@@ -120,12 +121,12 @@
         is_new
     }
 
-    /// Refutes a fact about this process that another process wrote, by publishing its own fact
-    /// with a higher sequence number. Returns whether that was necessary.
+    /// Refutes a fact about this process that another process wrote, or the process before it whose clock was
+    /// ahead, by publishing its own fact with a higher sequence number or boot. Returns whether that was necessary.
     fn refute(&mut self, fact: Fact) -> bool {
-        let is_wrong = fact.boot == self.own.boot && fact.supersedes(&self.own);
+        let is_wrong = fact.supersedes(&self.own);
         if is_wrong {
-            self.own.seq = fact.seq + 1;
+            self.own.overtake(&fact);
             self.members.merge(self.own);
             self.queue_rumor(self.own);
         }
--- a/buckthornlink-core/src/member/fact.rs
+++ b/buckthornlink-core/src/member/fact.rs
@@ -71,6 +71,16 @@
         (self.boot, self.seq, self.phase) > (other.boot, other.seq, other.phase)
     }
 
+    /// Raises the boot or the sequence number, so that this fact supersedes `known`, which others hold of the same
+    /// instance.
+    pub fn overtake(&mut self, known: &Self) {
+        if known.boot > self.boot {
+            self.boot = BootId(known.boot.0.saturating_add(1));
+        } else {
+            self.seq = self.seq.max(known.seq.saturating_add(1));
+        }
+    }
+
     /// Returns this fact with the phase set to [`Phase::Silent`], as an observer publishes it.
     #[must_use]
     pub const fn silenced(mut self) -> Self {
--- a/buckthornlink-core/src/message.rs
+++ b/buckthornlink-core/src/message.rs
@@ -60,7 +60,7 @@
     pub interval: Millis,
     /// Fair share of flows of an agent of the receiver's service at full limits; 0 if unknown.
     pub flows: u32,
-    /// The balancer's fact of the receiver, if it is marked silent.
+    /// The balancer's fact of the receiver, if it is marked silent or of a later boot than the receiver's own.
     pub silenced: Option<Fact>,
 }
 
--- a/buckthornlink-core/tests/beliefs_members.rs
+++ b/buckthornlink-core/tests/beliefs_members.rs
@@ -104,3 +104,42 @@
     }
     assert_eq!(first_candidate(&mut balancer, now), Some(addr(2)));
 }
+
+/// Guards against the same for a balancer, which peers would neither send exchanges nor name to agents.
+#[test]
+fn a_balancer_that_started_after_its_clock_was_set_back_is_known_to_others() {
+    let mut peer = balancer();
+    let now = Millis(1_000);
+    let fact = |boot, phase| Fact {
+        addr: addr(3),
+        role: Role::Balancer,
+        zone: ZoneTag(1),
+        boot,
+        seq: 9,
+        phase,
+    };
+    let hello = |fact| Event::Control {
+        from: addr(3),
+        message: Message::Hello(fact),
+    };
+    peer.reduce(hello(fact(BEFORE, Phase::Left)), now);
+    let mut restarted = Balancer::new(Setup {
+        addr: addr(3),
+        zone: ZoneTag(1),
+        boot: AFTER,
+        policy: Policy::Adaptive,
+        entry: addr(1),
+        control_bytes: 4_000,
+        seed: 1,
+    });
+    let acks = peer.reduce(hello(fact(AFTER, Phase::Warm)), now);
+    for effect in acks {
+        if let Effect::Send { message, .. } = effect {
+            let from = addr(1);
+            restarted.reduce(Event::Control { from, message }, now);
+        }
+    }
+    let members = restarted.members();
+    let own = members.at(addr(3)).map(|m| m.fact);
+    assert!(own.is_some_and(|f| f.boot > BEFORE), "{own:?}");
+}
