test(core): what a paused balancer of the QUIC path believes on its return

Two tests of beliefs_members fail on this code: after a pause of 8 s a balancer marks the agents that it observes as silent, if they are fewer than four, and places no opener on them.

--- a/buckthornlink-core/tests/beliefs_members.rs
+++ b/buckthornlink-core/tests/beliefs_members.rs
@@ -143,3 +143,44 @@
     let own = members.at(addr(3)).map(|m| m.fact);
     assert!(own.is_some_and(|f| f.boot > BEFORE), "{own:?}");
 }
+
+/// Guards against agents that a balancer hides from all others since it was paused itself, and heard nothing.
+#[test]
+fn a_balancer_that_returns_does_not_take_its_absence_for_the_silence_of_agents() {
+    let mut balancer = balancer();
+    let mut now = Millis(1_000);
+    let mut agent = restarted_agent();
+    for _ in 0..20 {
+        now = now + Millis(100);
+        exchange(&mut agent, &mut balancer, now);
+        balancer.reduce(Event::Tick, now);
+    }
+    assert_eq!(first_candidate(&mut balancer, now), Some(addr(2)));
+    now = now + Millis(8_000);
+    balancer.reduce(Event::Tick, now);
+    assert_eq!(first_candidate(&mut balancer, now), Some(addr(2)));
+}
+
+/// The silence of an agent before and after an absence adds up, so that it is noticed no later.
+#[test]
+fn an_agent_that_is_silent_before_and_after_an_absence_gets_no_openers() {
+    let mut balancer = balancer();
+    let mut now = Millis(1_000);
+    let mut agent = restarted_agent();
+    for _ in 0..20 {
+        now = now + Millis(100);
+        exchange(&mut agent, &mut balancer, now);
+        balancer.reduce(Event::Tick, now);
+    }
+    let mut run = |span: u64| {
+        for _ in 0..span / 100 {
+            now = now + Millis(100);
+            balancer.reduce(Event::Tick, now);
+        }
+        now = now + Millis(8_000);
+        balancer.reduce(Event::Tick, now);
+        first_candidate(&mut balancer, now)
+    };
+    assert_eq!(run(2_000), Some(addr(2)));
+    assert_eq!(run(2_000), None);
+}
