fix(core): do not count an own pause as the silence of agents on the QUIC path

After a pause of a few seconds a balancer of the QUIC path marked the agents that it observes as silent in its first tick, unless four or more were silent at once, and told the others. Callers' openers passed these agents by until each had refuted the mark. Flows are routed by their connection ids and went on.

Cause: the time since the last datagram was compared with the clock alone. Now a second without a tick, where ten are due, counts as an absence and is left out of it. Silence before and after an absence adds up, so a crash is noticed after as much running time as before.

--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -174,6 +174,7 @@
     next_turn: u64,
     watching: bool,
     last_hello: Option<Millis>,
+    last_tick: Option<Millis>,
     contacts_requested: BTreeMap<ServicePort, Millis>,
 }
 
@@ -204,6 +205,7 @@
             next_turn: 0,
             watching: false,
             last_hello: None,
+            last_tick: None,
             contacts_requested: BTreeMap::new(),
         }
     }
@@ -279,6 +281,7 @@
 
     fn tick(&mut self, now: Millis) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.notice_absence(now);
         self.mark_silent_agents(now);
         self.send_due_gossip(now, &mut effects);
         self.choose_watchers(&mut effects);
--- a/buckthornlink-core/src/balancer/observe.rs
+++ b/buckthornlink-core/src/balancer/observe.rs
@@ -25,6 +25,8 @@
 const HEARTBEAT_BYTES: u64 = 400;
 /// Share of the control budget, in percent, that acks to heartbeats may use.
 const HEARTBEAT_BUDGET_PERCENT: u64 = 50;
+/// Time without a tick after which this process was paused; ticks are due ten times as often.
+const AWAY_TIME: Millis = Millis(1_000);
 /// Maximum number of balancers listed in an ack.
 const MAX_ACK_PEERS: usize = 4;
 
@@ -89,6 +91,15 @@
         self.send(to, Message::Ack(ack), effects);
     }
 
+    /// Leaves a pause of this process out of the silence of others.
+    pub(super) fn notice_absence(&mut self, now: Millis) {
+        let absence = self.last_tick.map_or(Millis(0), |at| now.since(at));
+        self.last_tick = Some(now);
+        if absence >= AWAY_TIME {
+            self.members.exclude_absence(absence, now);
+        }
+    }
+
     /// Marks agents silent that have missed several heartbeats, unless too many did so at once.
     pub(super) fn mark_silent_agents(&mut self, now: Millis) {
         let observed = self.observed(now);
--- a/buckthornlink-core/src/member/table.rs
+++ b/buckthornlink-core/src/member/table.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Leaves a time in which this process was away, which ends now, out of the silence of others.
+    pub fn exclude_absence(&mut self, absence: Millis, now: Millis) {
+        for member in self.arena.values_mut() {
+            member.last_heard = member.last_heard.map(|at| now.min(at + absence));
+        }
+    }
+
     /// Records a load report.
     pub fn record_load(&mut self, addr: SocketAddrV4, load: Load, now: Millis) {
         if let Some(member) = self.get_mut(addr) {
