fix(core): do not reset a flow whose owner is known because others deny it

Callers saw, or would see, a reset of a living flow from the agent of its own backend server. A search goes on until the next tick, and denials count whenever they arrive; the last one reset the flow although the agent had seen its backend server answer a packet of it, or had its owner's record. It takes a search for a flow that the own backend server holds, as beside one that was taken for over or for seen from its start.

Now what was observed or reported by the owner goes before the denials of others. A flow that was only offered is reset as before.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -227,7 +227,8 @@
         })
     }
 
-    /// Resets a flow if every responsive candidate owner has denied it; returns whether it did.
+    /// Resets a flow that was not found if every responsive candidate owner has denied it; returns whether it
+    /// did.
     pub(super) fn reset_if_denied(
         &mut self,
         flow: &Flow,
@@ -242,7 +243,7 @@
             return false;
         };
         let seq = state.last_ack;
-        let is_denied = self.is_denied_by_all(flow, now);
+        let is_denied = !state.is_located() && self.is_denied_by_all(flow, now);
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
@@ -349,6 +350,14 @@
         self.last_search.filter(|_| is_new)
     }
 
+    /// Whether the local backend server holds the flow, or its owner is known, whatever others deny.
+    const fn is_located(&self) -> bool {
+        matches!(
+            self.ownership,
+            Ownership::Open | Ownership::Remote { owner: Some(_) }
+        )
+    }
+
     /// Records a search; denials of recent searches still count.
     fn record_search(&mut self, packet: &Packet, now: Millis) {
         let is_expired = self
