fix(core): forget after an absence how many instances others knew before

The largest number of instances that others had named was never lowered. Since a search after an absence waits for what others know, an agent of a fleet that has shrunk would have waited for three seconds, and the caller of a dead flow with it. The number is learnt anew from the answers after the return.

Evidence: an_agent_that_returns_believes_the_numbers_of_instances_that_it_hears_now fails without the line (no reset) and passes.

--- a/buckthornlink-core/src/datagram/gossip/catch_up.rs
+++ b/buckthornlink-core/src/datagram/gossip/catch_up.rs
@@ -35,6 +35,7 @@
         self.last_tick = now;
         self.present_since = now;
         self.membership.exclude_absence(absence, now);
+        self.max_known = 0;
         self.exchange(now, URGENT_FANOUT, true, effects);
         self.catch_up = self.has_peers().then_some(CatchUp {
             returned_at: now,
--- a/buckthornlink-core/tests/datagram_beliefs_absence.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_absence.rs
@@ -5,9 +5,11 @@
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Effect, Event, Message, Mode};
+use buckthornlink_core::datagram::{
+    Effect, Event, Load, MemberHeartbeat, Message, Mode, Phase, Reducer,
+};
 
-use datagram::{AgentDriver, OWN, PEER, data, flow, heartbeat, is_reset, service};
+use datagram::{AgentDriver, OWN, PEER, data, fact, flow, heartbeat, is_reset, service, status};
 
 /// Interval between ticks.
 const TICK: Millis = Millis(200);
@@ -113,3 +115,32 @@
     let discovered = agent.discover(UNHEARD);
     assert!(!discovered.iter().any(is_reset), "{discovered:?}");
 }
+
+/// A status of [`PEER`] that answers the agent's last question and names the number of instances that it knows.
+fn answer(agent: &AgentDriver, known: u32) -> Message {
+    let mut from = fact(PEER, Phase::Ready, Load::default());
+    from.seq = u32::try_from(agent.now.0).unwrap();
+    let mut message = status(from);
+    if let Message::Status(status) = &mut message {
+        status.known = known;
+        status.beats = vec![MemberHeartbeat::from_fact(agent.agent.gossip().own())];
+    }
+    message
+}
+
+/// Guards against searches that wait for seconds after a pause, since the fleet was larger long ago.
+#[test]
+fn an_agent_that_returns_believes_the_numbers_of_instances_that_it_hears_now() {
+    let mut agent = AgentDriver::ready();
+    agent.add_agent(PEER, service());
+    agent.reduce(Event::RegisteredAgents(vec![OWN, PEER]));
+    let before = answer(&agent, 9);
+    agent.message(before);
+    agent.run(Millis(4_000));
+    agent.advance(Millis(2_000));
+    let after = answer(&agent, 2);
+    agent.message(after);
+    agent.packet_from_peer(data(1), Mode::Lookup);
+    let denied = agent.message(Message::Denied(flow(1)));
+    assert!(denied.iter().any(is_reset), "{denied:?}");
+}
