--- a/buckthornlink-core/src/balancer/observe.rs
+++ b/buckthornlink-core/src/balancer/observe.rs
@@ -25,6 +25,8 @@
 const HEARTBEAT_BYTES: u64 = 400;
 /// Share of the control budget, in percent, that acks to heartbeats may use.
 const HEARTBEAT_BUDGET_PERCENT: u64 = 50;
+/// Time without a tick after which this process was paused; ticks are due ten times as often.
+const AWAY_TIME: Millis = Millis(1_000);
 /// Maximum number of balancers listed in an ack.
 const MAX_ACK_PEERS: usize = 4;
 
@@ -75,7 +77,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let known = self.members.at(fact.addr).map(|m| m.fact);
-        let silenced = known.filter(|k| k.phase == Phase::Silent && k.boot == fact.boot);
+        let is_silenced = |k: &Fact| k.phase == Phase::Silent && k.boot == fact.boot;
+        let silenced = known.filter(|k| is_silenced(k) || k.boot > fact.boot);
         let ack = Ack {
             from: self.own,
             version: self.version,
@@ -88,6 +91,15 @@
         self.send(to, Message::Ack(ack), effects);
     }
 
+    /// Leaves a pause of this process out of the silence of others.
+    pub(super) fn notice_absence(&mut self, now: Millis) {
+        let absence = self.last_tick.map_or(Millis(0), |at| now.since(at));
+        self.last_tick = Some(now);
+        if absence >= AWAY_TIME {
+            self.members.exclude_absence(absence, now);
+        }
+    }
+
     /// Marks agents silent that have missed several heartbeats, unless too many did so at once.
     pub(super) fn mark_silent_agents(&mut self, now: Millis) {
         let observed = self.observed(now);
@@ -120,12 +132,12 @@
         is_new
     }
 
-    /// Refutes a fact about this process that another process wrote, by publishing its own fact
-    /// with a higher sequence number. Returns whether that was necessary.
+    /// Refutes a fact about this process that another process wrote, or the process before it whose clock was
+    /// ahead, by publishing its own fact with a higher sequence number or boot. Returns whether that was necessary.
     fn refute(&mut self, fact: Fact) -> bool {
-        let is_wrong = fact.boot == self.own.boot && fact.supersedes(&self.own);
+        let is_wrong = fact.supersedes(&self.own);
         if is_wrong {
-            self.own.seq = fact.seq + 1;
+            self.own.overtake(&fact);
             self.members.merge(self.own);
             self.queue_rumor(self.own);
         }
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -227,7 +227,8 @@
         })
     }
 
-    /// Resets a flow if every responsive candidate owner has denied it; returns whether it did.
+    /// Resets a flow that was not found if every responsive candidate owner has denied it; returns whether it
+    /// did.
     pub(super) fn reset_if_denied(
         &mut self,
         flow: &Flow,
@@ -242,7 +243,7 @@
             return false;
         };
         let seq = state.last_ack;
-        let is_denied = self.is_denied_by_all(flow, now);
+        let is_denied = !state.is_located() && self.is_denied_by_all(flow, now);
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
@@ -262,13 +263,13 @@
 
     /// Whether the agent can deny a flow, because its backend server is known not to hold it.
     ///
-    /// An agent that has run for longer than an open flow may be idle has seen a packet of every
-    /// flow of its backend server, even if it started after the backend server. Before, an offer says
+    /// An agent that has run for longer than an open flow may be idle, with no absence, has seen a packet of
+    /// every flow of its backend server, even if it started after the backend server. Before, an offer says
     /// nothing: the opening packet may be a late copy of one that an earlier process delivered.
     pub(super) fn can_deny(&self, flow: &Flow, now: Millis) -> bool {
         let state = self.flows.get(flow);
         let ownership = state.map(|s| s.ownership).unwrap_or_default();
-        let has_seen_all = now.since(self.started_at) > self.table.idle + IDLE_MARGIN;
+        let has_seen_all = now.since(self.gossip.present_since()) > self.table.idle + IDLE_MARGIN;
         let is_observed = !matches!(
             ownership,
             Ownership::Unknown | Ownership::Offered | Ownership::HalfOpen { .. }
@@ -333,10 +334,15 @@
     /// Stores the owner that another agent reported, unless the local backend server holds the flow;
     /// returns the time of the last search if the owner was unknown.
     fn apply_owner_record(&mut self, record: &OwnerRecord, now: Millis) -> Option<Millis> {
-        if self.ownership == Ownership::Open {
+        let known = match self.ownership {
+            Ownership::Open => return None,
+            Ownership::Remote { owner } => owner,
+            _ => None,
+        };
+        if known.is_some_and(|(owner, backend)| record.is_outdated_by(owner, backend)) {
             return None;
         }
-        let is_new = !matches!(self.ownership, Ownership::Remote { owner: Some(_) });
+        let is_new = known.is_none();
         self.ownership = Ownership::Remote {
             owner: Some((record.owner, record.backend)),
         };
@@ -344,6 +350,14 @@
         self.last_search.filter(|_| is_new)
     }
 
+    /// Whether the local backend server holds the flow, or its owner is known, whatever others deny.
+    const fn is_located(&self) -> bool {
+        matches!(
+            self.ownership,
+            Ownership::Open | Ownership::Remote { owner: Some(_) }
+        )
+    }
+
     /// Records a search; denials of recent searches still count.
     fn record_search(&mut self, packet: &Packet, now: Millis) {
         let is_expired = self
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -77,6 +77,8 @@
     last_exchange: Millis,
     last_contact: Option<Millis>,
     started_at: Millis,
+    /// When the process started, or last returned from an absence.
+    present_since: Millis,
     last_tick: Millis,
     catch_up: Option<CatchUp>,
     last_fetch: Option<(Version, Millis)>,
@@ -126,6 +128,7 @@
             last_exchange: now,
             last_contact: None,
             started_at: now,
+            present_since: now,
             last_tick: now,
             catch_up: None,
             last_fetch: None,
@@ -233,6 +236,7 @@
         }
         self.record_catch_up(status);
         self.max_known = self.max_known.max(status.known);
+        self.tell_later_boot(&status.from, effects);
         self.merge_fact(status.from, now, effects);
         for &fact in &status.facts {
             self.merge_fact(fact, now, effects);
@@ -327,6 +331,17 @@
         }
     }
 
+    /// Tells an instance of a later boot of it that is known here. Its facts are ignored until it raises its own.
+    fn tell_later_boot(&self, fact: &Fact, effects: &mut Vec<Effect>) {
+        if let Some(later) = self.membership.later_boot(fact) {
+            let message = self.status(vec![later], Vec::new(), false);
+            effects.push(Effect::Send {
+                to: fact.ip,
+                message,
+            });
+        }
+    }
+
     fn queue_fact(&mut self, ip: Ipv4Addr) {
         self.fact_queue.retain(|q| q.ip != ip);
         self.fact_queue.push_front(QueuedFact {
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -1,8 +1,10 @@
 //! The known instances of the datagram path.
 //!
+//! * `forgotten` remembers those that were forgotten.
 //! * `member` says what is known of one instance, and whether to wait for its answers.
 //! * `service_load` compares the load of a service's agents.
 
+mod forgotten;
 mod member;
 mod service_load;
 
@@ -12,6 +14,7 @@
 use super::{Fact, Flow, MemberHeartbeat, ServiceTag};
 use crate::id::stable_hash;
 use crate::time::Millis;
+use forgotten::Forgotten;
 pub use member::Member;
 pub use service_load::ServiceLoad;
 
@@ -32,12 +35,16 @@
     members: BTreeMap<Ipv4Addr, Member>,
     agents: BTreeMap<ServiceTag, Vec<Ipv4Addr>>,
     ring: BTreeMap<u64, Ipv4Addr>,
+    forgotten: Forgotten,
 }
 
 impl Membership {
     /// Merges a fact if it is newer than the known one; returns the outcome.
     pub fn merge(&mut self, fact: Fact, now: Millis) -> Merge {
         let Some(member) = self.members.get_mut(&fact.ip) else {
+            if self.forgotten.is_outdated(&fact, now) {
+                return Merge::Stale;
+            }
             self.insert(fact, now);
             return Merge::New;
         };
@@ -91,6 +98,14 @@
         self.members.get_mut(&ip)
     }
 
+    /// The last fact about the same instance, if it comes from a later boot, which may be forgotten.
+    #[must_use]
+    pub fn later_boot(&self, fact: &Fact) -> Option<Fact> {
+        let known = self.members.get(&fact.ip).map(|m| &m.fact);
+        let last = known.or_else(|| self.forgotten.get(fact.ip)).copied();
+        last.filter(|last| last.boot > fact.boot)
+    }
+
     /// All instances in the order of their addresses.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -137,6 +152,13 @@
         home.map(|m| m.fact.ip)
     }
 
+    /// Leaves a time in which this process was away, which ends now, out of the silence of others.
+    pub fn exclude_absence(&mut self, absence: Millis, now: Millis) {
+        for member in self.members.values_mut() {
+            member.exclude_absence(absence, now);
+        }
+    }
+
     /// Marks instances whose heartbeat has stopped as suspect, and later forgets them.
     ///
     /// If more than half of the running instances have stopped at once, this process itself is
@@ -163,16 +185,18 @@
 
     fn remove_expired(&mut self, own: Ipv4Addr, now: Millis) {
         let is_old = |m: &&Member| m.fact.ip != own && now.since(m.last_heard) > FORGET_TIMEOUT;
-        let old: Vec<Fact> = self
-            .members
-            .values()
-            .filter(is_old)
-            .map(|m| m.fact)
-            .collect();
-        for fact in old {
+        let old: Vec<Member> = self.members.values().filter(is_old).copied().collect();
+        for Member {
+            fact,
+            heartbeat_seq,
+            ..
+        } in old
+        {
             self.members.remove(&fact.ip);
             self.unindex(&fact);
+            self.forgotten.insert(fact, heartbeat_seq, now);
         }
+        self.forgotten.expire(now);
     }
 
     fn insert(&mut self, fact: Fact, now: Millis) {
