test(fakes): count every two seconds in which a flow's packets stray

The simulation looked at the packets that reach other backend servers only when a further packet of the flow arrived, and dropped those older than two seconds by then. So it missed a flow whose packets strayed and then stopped, one whose next packet came later, and one whose backend server ended after the two seconds. It also left out what an agent delivered within 4 s of a disruption, although the balancer that took the packets and the flow's own instance were sound.

Strays since the last delivery are now kept, the end of the two seconds is checked in each step, and a packet counts if the balancer that took it or the agent that delivered it is sound.

--- a/buckthornlink-fakes/src/datagram/simulation.rs
+++ b/buckthornlink-fakes/src/datagram/simulation.rs
@@ -115,6 +115,7 @@
         let end = self.now + duration;
         while self.now < end {
             self.now = self.now + TIME_STEP;
+            self.check_strays();
             self.apply_due_faults();
             self.process_deliveries();
             self.tick_callers();
--- a/buckthornlink-fakes/src/datagram/simulation/check.rs
+++ b/buckthornlink-fakes/src/datagram/simulation/check.rs
@@ -1,7 +1,6 @@
 //! Invariants that are checked on every packet delivered to a backend server and on every reset
 //! delivered to a caller.
 
-use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::Millis;
@@ -13,8 +12,8 @@
 /// Time after an unplanned disruption of an instance in which its resets, stray packets and late
 /// openings do not count as violations.
 const DISRUPTION_GRACE_PERIOD: Millis = Millis(4_000);
-/// Window in which stray packets of a flow, those at other backend servers, are counted, and
-/// minimum time since the last packet at its own backend server for the flow to count as broken.
+/// Length of any period in which stray packets of a flow, those at other backend servers, are counted
+/// and none may have reached its own backend server for the flow to count as broken.
 const STRAY_WINDOW: Millis = Millis(2_000);
 /// Minimum number of stray packets in the window for a flow to count as broken.
 const STRAY_THRESHOLD: usize = 3;
@@ -34,14 +33,18 @@
     pub born: u64,
     /// When a packet last reached that backend server.
     last_delivery: Millis,
-    /// Times of stray packets since then, within [`STRAY_WINDOW`].
-    strays: VecDeque<Millis>,
+    /// Times of stray packets since then.
+    strays: Vec<Millis>,
 }
 
 impl TrackedFlow {
-    /// Whether packets have reached other backend servers, and not the flow's own, for too long.
-    fn is_broken(&self, now: Millis) -> bool {
-        now.since(self.last_delivery) >= STRAY_WINDOW && self.strays.len() >= STRAY_THRESHOLD
+    /// When packets have reached other backend servers, and not the flow's own, for too long, unless
+    /// one reaches its own before.
+    fn broken_at(&self) -> Option<Millis> {
+        let mut groups = self.strays.windows(STRAY_THRESHOLD);
+        let group = groups.find(|g| g[STRAY_THRESHOLD - 1].since(g[0]) <= STRAY_WINDOW)?;
+        let end = self.last_delivery + STRAY_WINDOW;
+        Some(group[STRAY_THRESHOLD - 1].max(end))
     }
 }
 
@@ -120,36 +123,41 @@
             owner: ip,
             born,
             last_delivery: self.now,
-            strays: VecDeque::new(),
+            strays: Vec::new(),
         };
-        if let Some(before) = self.tracked_flows.insert(flow, tracked) {
-            self.outcome.stray_flows += u64::from(before.is_broken(self.now));
-        }
+        self.tracked_flows.insert(flow, tracked);
     }
 
+    /// Records a stray packet, unless the flow's backend server is disrupted, or both the balancer that
+    /// took the packet and the agent that delivered it are.
     fn check_stray(&mut self, ip: Ipv4Addr, packet: &Packet) {
-        let now = self.now;
-        let Some(tracked) = self.tracked_flows.get(&packet.flow).cloned() else {
-            return;
-        };
-        let is_counted = self.is_held(&packet.flow, &tracked)
-            && self.is_stable(ip)
-            && self.is_stable(tracked.owner);
-        let Some(tracked) = self
-            .tracked_flows
-            .get_mut(&packet.flow)
-            .filter(|_| is_counted)
-        else {
+        let is_taker_stable = self.is_stable(ip) || self.is_stable(packet.tag.origin);
+        let owner = self.tracked_flows.get(&packet.flow).map(|t| t.owner);
+        if !is_taker_stable || !owner.is_some_and(|owner| self.is_stable(owner)) {
             return;
-        };
-        tracked.strays.push_back(now);
-        let is_old = |at: &Millis| now.since(*at) > STRAY_WINDOW;
-        while tracked.strays.front().is_some_and(is_old) {
-            tracked.strays.pop_front();
         }
-        if tracked.is_broken(now) {
-            tracked.strays.clear();
-            self.outcome.stray_flows += 1;
+        let now = self.now;
+        if let Some(tracked) = self.tracked_flows.get_mut(&packet.flow) {
+            tracked.strays.push(now);
+        }
+        self.check_strays();
+    }
+
+    /// Counts the flows that are broken by now, and no longer counts their stray packets.
+    pub(super) fn check_strays(&mut self) {
+        let now = self.now;
+        let is_broken = |t: &TrackedFlow| t.broken_at().is_some_and(|at| at <= now);
+        let broken = self.tracked_flows.iter().filter(|(_, t)| is_broken(t));
+        let broken: Vec<Flow> = broken.map(|(flow, _)| *flow).collect();
+        for flow in broken {
+            let is_held = self
+                .tracked_flows
+                .get(&flow)
+                .is_some_and(|tracked| self.is_held(&flow, tracked));
+            self.outcome.stray_flows += u64::from(is_held);
+            if let Some(tracked) = self.tracked_flows.get_mut(&flow) {
+                tracked.strays.clear();
+            }
         }
     }
 
@@ -165,3 +173,7 @@
         instance.is_some_and(|i| i.is_stable(DISRUPTION_GRACE_PERIOD, self.now))
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/check.rs"]
+mod tests;
