test(soak): count every two seconds in which a flow's packets stray

The soak looked for packets that miss their backend server only when a further one did so, two seconds after the first. So it missed a flow whose packets strayed and then stopped, a flow that had been idle before, and what came before the end or a disruption of its instance. And it excused all flows for 4 s after a disruption of any balancer.

The two seconds now begin with the last packet that reached the flow's own backend server, their end is checked without a further packet, and only the balancer that took a packet is looked at, which its tag names. What counted before still does.

Four of the five new tests fail with the check before; the fifth keeps packets of a disrupted instance excused.

--- a/buckthornlink-soak/src/invariants.rs
+++ b/buckthornlink-soak/src/invariants.rs
@@ -16,9 +16,9 @@
 const MAX_ZONE_DELAY: Millis = Millis(5_000);
 /// Maximum time until a new configuration is in force.
 const MAX_CONFIG_DELAY: Millis = Millis(3_000);
-/// Time for which all packets of a flow may reach other backend servers than its owner (strays).
+/// Time for which packets of a flow may reach other backend servers (strays) and none its owner.
 const STRAY_WINDOW: Millis = Millis(2_000);
-/// Minimum number of stray packets at which a flow counts as broken.
+/// Minimum number of stray packets since the last one at its owner at which a flow counts as broken.
 const STRAY_THRESHOLD: usize = 3;
 /// Time before the end of a run in which callers must be served again.
 const FINAL_WINDOW: Millis = Millis(6_000);
@@ -47,8 +47,7 @@
     balancers: Vec<Ipv4Addr>,
     store_disruption: Option<Millis>,
     live_backends: HashMap<Ipv4Addr, u64>,
-    owners: HashMap<Flow, BackendBoot>,
-    strays: HashMap<Flow, Vec<Millis>>,
+    flows: HashMap<Flow, OpenFlow>,
     executed_by: HashMap<(Flow, u32), BackendBoot>,
     departures: HashMap<BackendBoot, Millis>,
     zones_out: HashMap<String, Millis>,
@@ -58,6 +57,16 @@
     violations: Vec<String>,
 }
 
+/// An open flow and the packets of it that missed its owner.
+#[derive(Clone, Debug)]
+struct OpenFlow {
+    owner: BackendBoot,
+    /// When a packet last reached its owner.
+    last_delivery: Millis,
+    /// Times of the stray packets since then, and the balancers that took them.
+    strays: Vec<(Millis, Ipv4Addr)>,
+}
+
 /// Result of a run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Summary {
@@ -93,7 +102,9 @@
     /// Records that an instance is disrupted now, or was until now.
     pub fn record_disruption(&self, ip: Ipv4Addr) {
         let now = self.now();
-        self.lock().disruptions.insert(ip, now);
+        let mut state = self.lock();
+        state.check_all_strays(now);
+        state.disruptions.insert(ip, now);
     }
 
     /// Records that the store, or a connection to it, is disrupted now, or was until now.
@@ -110,7 +121,9 @@
 
     /// Records that a backend server started or ended.
     pub fn set_live(&self, boot: BackendBoot, is_live: bool) {
+        let now = self.now();
         let mut state = self.lock();
+        state.check_all_strays(now);
         if is_live {
             state.live_backends.insert(boot.ip, boot.born);
         } else {
@@ -197,8 +210,13 @@
     pub fn check_delivery(&self, boot: BackendBoot, packet: &Packet) {
         let now = self.now();
         let mut state = self.lock();
-        state.owners.insert(packet.flow, boot);
-        state.strays.remove(&packet.flow);
+        state.check_past_strays(&packet.flow, now);
+        let open = OpenFlow {
+            owner: boot,
+            last_delivery: now,
+            strays: Vec::new(),
+        };
+        state.flows.insert(packet.flow, open);
         if packet.len == 0 {
             return;
         }
@@ -219,23 +237,12 @@
     pub fn check_stray(&self, ip: Ipv4Addr, packet: &Packet) {
         let now = self.now();
         let mut state = self.lock();
-        let owner = state.owners.get(&packet.flow).copied();
-        let Some(owner) = owner.filter(|o| state.is_live(*o) && o.ip != ip) else {
-            return;
-        };
-        let strays = state.strays.entry(packet.flow).or_default();
-        strays.push(now);
-        let is_broken = strays.len() >= STRAY_THRESHOLD && now.since(strays[0]) >= STRAY_WINDOW;
-        let balancers = state.balancers.clone();
-        let has_stable_balancers = balancers.iter().all(|ip| state.is_stable(*ip, now));
-        if is_broken && has_stable_balancers && state.is_stable(owner.ip, now) {
-            state.record_violation(
-                now,
-                format!(
-                    "packets of {:?} do not reach its owner {owner:?}",
-                    packet.flow
-                ),
-            );
+        state.check_past_strays(&packet.flow, now);
+        if let Some(open) = state.flows.get_mut(&packet.flow)
+            && open.owner.ip != ip
+        {
+            open.strays.push((now, packet.tag.origin));
+            state.check_strays(&packet.flow, now);
         }
     }
 
@@ -243,7 +250,7 @@
     pub fn check_reset(&self, flow: &Flow, from: Ipv4Addr) {
         let now = self.now();
         let mut state = self.lock();
-        let owner = state.owners.get(flow).copied();
+        let owner = state.flows.get(flow).map(|open| open.owner);
         let Some(owner) = owner.filter(|o| state.is_live(*o)) else {
             return;
         };
@@ -258,6 +265,7 @@
     pub fn finish(&self) -> Summary {
         let now = self.now();
         let mut state = self.lock();
+        state.check_all_strays(now);
         let from = now.since(FINAL_WINDOW).0 / 1_000;
         let last = (now.0 / 1_000).saturating_sub(2);
         let sum = |counts: &BTreeMap<u64, u64>| counts.range(from..last).map(|(_, n)| n).sum();
@@ -288,6 +296,60 @@
             .push(format!("{} ms: {}", now.0, description.into()));
     }
 
+    /// Checks the stray packets of all flows. Must be called before what their check depends on changes.
+    fn check_all_strays(&mut self, now: Millis) {
+        let has_strays = |open: &OpenFlow| open.strays.len() >= STRAY_THRESHOLD;
+        let flows = self.flows.iter().filter(|(_, open)| has_strays(open));
+        let flows: Vec<Flow> = flows.map(|(flow, _)| *flow).collect();
+        for flow in flows {
+            self.check_past_strays(&flow, now);
+        }
+    }
+
+    /// Checks the stray packets of a flow at the end of [`STRAY_WINDOW`], if that is over: no further
+    /// packet may follow.
+    fn check_past_strays(&mut self, flow: &Flow, now: Millis) {
+        let end = self.flows.get(flow).map(|o| o.last_delivery + STRAY_WINDOW);
+        if let Some(end) = end.filter(|end| *end <= now) {
+            self.check_strays(flow, end);
+        }
+    }
+
+    /// Records a violation if packets of a flow had reached other backend servers, and none its owner,
+    /// for too long at `at`.
+    fn check_strays(&mut self, flow: &Flow, at: Millis) {
+        let Some(open) = self.flows.get(flow) else {
+            return;
+        };
+        let owner = open.owner;
+        let is_exempt = !self.is_live(owner) || !self.is_stable(owner.ip, at);
+        if is_exempt || at.since(open.last_delivery) < STRAY_WINDOW {
+            return;
+        }
+        let is_counted = |(stray_at, taker): &&(Millis, Ipv4Addr)| {
+            *stray_at <= at && self.is_taker_stable(*taker, at)
+        };
+        if open.strays.iter().filter(is_counted).count() < STRAY_THRESHOLD {
+            return;
+        }
+        self.record_violation(
+            at,
+            format!("packets of {flow:?} do not reach its owner {owner:?}"),
+        );
+        if let Some(open) = self.flows.get_mut(flow) {
+            open.strays.clear();
+        }
+    }
+
+    /// Whether the balancer that took a packet has not been disrupted. A packet that names none may have
+    /// been taken by any of them.
+    fn is_taker_stable(&self, balancer: Ipv4Addr, now: Millis) -> bool {
+        if self.balancers.contains(&balancer) {
+            return self.is_stable(balancer, now);
+        }
+        self.balancers.iter().all(|ip| self.is_stable(*ip, now))
+    }
+
     /// Number of requests sent in a second of the run that were not served.
     fn count_unserved(&self, second: u64) -> u64 {
         let count = |counts: &BTreeMap<u64, u64>| counts.get(&second).copied().unwrap_or(0);
--- a/buckthornlink-soak/tests/unit/invariants.rs
+++ b/buckthornlink-soak/tests/unit/invariants.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use buckthornlink_core::datagram::{Flags, Flow, Packet, RelayTag};
+use buckthornlink_core::datagram::{Flags, Flow, Mode, Packet, RelayTag};
 
 use super::{BackendBoot, InvariantChecker};
 
@@ -164,3 +164,88 @@
     }
     assert_eq!(checker.finish().violations.len(), 0);
 }
+
+/// A packet of the flow that a balancer took from its caller.
+fn taken_by(balancer: Ipv4Addr) -> Packet {
+    Packet {
+        tag: RelayTag::new(Mode::Lookup, balancer),
+        ..request()
+    }
+}
+
+/// Guards against a check that waits for a further packet: the caller may be content with the answer to
+/// its next request, or send none.
+#[test]
+fn stray_packets_that_stop_are_a_violation_once_two_seconds_are_over() {
+    let mut checker = open_flow_checker();
+    for _ in 0..3 {
+        checker.check_stray(OTHER.ip, &request());
+    }
+    assert_eq!(violations(&checker).len(), 0);
+    advance(&mut checker, 3);
+    checker.check_delivery(OWNER, &request());
+    assert_eq!(violations(&checker).len(), 1);
+    for _ in 0..3 {
+        checker.check_stray(OTHER.ip, &request());
+    }
+    advance(&mut checker, 3);
+    assert_eq!(violations(&checker).len(), 1);
+}
+
+/// Guards against a check whose two seconds begin with the first stray packet: any two seconds count,
+/// and the flow may have been idle before.
+#[test]
+fn stray_packets_of_a_flow_that_was_idle_are_a_violation_at_once() {
+    let mut checker = open_flow_checker();
+    advance(&mut checker, 2);
+    for _ in 0..3 {
+        checker.check_stray(OTHER.ip, &request());
+    }
+    assert_eq!(violations(&checker).len(), 1);
+}
+
+/// Guards against an exemption of all flows while any balancer is disrupted.
+#[test]
+fn stray_packets_count_unless_the_balancer_that_took_them_was_disrupted() {
+    let other_balancer = Ipv4Addr::new(127, 40, 1, 11);
+    for (taker, expected) in [(BALANCER, 1), (other_balancer, 0)] {
+        let mut checker = open_flow_checker();
+        checker.lock().balancers.push(other_balancer);
+        advance(&mut checker, 2);
+        checker.record_disruption(other_balancer);
+        for _ in 0..3 {
+            checker.check_stray(OTHER.ip, &taken_by(taker));
+        }
+        assert_eq!(violations(&checker).len(), expected, "{taker}");
+    }
+}
+
+/// Guards against a check that forgets what came before the end or a disruption of the owner.
+#[test]
+fn stray_packets_before_the_end_or_a_disruption_of_the_owner_are_a_violation() {
+    let disrupt = |checker: &InvariantChecker| checker.record_disruption(OWNER.ip);
+    let end = |checker: &InvariantChecker| checker.set_live(OWNER, false);
+    for change in [disrupt, end] {
+        let mut checker = open_flow_checker();
+        for _ in 0..3 {
+            checker.check_stray(OTHER.ip, &request());
+        }
+        advance(&mut checker, 2);
+        change(&checker);
+        checker.check_stray(OTHER.ip, &request());
+        assert_eq!(violations(&checker).len(), 1);
+    }
+}
+
+/// Guards against a check that applies what holds later to packets of a disrupted owner.
+#[test]
+fn stray_packets_of_a_disrupted_owner_do_not_count_later() {
+    let mut checker = open_flow_checker();
+    checker.record_disruption(OWNER.ip);
+    for _ in 0..3 {
+        checker.check_stray(OTHER.ip, &request());
+    }
+    advance(&mut checker, 10);
+    checker.check_delivery(OWNER, &request());
+    assert_eq!(violations(&checker).len(), 0);
+}
