--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -206,7 +206,7 @@
         let end = self.now + span;
         let mut effects = Vec::new();
         while self.now < end {
-            let step = Millis(200.min(end.since(self.now).0));
+            let step = TICK_INTERVAL.min(end.since(self.now));
             effects.extend(self.advance(step));
         }
         effects
@@ -226,16 +226,6 @@
         effects.into_iter().flatten().collect()
     }
 
-    /// Advances the clock in ticks for `span`; returns their effects without log lines.
-    pub fn run(&mut self, span: Millis) -> Vec<Effect> {
-        let end = self.now + span;
-        let mut effects = Vec::new();
-        while self.now < end {
-            effects.extend(self.advance(TICK_INTERVAL));
-        }
-        effects
-    }
-
     /// The phase that the agent announces.
     pub fn phase(&self) -> Phase {
         self.agent.gossip().own().phase
