fix(core): do not take a late first heartbeat for the start of the backend server

What callers would see: a restarted agent denies flows of its living backend server, and others reset them, if that one's first heartbeat was held up and is the first one it hears. Cause: sequence number 1 was taken for an observed start. It is announced, and may be old. Change: a backend server that answered a packet before its first heartbeat held flows before.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -234,8 +234,8 @@
     }
 
     /// Records a packet of the backend server; one that was taken for ended keeps its flows.
-    fn record_backend_life(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if self.backend.record_packet(now) {
+    fn record_backend_life(&mut self, is_bounced: bool, now: Millis, out: &mut Vec<Effect>) {
+        if self.backend.record_packet(is_bounced, now) {
             self.keep_ended_flows();
             self.update_own_fact(now, out);
         }
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -48,7 +48,7 @@
 
     /// Handles a packet that the backend server sent or bounced.
     pub(super) fn handle_outbound(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
-        self.record_backend_life(now, out);
+        self.record_backend_life(packet.flags.bounced, now, out);
         if packet.flags.bounced {
             self.handle_bounce(packet, now, out);
             return;
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -74,6 +74,8 @@
     cold_until: Millis,
     slots: u16,
     is_tracked: bool,
+    /// Whether it answered a packet before its first heartbeat, and so held flows then.
+    has_served: bool,
     /// Since when this process has counted the admissions; before, another process may have admitted
     /// flows.
     counted_since: Millis,
@@ -130,7 +132,8 @@
 
     /// Records a packet from the backend server, which shows that it runs unless it is a late one; returns
     /// whether the backend server was taken for ended.
-    pub fn record_packet(&mut self, now: Millis) -> bool {
+    pub fn record_packet(&mut self, is_bounced: bool, now: Millis) -> bool {
+        self.has_served |= self.state == BackendState::Unknown && !is_bounced;
         if self.is_late(now) {
             return false;
         }
@@ -284,7 +287,8 @@
     }
 
     fn start_boot(&mut self, heartbeat: &BackendHeartbeat, boot: BootId) {
-        self.is_tracked = heartbeat.seq <= FIRST_SEQ;
+        self.is_tracked = heartbeat.seq <= FIRST_SEQ && !self.has_served;
+        self.has_served = false;
         self.id.clone_from(&heartbeat.id);
         self.boot = boot;
         self.service = heartbeat.service;
