fix(core): do not end flows for a boot that did not start beside this process

What callers would see: flows that a restarted agent found by trial are reset, because the first heartbeat it heard was a late one of an earlier boot. Cause: the next heartbeat, of the boot that has run all the while, was taken for a restart. Change: only a boot that is first heard by one of its first three heartbeats replaces the one before. Otherwise the flows stay, and packets that come back show which are gone. Found by reading, not seen in a run. Left: instances that hold a record of the earlier boot may still reset on the later one.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -189,8 +189,11 @@
         }
         let has_restarted = self.backend.boot() != boot;
         if has_restarted && boot != BootId::default() {
-            self.end_flows(Evidence::Replaced, now);
             self.outcomes.clear();
+            // Of a boot that did not start now, the flows seen so far may be its own.
+            if heartbeat.is_start() {
+                self.end_flows(Evidence::Replaced, now);
+            }
         } else if was_over {
             self.keep_ended_flows();
         }
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -23,6 +23,9 @@
 /// first may have a predecessor that admitted flows.
 const FIRST_SEQ: u64 = 1;
 
+/// Highest sequence number by which a boot is heard that started beside this process.
+const MAX_START_SEQ: u64 = 3;
+
 /// One heartbeat of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendHeartbeat {
@@ -82,6 +85,14 @@
     admissions: VecDeque<Millis>,
 }
 
+impl BackendHeartbeat {
+    /// Whether it is one of the heartbeats with which a backend server starts, of which some may be lost.
+    #[must_use]
+    pub const fn is_start(&self) -> bool {
+        self.seq <= MAX_START_SEQ
+    }
+}
+
 impl Backend {
     /// A backend server of which a process that starts now knows nothing.
     #[must_use]
