fix(core): do not take a detour around an agent that announced its shutdown

What callers would see: while the agent beside a flow's backend server is restarted in good order, packets of the flow reach four other backend servers and none its own for 2.8 s. Cause: the missing answer of an agent that is stopping was taken for a partition; the packet went to an agent that is not the flow's home, which searched by trial deliveries. Change: packets go to an owner that is leaving; its next process answers. If it never returns, its silence ends the wait as before.

--- a/buckthornlink-core/src/datagram/balancer/detour.rs
+++ b/buckthornlink-core/src/datagram/balancer/detour.rs
@@ -12,7 +12,8 @@
 use crate::time::Millis;
 
 impl Balancer {
-    /// Sends a packet around a partition if its owner's answer is overdue; returns whether it did.
+    /// Sends a packet around a partition if its owner's answer is overdue; returns whether it did. An owner
+    /// that announced its shutdown is not cut off: its next process answers.
     pub(super) fn detour(
         &mut self,
         owner: Ipv4Addr,
@@ -23,7 +24,7 @@
         let Some(member) = self.gossip.membership().get(owner) else {
             return false;
         };
-        if !member.is_answer_overdue(now) {
+        if member.fact.phase.is_leaving() || !member.is_answer_overdue(now) {
             return false;
         }
         let is_due = is_probe_due(member, now);
