--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -57,6 +57,15 @@
     Draining,
 }
 
+/// What only the next heartbeat of a backend server settles.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// It announced its end, or the announcement was meant for an earlier boot of the same name.
+    Exiting,
+    /// It was taken for ended and sent a packet since, which does not tell its boot.
+    Revived,
+}
+
 /// The local backend server, as its heartbeats describe it, and the flows that it was given. Those count
 /// for the boot after as well: a backend server that restarts within a second is the same to its callers.
 #[derive(Clone, Debug, Default)]
@@ -69,10 +78,8 @@
     signs: Signs,
     /// What showed its end, and when.
     end: Option<(Evidence, Millis)>,
-    /// Whether it has announced its end since its last heartbeat.
-    is_exiting: bool,
-    /// Whether it was taken for ended and sent a packet since, but no heartbeat that tells its boot.
-    is_revived: bool,
+    /// Why it gets no new flows until its next heartbeat, if there is a reason.
+    doubt: Option<Doubt>,
     last_heartbeat: Millis,
     cold_until: Millis,
     slots: u16,
@@ -116,8 +123,7 @@
         self.last_heartbeat = now;
         self.signs.record_life(now);
         self.end = None;
-        self.is_exiting = false;
-        self.is_revived = false;
+        self.doubt = None;
         self.slots = heartbeat.slots;
         self.cold_until = now + heartbeat.cold;
         self.state = if heartbeat.draining || self.state == BackendState::Draining {
@@ -135,7 +141,7 @@
     pub fn announce_end(&mut self, id: &str, now: Millis) -> bool {
         let is_current = self.id == id && self.state != BackendState::Unknown;
         if is_current {
-            self.is_exiting = true;
+            self.doubt = Some(Doubt::Exiting);
             self.signs.record_announcement(now);
         }
         is_current
@@ -150,10 +156,17 @@
         }
         self.signs.record_life(now);
         let was_over = self.end.take().is_some();
-        self.is_revived |= was_over;
+        if was_over {
+            self.doubt.get_or_insert(Doubt::Revived);
+        }
         was_over
     }
 
+    /// Whether it announced its end after its last heartbeat.
+    fn is_exiting(&self) -> bool {
+        self.doubt == Some(Doubt::Exiting)
+    }
+
     /// Whether a packet that arrives now may have been sent before the ports were seen to refuse.
     fn is_late(&self, now: Millis) -> bool {
         let end = self.end.filter(|(e, _)| *e == Evidence::PortsRefused);
@@ -180,7 +193,7 @@
     /// Concludes from the signs observed so far whether the backend server has ended; returns the evidence
     /// if it counts as ended now and did not before. A heartbeat or packet reverts this.
     pub fn conclude_end(&mut self, interval: Millis, now: Millis) -> Option<Evidence> {
-        let interval = (!self.is_exiting).then_some(interval);
+        let interval = (!self.is_exiting()).then_some(interval);
         let evidence = self.signs.check(interval, now);
         if self.is_over() {
             return None;
@@ -191,8 +204,8 @@
 
     /// Whether it announced its end and is not known to have ended.
     #[must_use]
-    pub const fn is_end_pending(&self) -> bool {
-        self.is_exiting && !self.is_over()
+    pub fn is_end_pending(&self) -> bool {
+        self.is_exiting() && !self.is_over()
     }
 
     /// Whether the backend server has ended, and so holds no flows.
@@ -244,9 +257,10 @@
         match self.state {
             _ if self.is_over() => Phase::Over,
             BackendState::Unknown => Phase::Starting,
-            _ if self.is_revived || self.age(now) > silence_timeout => Phase::Silent,
+            _ if self.doubt == Some(Doubt::Revived) => Phase::Silent,
+            _ if self.age(now) > silence_timeout => Phase::Silent,
             BackendState::Draining => Phase::Draining,
-            BackendState::Ready if self.is_exiting => Phase::Draining,
+            BackendState::Ready if self.is_exiting() => Phase::Draining,
             BackendState::Ready if self.signs.is_refused() => Phase::Silent,
             BackendState::Ready if now < self.cold_until => Phase::Cold,
             BackendState::Ready => Phase::Ready,
