--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use buckthornlink_core::datagram::{
-    Agent, BackendHeartbeat, Balancer, Effect, Event, Fact, Flags, Flow, Load, Message, Mode,
-    Packet, Phase, Reducer, RelayTag, Role, Route, ServiceLimits, ServiceTag, Setup, Source,
+    Agent, BackendHeartbeat, Balancer, Connection, Effect, Event, Fact, Flags, Flow, Load, Message,
+    Mode, Packet, Phase, Reducer, RelayTag, Role, Route, ServiceLimits, ServiceTag, Setup, Source,
     Status, Table, Target,
 };
 use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
@@ -20,6 +20,9 @@
 /// A balancer.
 pub const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 9);
 
+/// Interval of ticks.
+pub const TICK_INTERVAL: Millis = Millis(200);
+
 /// The service of all agents.
 pub fn service() -> ServiceTag {
     ServiceTag::of("token")
@@ -137,6 +140,27 @@
     }
 }
 
+/// A heartbeat of a draining backend server.
+pub fn draining(seq: u64) -> BackendHeartbeat {
+    BackendHeartbeat {
+        draining: true,
+        ..heartbeat(seq)
+    }
+}
+
+/// What the agent observes once the process of its backend server is gone: both ports refuse.
+pub const fn gone() -> [Event; 2] {
+    [
+        Event::DeliveryRefused,
+        Event::BackendConnection(Connection::Refused),
+    ]
+}
+
+/// The announcement of the backend server that it is about to end.
+pub fn ending() -> Event {
+    Event::BackendEnding("i-1".to_owned())
+}
+
 /// Whether an effect resets a flow.
 pub const fn is_reset(effect: &Effect) -> bool {
     matches!(effect, Effect::Reset { .. })
@@ -176,24 +200,33 @@
         self.reduce(Event::Tick)
     }
 
-    /// Lets time pass in which the process runs, with a tick every 200 ms; returns the effects of the ticks
-    /// without log lines.
+    /// Handles an event; returns its effects without log lines.
+    pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.agent.reduce(event, self.now, &mut effects);
+        effects.retain(|e| !matches!(e, Effect::Log(_)));
+        effects
+    }
+
+    /// The backend server's process is gone; returns the effects without log lines.
+    pub fn end_backend(&mut self) -> Vec<Effect> {
+        let effects = gone().map(|event| self.reduce(event));
+        effects.into_iter().flatten().collect()
+    }
+
+    /// Advances the clock in ticks for `span`; returns their effects without log lines.
     pub fn run(&mut self, span: Millis) -> Vec<Effect> {
         let end = self.now + span;
         let mut effects = Vec::new();
         while self.now < end {
-            let step = Millis(200.min(end.since(self.now).0));
-            effects.extend(self.advance(step));
+            effects.extend(self.advance(TICK_INTERVAL));
         }
         effects
     }
 
-    /// Handles an event; returns its effects without log lines.
-    pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        self.agent.reduce(event, self.now, &mut effects);
-        effects.retain(|e| !matches!(e, Effect::Log(_)));
-        effects
+    /// The phase that the agent announces.
+    pub fn phase(&self) -> Phase {
+        self.agent.gossip().own().phase
     }
 
     /// A packet arrives from [`BALANCER`], or from [`PEER`] if it is a search.
--- a/buckthornlink-soak/src/topology.rs
+++ b/buckthornlink-soak/src/topology.rs
@@ -2,22 +2,30 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use serde_json::{Value, json};
+use buckthornlink_fakes::datagram::HEARTBEAT_INTERVAL;
+use buckthornlink_standin::{Listeners, PlatformFields, StoreFields, TemplateError};
+
+use crate::shape::Shape;
 
 /// Services; the callers' route points to the first one, and during a route move to the second.
 pub const SERVICES: [&str; 2] = ["token", "ledger"];
-/// Availability zones.
-pub const ZONES: [&str; 2] = ["brasov-a", "brasov-b"];
 /// Port on which balancers and callers receive packets.
 pub const DATA_PORT: u16 = 18_172;
 const LINK_PORT: u16 = 17_720;
 const RELAY_PORT: u16 = 17_735;
 const READINESS_PORT: u16 = 18_167;
 const CONTROL_PORT: u16 = 18_166;
-const METRICS_PORT: u16 = 19_600;
 const BACKEND_PORT: u16 = 18_269;
 const OUTBOUND_PORT: u16 = 18_270;
 const STORE_PORT: u16 = 18_169;
+/// Template of the settings of a balancer, as it is deployed.
+const BALANCER_TEMPLATE: &str = include_str!("../../deploy/balancer.json");
+/// Template of the settings of an agent, as it is deployed.
+const AGENT_TEMPLATE: &str = include_str!("../../deploy/agent.json");
+/// Third octet of the addresses of the first callers.
+const CALLER_NET: u32 = 9;
+/// Number of callers in one net of their addresses.
+const CALLERS_PER_NET: u16 = 200;
 /// Maximum number of balancers that a process gets as contacts in its settings.
 const STARTUP_CONTACTS: usize = 3;
 
@@ -49,29 +57,35 @@
 #[derive(Clone, Debug)]
 pub struct Topology {
     block: u8,
+    /// Its availability zones.
+    pub zones: &'static [&'static str],
     /// All instances, balancers first.
     pub instances: Vec<Instance>,
 }
 
 impl Topology {
-    /// Creates balancers and agents; every third agent belongs to the second service.
+    /// Creates the balancers and agents of a shape.
     #[must_use]
-    pub fn new(block: u8, balancers: u8, agents: u8) -> Self {
-        let instance = |index: u8, role, prefix: &str, net: u8| Instance {
+    pub fn new(block: u8, shape: &Shape) -> Self {
+        let instance = |index: u8, role, zone, prefix: &str, net: u8| Instance {
             name: format!("{prefix}-{index}"),
             role,
             ip: Ipv4Addr::new(127, block, net, 10 + index),
-            zone: ZONES[usize::from(index % 2)],
+            zone,
             store_proxy: SocketAddrV4::new(
                 Ipv4Addr::new(127, block, 20 + net, 10 + index),
                 STORE_PORT,
             ),
         };
-        let balancers = (0..balancers).map(|i| instance(i, Role::Balancer, "balancer", 1));
-        let service = |i: u8| SERVICES[usize::from(i % 3 == 2)];
-        let agents = (0..agents).map(|i| instance(i, Role::Agent(service(i)), "agent", 2));
+        let zones = shape.zones();
+        let balancers = (0..).zip(shape.balancer_zones());
+        let balancers = balancers.map(|(i, zone)| instance(i, Role::Balancer, zone, "balancer", 1));
+        let service = |i| SERVICES[usize::from(shape.is_second_service(i))];
+        let agents = (0..shape.agents).zip(zones.iter().cycle());
+        let agents = agents.map(|(i, zone)| instance(i, Role::Agent(service(i)), zone, "agent", 2));
         Self {
             block,
+            zones,
             instances: balancers.chain(agents).collect(),
         }
     }
@@ -84,8 +98,11 @@
 
     /// IP address of a caller.
     #[must_use]
-    pub const fn caller_ip(&self, index: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.block, 9, 1 + index)
+    pub fn caller_ip(&self, index: u16) -> Ipv4Addr {
+        let net = CALLER_NET + u32::from(index / CALLERS_PER_NET);
+        let host = 1 + u32::from(index % CALLERS_PER_NET);
+        let block = u32::from(Ipv4Addr::new(127, self.block, 0, 0));
+        Ipv4Addr::from(block + (net << 8) + host)
     }
 
     /// Addresses of the balancers.
@@ -95,37 +112,54 @@
     }
 
     /// Content of the settings file of an instance.
-    #[must_use]
-    pub fn settings(&self, instance: &Instance) -> Value {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the deployed template has a placeholder that is not supported.
+    pub fn settings(&self, instance: &Instance) -> Result<String, TemplateError> {
+        let template = match instance.role {
+            Role::Balancer => BALANCER_TEMPLATE,
+            Role::Agent(_) => AGENT_TEMPLATE,
+        };
+        self.platform_fields(instance).render_settings(template)
+    }
+
+    /// What the platform tells the process of an instance.
+    fn platform_fields(&self, instance: &Instance) -> PlatformFields {
         let contacts = self.balancers().take(STARTUP_CONTACTS);
         let contacts = contacts.map(|ip| SocketAddrV4::new(ip, CONTROL_PORT));
-        let backend = match instance.role {
-            Role::Balancer => Value::Null,
-            Role::Agent(service) => json!({
-                "service": service,
-                "address": instance.backend_addr(),
-                "outbound": instance.outbound_addr(),
-            }),
-        };
-        json!({
-            "ip": instance.ip,
-            "zone": instance.zone,
-            "store": format!("http://{}", instance.store_proxy),
-            "link_port": LINK_PORT,
-            "relay_port": RELAY_PORT,
-            "readiness": instance.readiness_addr(),
-            "control": instance.control_addr(),
-            "metrics": instance.socket_addr(METRICS_PORT),
-            "contacts": contacts.collect::<Vec<_>>(),
-            "heartbeat_ms": buckthornlink_fakes::datagram::HEARTBEAT_INTERVAL.0,
-            "data": instance.socket_addr(DATA_PORT),
-            "backend": backend,
-            "log": { "format": "json" },
-        })
+        let service = instance.service();
+        PlatformFields {
+            ip: instance.ip,
+            zone: instance.zone.to_owned(),
+            listeners: Listeners {
+                data: instance.socket_addr(DATA_PORT),
+                readiness: instance.readiness_addr(),
+                control: instance.control_addr(),
+                outbound: service.map(|_| instance.outbound_addr()),
+            },
+            internal_ports: [LINK_PORT, RELAY_PORT],
+            contacts: contacts.collect(),
+            heartbeat_ms: HEARTBEAT_INTERVAL.0,
+            service: service.map(str::to_owned),
+            backend: service.map(|_| instance.backend_addr()),
+            store: StoreFields {
+                address: instance.store_proxy,
+            },
+        }
     }
 }
 
 impl Instance {
+    /// Service of the backend server beside an agent.
+    #[must_use]
+    pub const fn service(&self) -> Option<&'static str> {
+        match self.role {
+            Role::Balancer => None,
+            Role::Agent(service) => Some(service),
+        }
+    }
+
     /// Address on which its backend server receives packets.
     #[must_use]
     pub const fn backend_addr(&self) -> SocketAddrV4 {
@@ -154,3 +188,7 @@
         SocketAddrV4::new(self.ip, port)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/topology.rs"]
+mod tests;
