--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -189,8 +189,11 @@
         }
         let has_restarted = self.backend.boot() != boot;
         if has_restarted && boot != BootId::default() {
-            self.end_flows(Evidence::Replaced, now);
             self.outcomes.clear();
+            // Of a boot that did not start now, the flows seen so far may be its own.
+            if heartbeat.is_start() {
+                self.end_flows(Evidence::Replaced, now);
+            }
         } else if was_over {
             self.keep_ended_flows();
         }
@@ -234,8 +237,8 @@
     }
 
     /// Records a packet of the backend server; one that was taken for ended keeps its flows.
-    fn record_backend_life(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if self.backend.record_packet(now) {
+    fn record_backend_life(&mut self, is_bounced: bool, now: Millis, out: &mut Vec<Effect>) {
+        if self.backend.record_packet(is_bounced, now) {
             self.keep_ended_flows();
             self.update_own_fact(now, out);
         }
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -23,6 +23,9 @@
 /// first may have a predecessor that admitted flows.
 const FIRST_SEQ: u64 = 1;
 
+/// Highest sequence number by which a boot is heard that started beside this process.
+const MAX_START_SEQ: u64 = 3;
+
 /// One heartbeat of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendHeartbeat {
@@ -74,12 +77,22 @@
     cold_until: Millis,
     slots: u16,
     is_tracked: bool,
+    /// Whether it answered a packet before its first heartbeat, and so held flows then.
+    has_served: bool,
     /// Since when this process has counted the admissions; before, another process may have admitted
     /// flows.
     counted_since: Millis,
     admissions: VecDeque<Millis>,
 }
 
+impl BackendHeartbeat {
+    /// Whether it is one of the heartbeats with which a backend server starts, of which some may be lost.
+    #[must_use]
+    pub const fn is_start(&self) -> bool {
+        self.seq <= MAX_START_SEQ
+    }
+}
+
 impl Backend {
     /// A backend server of which a process that starts now knows nothing.
     #[must_use]
@@ -130,7 +143,8 @@
 
     /// Records a packet from the backend server, which shows that it runs unless it is a late one; returns
     /// whether the backend server was taken for ended.
-    pub fn record_packet(&mut self, now: Millis) -> bool {
+    pub fn record_packet(&mut self, is_bounced: bool, now: Millis) -> bool {
+        self.has_served |= self.state == BackendState::Unknown && !is_bounced;
         if self.is_late(now) {
             return false;
         }
@@ -168,9 +182,6 @@
     pub fn conclude_end(&mut self, interval: Millis, now: Millis) -> Option<Evidence> {
         let interval = (!self.is_exiting).then_some(interval);
         let evidence = self.signs.check(interval, now);
-        let is_refused = self.state == BackendState::Ready && self.signs.is_refused();
-        let refused = is_refused.then_some(Evidence::ConnectionsRefused);
-        let evidence = evidence.or(refused.filter(|_| !self.is_exiting));
         if self.is_over() {
             return None;
         }
@@ -287,7 +298,8 @@
     }
 
     fn start_boot(&mut self, heartbeat: &BackendHeartbeat, boot: BootId) {
-        self.is_tracked = heartbeat.seq <= FIRST_SEQ;
+        self.is_tracked = heartbeat.seq <= FIRST_SEQ && !self.has_served;
+        self.has_served = false;
         self.id.clone_from(&heartbeat.id);
         self.boot = boot;
         self.service = heartbeat.service;
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -200,6 +200,18 @@
         self.reduce(Event::Tick)
     }
 
+    /// Lets time pass in which the process runs, with a tick every 200 ms; returns the effects of the ticks
+    /// without log lines.
+    pub fn run(&mut self, span: Millis) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut effects = Vec::new();
+        while self.now < end {
+            let step = TICK_INTERVAL.min(end.since(self.now));
+            effects.extend(self.advance(step));
+        }
+        effects
+    }
+
     /// Handles an event; returns its effects without log lines.
     pub fn reduce(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -214,16 +226,6 @@
         effects.into_iter().flatten().collect()
     }
 
-    /// Advances the clock in ticks for `span`; returns their effects without log lines.
-    pub fn run(&mut self, span: Millis) -> Vec<Effect> {
-        let end = self.now + span;
-        let mut effects = Vec::new();
-        while self.now < end {
-            effects.extend(self.advance(TICK_INTERVAL));
-        }
-        effects
-    }
-
     /// The phase that the agent announces.
     pub fn phase(&self) -> Phase {
         self.agent.gossip().own().phase
