fix(core): confirm ends that are inferred, and wait for the boot that accepts again

Only new requests and opening packets count now, for 800 ms. - An inferred end was announced at once, so home agents and balancers reset flows before the answers that waited in the agent's socket were read. It has to last for another 100 ms now. - A refused packet counted beside a connection refused at any later time. It expires after 1 s. - An accepted connection made a backend server ready again that may be another, cold boot (FAILBACK). It waits for a heartbeat too. - A stopping agent could end between the end and the resets of idle flows. - Pauses of an agent again and again put off the end for good; only their length is left out. Tests: copies_of_one_unanswered_request..., an_inferred_end_is_not_announced..., refusals_of_different_moments... and the stricter a_backend_server_gets_no_new_flows..., a_stopping_agent_waits_... : all five failed before this commit.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -217,13 +217,13 @@
     }
 
     fn record_connection(&mut self, connection: Connection, now: Millis, out: &mut Vec<Effect>) {
-        self.backend.record_connection(connection);
+        self.backend.record_connection(connection, now);
         self.conclude_backend_end(now, out);
         self.update_own_fact(now, out);
     }
 
     fn record_refused_delivery(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        self.backend.record_refused_delivery();
+        self.backend.record_refused_delivery(now);
         self.conclude_backend_end(now, out);
     }
 
@@ -316,6 +316,13 @@
         }
     }
 
+    /// Number of flows whose end is announced but not known, or whose callers are yet to be told of it.
+    fn undecided_count(&self) -> usize {
+        let pending = self.backend.is_end_pending();
+        let open = if pending { self.flows.open_count() } else { 0 };
+        open + self.ended_flows.len()
+    }
+
     /// Sends owner records of established flows to their home agents, once for each boot of a home.
     fn send_due_records(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let own = self.gossip.own().ip;
@@ -429,11 +436,7 @@
         FlowCounts {
             open: self.flows.open_count(),
             waiting: self.flows.waiting_count(),
-            undecided: if self.backend.is_end_pending() {
-                self.flows.open_count()
-            } else {
-                0
-            },
+            undecided: self.undecided_count(),
             known: self.flows.len(),
         }
     }
--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -36,7 +36,7 @@
             });
         }
         self.flows.update(&packet.flow, |s| s.last_seen = now);
-        self.deliver_to_backend(packet, now, out);
+        self.deliver_to_backend(packet, !is_retransmission, now, out);
     }
 
     /// Returns an opening packet to the balancer that placed it.
--- a/buckthornlink-core/src/datagram/agent/ended.rs
+++ b/buckthornlink-core/src/datagram/agent/ended.rs
@@ -16,6 +16,13 @@
     evidence: Option<Evidence>,
 }
 
+impl EndedFlows {
+    /// Number of flows whose callers are yet to be told.
+    pub(super) const fn len(&self) -> usize {
+        self.flows.len()
+    }
+}
+
 impl Agent {
     /// Marks all flows of the backend server's last boot as ended; their callers are told shortly.
     pub(super) fn end_flows(&mut self, evidence: Evidence, now: Millis) {
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -33,7 +33,7 @@
                 });
                 self.deliver(from, packet, now, out);
             }
-            Ownership::Trial { .. } => self.deliver_to_backend(packet, now, out),
+            Ownership::Trial { .. } => self.deliver_to_backend(packet, false, now, out),
             Ownership::Ended => {
                 let basis = self.ended_flows_evidence(now);
                 out.push(self.end_decision(Reason::BackendOver, Some(packet.flow), basis));
@@ -97,7 +97,9 @@
     /// Delivers a packet of a flow that the backend server holds, and sends the owner record to
     /// instances that may not know the owner.
     fn deliver(&mut self, from: Ipv4Addr, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
+        let mut is_new = false;
         let is_record_due = self.flows.update(&packet.flow, |s| {
+            is_new = packet.len > 0 && s.is_new_data(packet);
             s.record_caller_packet(packet, now);
             let is_due = s
                 .last_record
@@ -109,7 +111,7 @@
             }
             is_record_due
         });
-        self.deliver_to_backend(packet, now, out);
+        self.deliver_to_backend(packet, is_new, now, out);
         if is_record_due && !packet.tag.origin.is_unspecified() {
             self.send_owner_record(packet.tag.origin, packet, out);
         }
@@ -118,14 +120,16 @@
         }
     }
 
-    /// Passes a packet to the backend server.
+    /// Passes a packet to the backend server, which `is_new` and calls for an answer, or is a copy of an
+    /// earlier one or an acknowledgement.
     pub(super) fn deliver_to_backend(
         &mut self,
         packet: &Packet,
+        is_new: bool,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if packet.is_opening() || packet.len > 0 {
+        if is_new {
             self.backend.record_delivery(now);
         }
         out.push(Effect::Deliver(packet.tag));
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -93,7 +93,7 @@
                 s.last_seen = now;
                 s.last_ack = packet.ack;
             });
-            self.deliver_to_backend(packet, now, out);
+            self.deliver_to_backend(packet, true, now, out);
         } else if is_search {
             out.push(Effect::Send {
                 to: from,
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -62,8 +62,9 @@
 enum Doubt {
     /// It announced its end, or the announcement was meant for an earlier boot of the same name.
     Exiting,
-    /// It was taken for ended and sent a packet since, which does not tell its boot.
-    Revived,
+    /// It refused connections, or was taken for ended and sent a packet since. Neither a packet nor an
+    /// accepted connection tells which boot that is.
+    Unheard,
 }
 
 /// The local backend server, as its heartbeats describe it, and the flows that it was given. Those count
@@ -157,7 +158,7 @@
         self.signs.record_life(now);
         let was_over = self.end.take().is_some();
         if was_over {
-            self.doubt.get_or_insert(Doubt::Revived);
+            self.doubt.get_or_insert(Doubt::Unheard);
         }
         was_over
     }
@@ -173,7 +174,7 @@
         end.is_some_and(|(_, at)| now.since(at) < LATE_PACKET_TIME)
     }
 
-    /// Records that a packet that calls for an answer was delivered.
+    /// Records that a packet that calls for an answer was delivered, which is no copy of an earlier one.
     pub fn record_delivery(&mut self, now: Millis) {
         if !self.is_over() {
             self.signs.record_delivery(now);
@@ -181,13 +182,16 @@
     }
 
     /// Records what became of a connection to the backend server.
-    pub const fn record_connection(&mut self, connection: Connection) {
-        self.signs.record_connection(connection);
+    pub fn record_connection(&mut self, connection: Connection, now: Millis) {
+        self.signs.record_connection(connection, now);
+        if connection == Connection::Refused {
+            self.doubt.get_or_insert(Doubt::Unheard);
+        }
     }
 
     /// Records that a packet to the backend server was refused.
-    pub const fn record_refused_delivery(&mut self) {
-        self.signs.record_refused_delivery();
+    pub const fn record_refused_delivery(&mut self, now: Millis) {
+        self.signs.record_refused_delivery(now);
     }
 
     /// Concludes from the signs observed so far whether the backend server has ended; returns the evidence
@@ -257,10 +261,10 @@
         match self.state {
             _ if self.is_over() => Phase::Over,
             BackendState::Unknown => Phase::Starting,
-            _ if self.doubt == Some(Doubt::Revived) => Phase::Silent,
             _ if self.age(now) > silence_timeout => Phase::Silent,
             BackendState::Draining => Phase::Draining,
             BackendState::Ready if self.is_exiting() => Phase::Draining,
+            BackendState::Ready if self.doubt.is_some() => Phase::Silent,
             BackendState::Ready if self.signs.is_refused() => Phase::Silent,
             BackendState::Ready if now < self.cold_until => Phase::Cold,
             BackendState::Ready => Phase::Ready,
@@ -318,6 +322,6 @@
         self.boot = boot;
         self.service = heartbeat.service;
         self.state = BackendState::Ready;
-        self.signs.record_start();
+        self.signs.begin_boot();
     }
 }
--- a/buckthornlink-core/src/datagram/backend/signs.rs
+++ b/buckthornlink-core/src/datagram/backend/signs.rs
@@ -9,15 +9,20 @@
 
 /// Time without a heartbeat or packet after which a backend server to which connections are refused has
 /// ended, in tenths of the heartbeat interval: two heartbeats are missing.
-const SILENCE_TIMEOUT_TENTHS: u64 = 25;
+const ABSENCE_TIMEOUT_TENTHS: u64 = 25;
 /// The same for one that has announced its end, and so sends no more heartbeats: the time that its process
 /// may take to exit.
 const EXIT_TIMEOUT: Millis = Millis(3_000);
-/// Time without an answer to packets that call for one after which a backend server to which connections
-/// are refused has ended; a caller retransmits within it.
-const ANSWER_TIMEOUT: Millis = Millis(500);
-/// Minimum unanswered packets for [`ANSWER_TIMEOUT`] to apply.
+/// Time without an answer to any packet after which a backend server to which connections are refused has
+/// ended.
+const ANSWER_TIMEOUT: Millis = Millis(800);
+/// Minimum unanswered packets for [`ANSWER_TIMEOUT`] to apply; one request may take longer than that.
 const MIN_UNANSWERED: u16 = 3;
+/// Time for which an end that is inferred from silence has to last, so that packets which wait in the socket
+/// are read before.
+const CONFIRMATION_TIME: Millis = Millis(100);
+/// Maximum time between a refused packet and a refused connection that show the end together.
+const MAX_REFUSAL_GAP: Millis = Millis(1_000);
 /// Time between two checks from which on this process may have missed signs of life in between, since it
 /// was paused; ticks are due twice as often.
 const MAX_CHECK_GAP: Millis = Millis(400);
@@ -41,12 +46,14 @@
     last_sign: Millis,
     /// What became of the connection last.
     connection: Option<Connection>,
-    /// Whether a packet was refused since the last sign of life.
-    is_delivery_refused: bool,
-    /// When the first unanswered packet that calls for an answer was delivered without a connection.
+    /// When a packet was refused last, since the last sign of life.
+    delivery_refused: Option<Millis>,
+    /// When the first unanswered packet was delivered without a connection.
     unanswered_since: Option<Millis>,
     /// Number of those packets, at most [`MIN_UNANSWERED`].
     unanswered: u16,
+    /// Since when silence has shown the end.
+    inferred_since: Option<Millis>,
     last_check: Millis,
 }
 
@@ -62,9 +69,10 @@
     /// Records a heartbeat or packet of the backend server.
     pub(super) const fn record_life(&mut self, now: Millis) {
         self.last_sign = now;
-        self.is_delivery_refused = false;
+        self.delivery_refused = None;
         self.unanswered_since = None;
         self.unanswered = 0;
+        self.inferred_since = None;
     }
 
     /// Records that the backend server announced its end, up to which it may be silent.
@@ -73,15 +81,20 @@
     }
 
     /// Records that another boot has begun, whose port nothing is known about.
-    pub(super) fn record_start(&mut self) {
+    pub(super) fn begin_boot(&mut self) {
         self.connection = self.connection.filter(|c| *c == Connection::Accepted);
     }
 
-    pub(super) const fn record_connection(&mut self, connection: Connection) {
+    pub(super) const fn record_connection(&mut self, connection: Connection, now: Millis) {
         self.connection = Some(connection);
+        match connection {
+            Connection::Accepted => self.record_life(now),
+            Connection::Closed => self.last_sign = now,
+            Connection::Refused => {}
+        }
     }
 
-    /// Records that a packet that calls for an answer was delivered.
+    /// Records that a packet that calls for an answer was delivered, which is no copy of an earlier one.
     pub(super) fn record_delivery(&mut self, now: Millis) {
         let is_lost = self.connection.is_some_and(|c| c != Connection::Accepted);
         if is_lost {
@@ -91,8 +104,8 @@
     }
 
     /// Records that a packet was refused, since nothing receives packets at the address.
-    pub(super) const fn record_refused_delivery(&mut self) {
-        self.is_delivery_refused = true;
+    pub(super) const fn record_refused_delivery(&mut self, now: Millis) {
+        self.delivery_refused = Some(now);
     }
 
     /// Whether connections are refused.
@@ -100,33 +113,48 @@
         matches!(self.connection, Some(Connection::Refused))
     }
 
-    /// Returns what shows that the backend server has ended, if anything. To be called with every tick.
+    /// Returns what shows that the backend server has ended, if anything. To be called with every tick;
+    /// `interval` is that of its heartbeats, if it sends any.
     pub(super) fn check(&mut self, interval: Option<Millis>, now: Millis) -> Option<Evidence> {
-        let is_gap = now.since(self.last_check) > MAX_CHECK_GAP;
-        self.last_check = now;
-        if is_gap {
-            self.restart(now);
-        }
+        self.exclude_gap(now);
         if !self.is_refused() {
             return None;
         }
+        if self.has_refused_delivery(now) {
+            return Some(Evidence::PortsRefused);
+        }
+        let inferred = self.infer_end(interval, now);
+        let since = inferred.map(|_| self.inferred_since.unwrap_or(now));
+        self.inferred_since = since;
+        inferred.filter(|_| since.is_some_and(|at| now.since(at) >= CONFIRMATION_TIME))
+    }
+
+    fn has_refused_delivery(&self, now: Millis) -> bool {
+        let at = self.delivery_refused;
+        at.is_some_and(|at| now.since(at) <= MAX_REFUSAL_GAP)
+    }
+
+    /// Returns the evidence that lies in the silence of a backend server to which connections are refused.
+    fn infer_end(&self, interval: Option<Millis>, now: Millis) -> Option<Evidence> {
         let unanswered_for = self.unanswered_since.map_or(Millis(0), |at| now.since(at));
+        if self.unanswered >= MIN_UNANSWERED && unanswered_for >= ANSWER_TIMEOUT {
+            return Some(Evidence::Unanswered);
+        }
         let timeout = interval.map_or(EXIT_TIMEOUT, |interval| {
-            Millis(interval.0 * SILENCE_TIMEOUT_TENTHS / 10)
+            Millis(interval.0 * ABSENCE_TIMEOUT_TENTHS / 10)
         });
-        if self.is_delivery_refused {
-            Some(Evidence::PortsRefused)
-        } else if self.unanswered >= MIN_UNANSWERED && unanswered_for >= ANSWER_TIMEOUT {
-            Some(Evidence::Unanswered)
-        } else {
-            (now.since(self.last_sign) > timeout).then_some(Evidence::Silent)
-        }
+        let silent_for = now.since(self.last_sign) + CONFIRMATION_TIME;
+        (silent_for > timeout).then_some(Evidence::Silent)
     }
 
-    /// Begins to wait for signs of life anew.
-    const fn restart(&mut self, now: Millis) {
-        self.last_sign = now;
-        self.unanswered_since = None;
-        self.unanswered = 0;
+    /// Leaves a time in which this process was paused, which ends now, out of the silence.
+    fn exclude_gap(&mut self, now: Millis) {
+        let gap = now.since(self.last_check);
+        self.last_check = now;
+        if gap > MAX_CHECK_GAP {
+            self.last_sign = now.min(self.last_sign + gap);
+            self.unanswered_since = self.unanswered_since.map(|at| now.min(at + gap));
+            self.inferred_since = None;
+        }
     }
 }
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -71,7 +71,7 @@
     pub open: usize,
     /// Flows with a request that the backend server has not begun to answer.
     pub waiting: usize,
-    /// Open flows of a backend server that announced its end and is not known to have ended.
+    /// Flows whose end is announced but not known, or whose callers are yet to be told of it.
     pub undecided: usize,
     /// Flows with remembered state, those of other owners included.
     pub known: usize,
--- a/buckthornlink-core/tests/datagram_agent.rs
+++ b/buckthornlink-core/tests/datagram_agent.rs
@@ -143,6 +143,11 @@
     let mut agent = AgentDriver::ready();
     agent.end_backend();
     agent.heartbeat(heartbeat(2));
+    let next = agent.packet_from_peer(opening(1), Mode::Placed);
+    assert!(
+        !next.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{next:?}"
+    );
     agent.reduce(Event::BackendConnection(Connection::Accepted));
     let next = agent.packet_from_peer(opening(1), Mode::Placed);
     assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
--- a/buckthornlink-core/tests/datagram_announced.rs
+++ b/buckthornlink-core/tests/datagram_announced.rs
@@ -103,5 +103,8 @@
     agent.reduce(Event::Leave);
     assert_eq!(agent.agent.flow_counts().undecided, 1);
     agent.end_backend();
+    assert_eq!(agent.agent.flow_counts().undecided, 1);
+    let effects = agent.run(Millis(400));
+    assert!(effects.iter().any(is_reset), "{effects:?}");
     assert_eq!(agent.agent.flow_counts().undecided, 0);
 }
