fix(core): pass the owners of flows on when their home agent changes

Cause: only the owner sends its record to a flow's home agent. An owner that was restarted has forgotten flows that are idle, so the record was lost with the home agent's own restart, and the next packet was tried at all backend servers. Change: an agent that knows another owner sends its record to the home agent as well, once for each boot of a home, and at once when it stops. A record that another agent repeats only fills a gap; nobody takes its own address from one. Tests: a_home_agent_that_stops_passes_the_owners_on and a_record_that_another_agent_repeats_replaces_no_known_owner failed before. Core's other tests pass, but for the known red ones.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -18,8 +18,8 @@
 
 use super::{
     Backend, BackendHeartbeat, Connection, Decision, Effect, Event, Evidence, Fact, Flow,
-    FlowCounts, Flows, Gossip, Load, Message, Outcomes, OwnerRecord, Packet, Phase, Reason,
-    Reducer, Role, ServiceTag, Setup, Source, Status, Table,
+    FlowCounts, FlowState, Flows, Gossip, Load, Message, Outcomes, OwnerRecord, Packet, Phase,
+    Reason, Reducer, Role, ServiceTag, Setup, Source, Status, Table,
 };
 use crate::id::BootId;
 use crate::time::Millis;
@@ -140,7 +140,9 @@
         self.gossip.record_answer(from, &message, now);
         match message {
             Message::Status(status) => self.receive_status(&status, now, out),
-            Message::OwnerRecords(records) => self.apply_owner_records(&records, now, out),
+            Message::OwnerRecords(records) => {
+                self.apply_owner_records(from, &records, now, out);
+            }
             Message::Denied(flow) => self.handle_denial(from, &flow, now, out),
             Message::Query(flows) => self.answer_query(from, &flows, now, out),
         }
@@ -247,6 +249,7 @@
     fn leave(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.is_leaving = true;
         self.update_own_fact(now, out);
+        self.send_due_records(now, out);
     }
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -323,16 +326,19 @@
         open + self.ended_flows.len()
     }
 
-    /// Sends owner records of established flows to their home agents, once for each boot of a home.
+    /// Sends owner records to the flows' home agents, once for each boot of a home: those of flows that are
+    /// established here, and those of other owners, whose home this agent was.
     fn send_due_records(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let own = self.gossip.own().ip;
         let membership = self.gossip.membership();
         let mut due: Vec<(Ipv4Addr, Flow)> = Vec::new();
-        for (flow, state) in self.flows.iter_established() {
+        for (flow, state) in self.flows.iter_located() {
             if now.since(state.opened_at) < MIN_RECORD_AGE {
                 continue;
             }
-            let home = membership.home_agent(flow, now).filter(|&ip| ip != own);
+            let owner = state.remote_owner().map_or(own, |(ip, _)| ip);
+            let home = membership.home_agent(flow, now);
+            let home = home.filter(|&ip| ip != own && ip != owner);
             let home = home.and_then(|ip| Some((ip, membership.get(ip)?.fact.boot)));
             if home.is_some() && home != state.recorded_home {
                 due.extend(home.map(|(ip, _)| (ip, *flow)));
@@ -351,7 +357,7 @@
         let boot = self.gossip.membership().get(to).map(|m| m.fact.boot);
         let mut records = Vec::with_capacity(batch.len());
         for (_, flow) in batch {
-            records.push(self.owner_record(flow));
+            records.push(self.known_record(flow));
             self.flows
                 .update(flow, |s| s.recorded_home = boot.map(|boot| (to, boot)));
         }
@@ -359,6 +365,19 @@
         out.push(Effect::Send { to, message });
     }
 
+    /// The owner record of a flow that is established here or whose owner is known.
+    fn known_record(&self, flow: &Flow) -> OwnerRecord {
+        let owner = self.flows.get(flow).and_then(FlowState::remote_owner);
+        owner.map_or_else(
+            || self.owner_record(flow),
+            |(owner, backend)| OwnerRecord {
+                flow: *flow,
+                owner,
+                backend,
+            },
+        )
+    }
+
     fn owner_record(&self, flow: &Flow) -> OwnerRecord {
         OwnerRecord {
             flow: *flow,
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -33,14 +33,19 @@
     /// Stores owner records from other agents, and logs the owner of a searched flow once.
     pub(super) fn apply_owner_records(
         &mut self,
+        from: Ipv4Addr,
         records: &[OwnerRecord],
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
         for record in records {
-            let last_search = self
-                .flows
-                .update(&record.flow, |s| s.apply_owner_record(record, now));
+            if record.owner == self.gossip.own().ip {
+                continue;
+            }
+            let is_repeated = from != record.owner;
+            let last_search = self.flows.update(&record.flow, |s| {
+                s.apply_owner_record(record, is_repeated, now)
+            });
             if let Some(at) = last_search {
                 let age = now.since(at);
                 out.push(Effect::Measure(Measure::Search, age));
@@ -333,13 +338,21 @@
 impl FlowState {
     /// Stores the owner that another agent reported, unless the local backend server holds the flow;
     /// returns the time of the last search if the owner was unknown.
-    fn apply_owner_record(&mut self, record: &OwnerRecord, now: Millis) -> Option<Millis> {
+    ///
+    /// A record that another agent repeats may be old, and only fills a gap.
+    fn apply_owner_record(
+        &mut self,
+        record: &OwnerRecord,
+        is_repeated: bool,
+        now: Millis,
+    ) -> Option<Millis> {
         let known = match self.ownership {
             Ownership::Open => return None,
             Ownership::Remote { owner } => owner,
             _ => None,
         };
-        if known.is_some_and(|(owner, backend)| record.is_outdated_by(owner, backend)) {
+        let is_outdated = |(owner, backend)| is_repeated || record.is_outdated_by(owner, backend);
+        if known.is_some_and(is_outdated) {
             return None;
         }
         let is_new = known.is_none();
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -189,6 +189,12 @@
         trials
     }
 
+    /// Returns the open flows that are not closed on both sides, and those whose other owner is known.
+    pub fn iter_located(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
+        let located = self.states.iter();
+        located.filter(|(_, s)| s.is_established() || s.remote_owner().is_some())
+    }
+
     /// Returns the open flows that are not closed on both sides.
     pub fn iter_established(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
         self.states.iter().filter(|(_, s)| s.is_established())
@@ -208,6 +214,15 @@
         self.ownership == Ownership::Open && !self.is_closed()
     }
 
+    /// The other agent that owns the flow and the boot of its backend server, if known.
+    #[must_use]
+    pub const fn remote_owner(&self) -> Option<(Ipv4Addr, BootId)> {
+        match self.ownership {
+            Ownership::Remote { owner } => owner,
+            _ => None,
+        }
+    }
+
     /// Whether the backend server was given the opening packet of a flow that has not ended since.
     #[must_use]
     pub const fn is_offered(&self) -> bool {
--- a/buckthornlink-core/tests/datagram_beliefs_records.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_records.rs
@@ -2,10 +2,16 @@
 
 mod datagram;
 
-use buckthornlink_core::BootId;
-use buckthornlink_core::datagram::{Effect, Event, Fact, Load, Message, Mode, OwnerRecord, Phase};
+use std::net::Ipv4Addr;
 
-use datagram::{AgentDriver, BalancerDriver, PEER, data, fact, is_reset, status};
+use buckthornlink_core::datagram::{
+    Effect, Event, Fact, Load, Message, Mode, OwnerRecord, Phase, Reducer,
+};
+use buckthornlink_core::{BootId, Millis};
+
+use datagram::{
+    AgentDriver, BalancerDriver, OWN, PEER, data, fact, flow, is_reset, service, status,
+};
 
 /// Boots of the backend server beside [`PEER`], in their order.
 const OLD: BootId = BootId(1);
@@ -76,3 +82,53 @@
     assert!(is_relayed(&next), "{next:?}");
     home.reduce(Event::Tick);
 }
+
+/// A third agent.
+const THIRD: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 3);
+
+/// The record in which `owner` is said to hold the flow of the caller with this port.
+fn record_of(port: u16, owner: Ipv4Addr) -> Message {
+    Message::OwnerRecords(vec![OwnerRecord {
+        flow: flow(port),
+        owner,
+        backend: NEW,
+    }])
+}
+
+/// Guards against the loss of a flow's owner when its home agent stops, after the owner was restarted and
+/// forgot the flow as it was idle: its packets would be tried at all backend servers.
+#[test]
+fn a_home_agent_that_stops_passes_the_owners_on() {
+    let mut home = AgentDriver::ready();
+    home.add_agent(PEER, service());
+    home.add_agent(THIRD, service());
+    let membership = home.agent.gossip().membership();
+    let is_home = |port: &u16| membership.home_agent(&flow(*port), home.now) == Some(OWN);
+    let ports: Vec<u16> = (1..200).filter(is_home).collect();
+    for port in &ports {
+        home.message(record_of(*port, PEER));
+    }
+    home.run(Millis(400));
+    let effects = home.reduce(Event::Leave);
+    let passed_on = effects.iter().filter_map(|e| match e {
+        Effect::Send {
+            to: THIRD,
+            message: Message::OwnerRecords(records),
+        } => Some(records.iter().filter(|r| r.owner == PEER).count()),
+        _ => None,
+    });
+    let count: usize = passed_on.sum();
+    assert!(count > 0 && count <= ports.len(), "{count}: {effects:?}");
+}
+
+/// Guards against a record that is passed on late and replaces what the owner itself said.
+#[test]
+fn a_record_that_another_agent_repeats_replaces_no_known_owner() {
+    let mut home = AgentDriver::ready();
+    home.message(record(NEW));
+    let from = THIRD;
+    let message = record_of(1, Ipv4Addr::new(10, 1, 0, 4));
+    home.reduce(Event::Message { from, message });
+    let next = home.packet_from_peer(data(1), Mode::Lookup);
+    assert!(is_relayed(&next), "{next:?}");
+}
