--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -3,6 +3,7 @@
 //! * `admit` accepts or refuses opening packets.
 //! * `established` handles later packets of flows that the backend server holds or may hold.
 //! * `ended` tells callers that the backend server of their flows has ended.
+//! * `records` tells home agents which agent owns a flow.
 //! * `search` finds the owner of all other flows.
 //! * `query` continues searches without a packet.
 
@@ -10,6 +11,7 @@
 mod ended;
 mod established;
 mod query;
+mod records;
 mod search;
 
 use std::collections::BTreeSet;
@@ -18,18 +20,13 @@
 
 use super::{
     Backend, BackendHeartbeat, Connection, Decision, Effect, Event, Evidence, Fact, Flow,
-    FlowCounts, FlowState, Flows, Gossip, Load, Message, Outcomes, OwnerRecord, Packet, Phase,
-    Reason, Reducer, Role, ServiceTag, Setup, Source, Status, Table,
+    FlowCounts, Flows, Gossip, Load, Message, Outcomes, Packet, Phase, Reason, Reducer, Role,
+    ServiceTag, Setup, Source, Status, Table,
 };
 use crate::id::BootId;
 use crate::time::Millis;
 use ended::EndedFlows;
 
-/// Minimum age of a flow before its owner record is sent to its home agent; shorter flows end
-/// before the record is of use.
-const MIN_RECORD_AGE: Millis = Millis(150);
-/// Maximum owner records in one message, so that it fits into a datagram.
-const MAX_MESSAGE_RECORDS: usize = 24;
 /// How much longer than the idle timeout of open flows the state of a flow is kept, so that ended
 /// flows are remembered.
 const RETENTION_MARGIN: Millis = Millis(5_000);
@@ -326,66 +323,6 @@
         open + self.ended_flows.len()
     }
 
-    /// Sends owner records to the flows' home agents, once for each boot of a home: those of flows that are
-    /// established here, and those of other owners, whose home this agent was.
-    fn send_due_records(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let own = self.gossip.own().ip;
-        let membership = self.gossip.membership();
-        let mut due: Vec<(Ipv4Addr, Flow)> = Vec::new();
-        for (flow, state) in self.flows.iter_located() {
-            if now.since(state.opened_at) < MIN_RECORD_AGE {
-                continue;
-            }
-            let owner = state.remote_owner().map_or(own, |(ip, _)| ip);
-            let home = membership.home_agent(flow, now);
-            let home = home.filter(|&ip| ip != own && ip != owner);
-            let home = home.and_then(|ip| Some((ip, membership.get(ip)?.fact.boot)));
-            if home.is_some() && home != state.recorded_home {
-                due.extend(home.map(|(ip, _)| (ip, *flow)));
-            }
-        }
-        due.sort_unstable();
-        for group in due.chunk_by(|a, b| a.0 == b.0) {
-            for batch in group.chunks(MAX_MESSAGE_RECORDS) {
-                self.send_owner_records(batch, out);
-            }
-        }
-    }
-
-    fn send_owner_records(&mut self, batch: &[(Ipv4Addr, Flow)], out: &mut Vec<Effect>) {
-        let to = batch[0].0;
-        let boot = self.gossip.membership().get(to).map(|m| m.fact.boot);
-        let mut records = Vec::with_capacity(batch.len());
-        for (_, flow) in batch {
-            records.push(self.known_record(flow));
-            self.flows
-                .update(flow, |s| s.recorded_home = boot.map(|boot| (to, boot)));
-        }
-        let message = Message::OwnerRecords(records);
-        out.push(Effect::Send { to, message });
-    }
-
-    /// The owner record of a flow that is established here or whose owner is known.
-    fn known_record(&self, flow: &Flow) -> OwnerRecord {
-        let owner = self.flows.get(flow).and_then(FlowState::remote_owner);
-        owner.map_or_else(
-            || self.owner_record(flow),
-            |(owner, backend)| OwnerRecord {
-                flow: *flow,
-                owner,
-                backend,
-            },
-        )
-    }
-
-    fn owner_record(&self, flow: &Flow) -> OwnerRecord {
-        OwnerRecord {
-            flow: *flow,
-            owner: self.gossip.own().ip,
-            backend: self.backend.boot(),
-        }
-    }
-
     fn decision(&self, reason: Reason, flow: Option<Flow>, age: Millis) -> Effect {
         Effect::Log(Decision {
             reason,
