--- a/buckthornlink-core/src/datagram/agent/records.rs
+++ b/buckthornlink-core/src/datagram/agent/records.rs
@@ -11,6 +11,7 @@
 const MIN_RECORD_AGE: Millis = Millis(150);
 /// Maximum owner records in one message, so that it fits into a datagram.
 const MAX_MESSAGE_RECORDS: usize = 24;
+
 impl Agent {
     /// Sends owner records to the flows' home agents, once for each boot of a home: those of flows that are
     /// established here, and those of other owners, whose home this agent was.
