feat(datagram): warn of flows that are reset and of instances that come and go

Change: a warning a second and evidence sums up the flows that were reset, with the instance involved, how long it was silent, the count, the first caller and route; at most eight a second. member_lost is a warning, and so is the new member_returned, which says how long the instance was not heard. denied_by_all names the candidate that was silent for longest. No decision changes.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -286,14 +286,33 @@
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
-            let basis = (Some(Evidence::Denied), age);
-            out.push(self.end_decision(Reason::DeniedByAll, Some(*flow), basis));
+            out.push(self.denial_decision(flow, age, now));
             out.push(Effect::Reset { flow: *flow, seq });
             self.active_searches.remove(flow);
         }
         is_denied
     }
 
+    /// Returns the log entry of a reset for want of an owner: with the candidate that was silent for longest and
+    /// for how long, or with the age of the search if all have denied the flow.
+    fn denial_decision(&self, flow: &Flow, search_age: Millis, now: Millis) -> Effect {
+        let membership = self.gossip.membership();
+        let pending = self.pending_candidates(flow);
+        let silent = pending.filter_map(|ip| membership.get(ip));
+        let silent = silent.min_by_key(|m| m.last_answer.max(m.last_heard));
+        let age = silent.map_or(search_age, |m| now.since(m.last_answer.max(m.last_heard)));
+        Effect::Log(Decision {
+            reason: Reason::DeniedByAll,
+            flow: Some(*flow),
+            peer: silent.map(|m| m.fact.ip),
+            version: self.table.version,
+            age,
+            phase: silent.map(|m| m.fact.phase),
+            evidence: Some(Evidence::Denied),
+            trial: None,
+        })
+    }
+
     /// Whether no agent is left that may own a flow and may still answer.
     fn is_denied_by_all(&self, flow: &Flow, now: Millis) -> bool {
         let mut pending = self.pending_candidates(flow);
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -117,6 +117,8 @@
     MemberChanged,
     /// An instance is no longer heard from and is suspected to have failed.
     MemberLost,
+    /// An instance that was suspected to have failed is heard again; the age is how long it was not.
+    MemberReturned,
     /// A heartbeat names a service that is not configured, so it comes from another writer.
     HeartbeatIgnored,
     /// The instance began to watch the store; the age is that of what it knows of the store.
@@ -129,7 +131,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 38] = [
+    pub const ALL: [Self; 39] = [
         Self::Placed,
         Self::PlacedAgain,
         Self::HandedOn,
@@ -164,6 +166,7 @@
         Self::ZoneIgnored,
         Self::MemberChanged,
         Self::MemberLost,
+        Self::MemberReturned,
         Self::HeartbeatIgnored,
         Self::WatchStarted,
         Self::WatchStopped,
@@ -213,6 +216,7 @@
             Self::ZoneIgnored => "zone_ignored",
             Self::MemberChanged => "member_changed",
             Self::MemberLost => "member_lost",
+            Self::MemberReturned => "member_returned",
             Self::HeartbeatIgnored => "heartbeat_ignored",
             Self::WatchStarted => "watch_started",
             Self::WatchStopped => "watch_stopped",
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -261,10 +261,7 @@
     /// Updates suspects, asks contacts, and starts an exchange if one is due.
     pub fn tick(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         self.last_tick = now;
-        for fact in self.membership.update_suspects(self.own.ip, now) {
-            let decision = self.member_decision(Reason::MemberLost, &fact, now);
-            effects.push(decision);
-        }
+        self.update_suspects(now, effects);
         self.ask_contacts(now, effects);
         self.check_store_answers(now, effects);
         self.return_absent_zones(now, effects);
@@ -275,6 +272,16 @@
         }
     }
 
+    fn update_suspects(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let changes = self.membership.update_suspects(self.own.ip, now);
+        for fact in changes.lost {
+            effects.push(self.member_decision(Reason::MemberLost, &fact, now));
+        }
+        for (fact, silence) in changes.returned {
+            effects.push(self.aged_member_decision(Reason::MemberReturned, &fact, silence));
+        }
+    }
+
     /// Sends the own status to a few others at once.
     pub fn push_update(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         self.exchange(now, URGENT_FANOUT, false, effects);
@@ -371,12 +378,16 @@
 
     fn member_decision(&self, reason: Reason, fact: &Fact, now: Millis) -> Effect {
         let last_heard = self.membership.get(fact.ip).map_or(now, |m| m.last_heard);
+        self.aged_member_decision(reason, fact, now.since(last_heard))
+    }
+
+    fn aged_member_decision(&self, reason: Reason, fact: &Fact, age: Millis) -> Effect {
         Effect::Log(Decision {
             reason,
             flow: None,
             peer: Some(fact.ip),
             version: self.version,
-            age: now.since(last_heard),
+            age,
             phase: Some(fact.phase),
             evidence: None,
             trial: None,
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -56,6 +56,7 @@
         }
         let old = *member;
         *member = Member::new(fact, now);
+        member.lost_since = old.lost_since;
         if old.fact.boot == fact.boot {
             member.probed_since = old.probed_since;
             member.last_answer = old.last_answer;
@@ -176,8 +177,8 @@
     /// Marks instances whose heartbeat has stopped as suspect, and later forgets them.
     ///
     /// If more than half of the running instances have stopped at once, this process itself is
-    /// assumed to be isolated and no instance is marked. Returns those newly marked.
-    pub fn update_suspects(&mut self, own: Ipv4Addr, now: Millis) -> Vec<Fact> {
+    /// assumed to be isolated and no instance is marked. Returns those newly marked, and those heard again.
+    pub fn update_suspects(&mut self, own: Ipv4Addr, now: Millis) -> SuspectChanges {
         let factor = self.members.len().div_ceil(SUSPECT_TIMEOUT_MEMBERS) as u64;
         let span = Millis(SUSPECT_TIMEOUT.0 * factor);
         let is_stale = |m: &Member| m.fact.ip != own && now.since(m.last_heard) > span;
@@ -185,16 +186,21 @@
         let total = running.clone().count();
         let stale = running.filter(|m| is_stale(m)).count();
         let is_isolated = stale * 2 > total;
-        let mut marked = Vec::new();
+        let mut changes = SuspectChanges::default();
         for member in self.members.values_mut() {
-            let is_suspect = !is_isolated && is_stale(member);
+            let is_stale = is_stale(member);
+            let is_suspect = is_stale && !is_isolated;
             if is_suspect && !member.is_suspect && member.fact.phase.is_running() {
-                marked.push(member.fact);
+                member.lost_since.get_or_insert(member.last_heard);
+                changes.lost.push(member.fact);
+            }
+            if let Some(since) = member.lost_since.take_if(|_| !is_stale) {
+                changes.returned.push((member.fact, now.since(since)));
             }
             member.is_suspect = is_suspect;
         }
         self.remove_expired(own, now);
-        marked
+        changes
     }
 
     fn remove_expired(&mut self, own: Ipv4Addr, now: Millis) {
@@ -247,6 +253,15 @@
     })
 }
 
+/// Outcome of [`Membership::update_suspects`].
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SuspectChanges {
+    /// Instances that are suspected to have failed from now on.
+    pub lost: Vec<Fact>,
+    /// Instances that were suspected and are heard again, and how long they were not.
+    pub returned: Vec<(Fact, Millis)>,
+}
+
 /// Outcome of [`Membership::merge`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Merge {
--- a/buckthornlink-core/src/datagram/membership/member.rs
+++ b/buckthornlink-core/src/datagram/membership/member.rs
@@ -45,6 +45,8 @@
     pub placed: u16,
     /// Whether it is suspected to have failed.
     pub is_suspect: bool,
+    /// When it was last heard before it was suspected, until it is heard again.
+    pub lost_since: Option<Millis>,
 }
 
 impl Member {
@@ -61,6 +63,7 @@
             unanswered_queries: 0,
             placed: 0,
             is_suspect: false,
+            lost_since: None,
         }
     }
 
--- a/buckthornlink-core/tests/datagram_gossip.rs
+++ b/buckthornlink-core/tests/datagram_gossip.rs
@@ -19,6 +19,8 @@
     now: Millis,
     fetchers: BTreeSet<Ipv4Addr>,
     reported_lost: BTreeSet<Ipv4Addr>,
+    /// Instances that were reported as heard again, with the shortest silence that was reported.
+    reported_returned: BTreeMap<Ipv4Addr, Millis>,
     loss_percent: u32,
     rng: SmallRng,
 }
@@ -34,6 +36,7 @@
             now,
             fetchers,
             reported_lost: BTreeSet::new(),
+            reported_returned: BTreeMap::new(),
             loss_percent: 0,
             rng: SmallRng::seed_from_u64(7),
         }
@@ -64,6 +67,11 @@
                     Effect::Log(decision) if decision.reason == Reason::MemberLost => {
                         self.reported_lost.extend(decision.peer);
                     }
+                    Effect::Log(decision) if decision.reason == Reason::MemberReturned => {
+                        let shortest = self.reported_returned.entry(decision.peer.unwrap());
+                        let shortest = shortest.or_insert(decision.age);
+                        *shortest = decision.age.min(*shortest);
+                    }
                     Effect::Send { to, message } => {
                         queue.push_back((to, Event::Message { from: at, message }));
                     }
@@ -134,3 +142,20 @@
     });
     assert_eq!(suspecting.count(), 29);
 }
+
+/// Guards against an outage that leaves no line at its end, so that nobody can tell how long it was.
+#[test]
+fn an_instance_that_is_heard_again_is_reported_with_its_silence() {
+    let mut net = Network::start((1..=6).map(ip));
+    for host in 1..=6 {
+        net.reduce(ip(host), Event::Contacts(vec![ip(1), ip(2)]));
+    }
+    net.run(Millis(4_000));
+    let paused = net.balancers.remove(&ip(4)).unwrap();
+    net.run(Millis(6_000));
+    net.balancers.insert(ip(4), paused);
+    net.run(Millis(2_000));
+    let silence = net.reported_returned.remove(&ip(4));
+    assert!(silence.is_some_and(|s| s >= Millis(5_000)), "{silence:?}");
+    assert_eq!(net.reported_returned, BTreeMap::new());
+}
--- a/buckthornlink-datagram/src/lib.rs
+++ b/buckthornlink-datagram/src/lib.rs
@@ -36,6 +36,7 @@
 mod metrics;
 mod process;
 mod reducer_handle;
+mod reset_summary;
 mod saved_flows;
 mod settings;
 mod sockets;
--- /dev/null
+++ b/buckthornlink-datagram/src/reset_summary.rs
@@ -0,0 +1,73 @@
+//! Warnings about flows that were reset, summed up by what the resets rest on.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use buckthornlink_core::Millis;
+use buckthornlink_core::datagram::{Decision, Evidence, Flow};
+
+use crate::decision_log::{LOG_TARGET, OrDash};
+
+/// Maximum number of warnings in one window. Beyond, resets are counted together.
+const MAX_GROUPS: usize = 8;
+
+/// The flows that were reset since the last warnings.
+#[derive(Debug, Default)]
+pub(crate) struct ResetSummary {
+    groups: BTreeMap<(&'static str, Option<Ipv4Addr>), Group>,
+    /// Resets that belong to no group, as there are [`MAX_GROUPS`].
+    others: u64,
+}
+
+/// Resets that rest on the same evidence about the same instance.
+#[derive(Debug)]
+struct Group {
+    evidence: Evidence,
+    first: Flow,
+    /// Greatest age of the evidence. If an instance was silent, for how long.
+    max_age: Millis,
+    count: u64,
+}
+
+impl ResetSummary {
+    /// Counts a decision that reset a flow; ignores all others.
+    pub(crate) fn record(&mut self, decision: &Decision) {
+        let (Some(evidence), Some(flow)) = (decision.evidence, decision.flow) else {
+            return;
+        };
+        let key = (evidence.name(), decision.peer);
+        if self.groups.len() >= MAX_GROUPS && !self.groups.contains_key(&key) {
+            self.others += 1;
+            return;
+        }
+        let group = self.groups.entry(key).or_insert(Group {
+            evidence,
+            first: flow,
+            max_age: decision.age,
+            count: 0,
+        });
+        group.max_age = group.max_age.max(decision.age);
+        group.count += 1;
+    }
+
+    /// Writes a warning for each group, and forgets them.
+    pub(crate) fn write(&mut self) {
+        for ((name, owner), group) in std::mem::take(&mut self.groups) {
+            log::warn!(
+                target: LOG_TARGET,
+                evidence = name,
+                basis = group.evidence.basis().name(),
+                owner:% = OrDash(owner),
+                max_age_ms = group.max_age.0,
+                count = group.count,
+                caller:% = group.first.caller,
+                route:% = group.first.route;
+                "flows were reset"
+            );
+        }
+        let others = std::mem::take(&mut self.others);
+        if others > 0 {
+            log::warn!(target: LOG_TARGET, count = others; "more flows were reset");
+        }
+    }
+}
--- a/buckthornlink-datagram/tests/unit/decision_log.rs
+++ b/buckthornlink-datagram/tests/unit/decision_log.rs
@@ -34,7 +34,7 @@
         if record.target() != TARGET {
             return;
         }
-        let mut line = Line(record.args().to_string());
+        let mut line = Line(format!("{} {}", record.level(), record.args()));
         record.key_values().visit(&mut line).unwrap();
         let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         lines.push(line.0);
@@ -66,6 +66,16 @@
     }
 }
 
+/// The reset of a flow that an instance which was silent for this long may have owned.
+fn silent_owner(host: u8, silence: u64) -> Decision {
+    Decision {
+        peer: Some(Ipv4Addr::new(10, 1, 0, host)),
+        age: Millis(silence),
+        evidence: Some(Evidence::Denied),
+        ..decision(Reason::DeniedByAll)
+    }
+}
+
 /// A single test, since the logger is global to the process.
 #[test]
 fn decisions_are_logged_and_rate_limited_for_each_reason() {
@@ -91,6 +101,16 @@
     decision_log.write(&bare, Millis(1_000));
     insta::assert_snapshot!("lines", CAPTURE.take().join("\n"));
 
+    for _ in 0..3 {
+        decision_log.write(&silent_owner(2, 1_500), Millis(1_100));
+    }
+    for host in 3..20 {
+        decision_log.write(&silent_owner(host, 1_000), Millis(1_100));
+    }
+    CAPTURE.take();
+    decision_log.advance_window(Millis(2_400));
+    insta::assert_snapshot!("reset_warnings", CAPTURE.take().join("\n"));
+
     for _ in 0..10_000 {
         decision_log.write(&decision(Reason::RefusedBusy), Millis(2_500));
     }
@@ -98,6 +118,6 @@
     let lines = CAPTURE.take();
     assert_eq!(lines.len(), MAX_LINES_PER_SECOND as usize + 1);
     let left_out = 10_000 - MAX_LINES_PER_SECOND;
-    let last = format!("decisions left out reason=refused_busy count={left_out}");
+    let last = format!("WARN decisions left out reason=refused_busy count={left_out}");
     assert_eq!(lines.last(), Some(&last));
 }
