fix(core): take no agent's silence for a denial of its flows

Cause: a search ended once each agent had denied the flow or was unresponsive, for 1 to 2 s, or suspect. The same for an agent that only the store lists: one second without news, or 3 s after the start, counted as knowing all agents. Why this works: a flow without a known owner is reset once each agent that the store lists, or that anyone has heard within 60 s, has denied it itself, or has reported the end of its backend server. Until then packets are dropped or held. An agent that is given up is no longer probed between packets, so a machine that is lost for long costs no messages. After 60 s an agent is forgotten: no flow is older than that. The tests' world moved to a module of its own.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -232,8 +232,8 @@
         self.reset_if_denied(flow, now, out);
     }
 
-    /// Probes the agents that active searches wait for, and resets flows that no live agent may
-    /// own.
+    /// Probes the agents that active searches wait for and that may still answer, and resets flows that no agent
+    /// owns. An agent that is given up is asked again with the next packet, or once it is heard.
     ///
     /// The caller's retransmissions come at growing intervals, so a search does not wait for them.
     pub(super) fn advance_searches(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -245,6 +245,7 @@
         }
         unanswered.sort_unstable();
         unanswered.dedup();
+        unanswered.retain(|ip| !self.is_unresponsive(*ip, now));
         for ip in unanswered {
             self.gossip.probe(ip, now, out);
         }
@@ -274,7 +275,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) -> bool {
-        let is_exhaustive = self.gossip.has_all_agents(now) && self.can_query_all();
+        let is_exhaustive = self.gossip.is_certain_of_agents(now) && self.can_query_all();
         if !is_exhaustive || !self.can_deny(flow, now) || self.table.route(flow).is_none() {
             return false;
         }
@@ -286,37 +287,21 @@
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
-            out.push(self.denial_decision(flow, age, now));
+            let basis = (Some(Evidence::Denied), age);
+            out.push(self.end_decision(Reason::DeniedByAll, Some(*flow), basis));
             out.push(Effect::Reset { flow: *flow, seq });
             self.active_searches.remove(flow);
         }
         is_denied
     }
 
-    /// Returns the log entry of a reset for want of an owner: with the candidate that was silent for longest and
-    /// for how long, or with the age of the search if all have denied the flow.
-    fn denial_decision(&self, flow: &Flow, search_age: Millis, now: Millis) -> Effect {
+    /// Whether each agent that may own a flow has denied it, or reported the end of its backend server before it
+    /// fell silent. The silence of others says nothing about their backend servers.
+    fn is_denied_by_all(&self, flow: &Flow, now: Millis) -> bool {
         let membership = self.gossip.membership();
         let pending = self.pending_candidates(flow);
-        let silent = pending.filter_map(|ip| membership.get(ip));
-        let silent = silent.min_by_key(|m| m.last_answer.max(m.last_heard));
-        let age = silent.map_or(search_age, |m| now.since(m.last_answer.max(m.last_heard)));
-        Effect::Log(Decision {
-            reason: Reason::DeniedByAll,
-            flow: Some(*flow),
-            peer: silent.map(|m| m.fact.ip),
-            version: self.table.version,
-            age,
-            phase: silent.map(|m| m.fact.phase),
-            evidence: Some(Evidence::Denied),
-            trial: None,
-        })
-    }
-
-    /// Whether no agent is left that may own a flow and may still answer.
-    fn is_denied_by_all(&self, flow: &Flow, now: Millis) -> bool {
-        let mut pending = self.pending_candidates(flow);
-        pending.all(|ip| self.is_unresponsive(ip, now))
+        let mut pending = pending.filter_map(|ip| membership.get(ip));
+        pending.all(|m| m.fact.phase.is_over() && m.is_unresponsive(now))
     }
 
     /// Whether the agent can deny a flow, because its backend server is known not to hold it.
--- a/buckthornlink-core/src/datagram/gossip/discovery.rs
+++ b/buckthornlink-core/src/datagram/gossip/discovery.rs
@@ -4,6 +4,7 @@
 
 use super::Gossip;
 use crate::datagram::Effect;
+use crate::datagram::membership::FORGET_TIMEOUT;
 use crate::time::Millis;
 
 /// Time after the start, or after an absence, from which on the known agents are assumed to be all.
@@ -59,6 +60,19 @@
             || now.since(self.present_since) >= DISCOVERY_TIMEOUT
     }
 
+    /// Whether all agents that may hold flows are known for certain: besides, every agent that the store lists has
+    /// been heard, or this process has run for longer than the store lists agents that are silent.
+    ///
+    /// [`Self::has_all_agents`] gives up a listed agent that is not heard. That suffices for what can be made good.
+    #[must_use]
+    pub fn is_certain_of_agents(&self, now: Millis) -> bool {
+        let is_known = |ip: &Ipv4Addr| self.membership.get(*ip).is_some();
+        let registered = self.registered.as_ref();
+        let has_heard_listed = registered.is_some_and(|ips| ips.iter().all(is_known));
+        let has_run_long = now.since(self.started_at) >= FORGET_TIMEOUT;
+        self.has_all_agents(now) && (has_heard_listed || has_run_long)
+    }
+
     /// Whether no instance has become known for a while, and nobody knows more instances.
     fn is_membership_stable(&self, now: Millis) -> bool {
         let others = self.membership.all_agents();
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod world;
+
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
