fix(core): count each packet of a try, whoever made it

Cause: the home agent counted agents, not packets. An agent whose backend server left a try unanswered, since the packet or its return was lost, delivered a second one on its own account, and after 2.5 s those of searches as well; then it reported one failure. A try on the word of a balancer or record counted only once it had failed. Why this works: an agent gives its backend server two packets of a flow at most, and none of a search; it answers searches with Tried, which counts at the home agent at once; a failure after two packets is reported as such (Exhausted) and uses up the tries. So words that contradict each other are counted together as soon as the home agent searches.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -153,6 +153,7 @@
             }
             Message::Denied(flow) => self.handle_denial(from, &flow, now, out),
             Message::Query(flows) => self.answer_query(from, &flows, now, out),
+            Message::Tried(flow) => self.handle_pending_try(from, &flow, now),
         }
     }
 
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -89,13 +89,12 @@
         out: &mut Vec<Effect>,
     ) {
         let can_deny = self.can_deny(&packet.flow, now);
-        let has_failed = self
-            .flows
-            .get(&packet.flow)
-            .is_some_and(|s| s.trial_count > 0);
+        let state = self.flows.get(&packet.flow);
+        let tried = state.filter(|s| s.trial_count > 0);
+        let failure = tried.map(FlowState::failure_mode);
         match packet.tag.mode {
-            Mode::Search | Mode::Try if can_deny && has_failed => {
-                let tag = packet.relay_tag(Mode::Failed);
+            Mode::Search | Mode::Try if can_deny && failure.is_some() => {
+                let tag = packet.relay_tag(failure.unwrap_or(Mode::Failed));
                 out.push(Effect::Relay { to: from, tag });
             }
             Mode::Search if can_deny => out.push(Effect::Send {
@@ -111,7 +110,7 @@
             Mode::Known | Mode::Recorded if !can_deny => {
                 self.try_delivery(from, None, packet, now, out);
             }
-            Mode::Failed => self.handle_failed_try(from, packet, now, out),
+            Mode::Failed | Mode::Exhausted => self.handle_failed_try(from, packet, now, out),
             Mode::Declined => self.handle_declined_try(from, packet, now, out),
             Mode::Held => self.hand_out_try(packet, now, out),
             _ => self.search(packet, now, out),
--- a/buckthornlink-core/src/datagram/agent/trial.rs
+++ b/buckthornlink-core/src/datagram/agent/trial.rs
@@ -51,8 +51,10 @@
         self.deliver_to_backend(packet, true, now, out);
     }
 
-    /// Delivers a further packet of a flow whose trial the backend server has left unanswered, or drops it
-    /// while that may still return the first one.
+    /// Delivers one further packet of a flow whose trial the backend server has left unanswered, once that has had
+    /// time to return the first one; drops others.
+    ///
+    /// A search is told of the trial instead: it asks others as well.
     pub(super) fn repeat_trial(
         &mut self,
         from: Ipv4Addr,
@@ -60,15 +62,15 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let is_due = self.flows.get(&packet.flow).is_some_and(|s| {
-            let is_last = usize::from(s.trial_count) >= MAX_TRIES;
-            let interval = if is_last {
-                TRY_RETENTION
-            } else {
-                BOUNCE_TIMEOUT
-            };
-            now.since(s.tried_at) >= interval
-        });
+        if packet.tag.mode == Mode::Search {
+            let message = Message::Tried(packet.flow);
+            out.push(Effect::Send { to: from, message });
+            return;
+        }
+        let is_due = self
+            .flows
+            .get(&packet.flow)
+            .is_some_and(|s| !s.is_trial_exhausted() && now.since(s.tried_at) >= BOUNCE_TIMEOUT);
         if !is_due {
             return;
         }
@@ -87,16 +89,22 @@
         out: &mut Vec<Effect>,
     ) {
         let own = self.gossip.own().ip;
-        self.flows.update(&packet.flow, |s| {
+        let mode = self.flows.update(&packet.flow, |s| {
             s.ownership = Ownership::Remote { owner: None };
-            s.record_failed_try(own, now);
+            let mode = s.failure_mode();
+            s.record_failed_try(own, mode, now);
+            mode
         });
         let home = self.gossip.membership().home_agent(&packet.flow, now);
         let to = requester.or(home).unwrap_or(own);
         if to == own {
-            self.handle_failed_try(own, packet, now, out);
+            let packet = Packet {
+                tag: RelayTag { mode, ..packet.tag },
+                ..*packet
+            };
+            self.handle_failed_try(own, &packet, now, out);
         } else if packet.tag.hops < RelayTag::MAX_HOPS {
-            let tag = packet.relay_tag(Mode::Failed);
+            let tag = packet.relay_tag(mode);
             out.push(Effect::Relay { to, tag });
         }
     }
@@ -146,4 +154,18 @@
         self.trial_count = self.trial_count.saturating_add(1);
         self.tried_at = now;
     }
+
+    /// How a failed trial is reported: whether it was of one packet or of as many as are allowed.
+    pub(super) fn failure_mode(&self) -> Mode {
+        if self.is_trial_exhausted() {
+            Mode::Exhausted
+        } else {
+            Mode::Failed
+        }
+    }
+
+    /// Whether the backend server was given as many packets as may reach others than the owner of the flow.
+    pub(super) fn is_trial_exhausted(&self) -> bool {
+        usize::from(self.trial_count) >= MAX_TRIES
+    }
 }
--- a/buckthornlink-core/src/datagram/agent/tries.rs
+++ b/buckthornlink-core/src/datagram/agent/tries.rs
@@ -8,7 +8,7 @@
 
 use super::Agent;
 use super::trial::{BOUNCE_TIMEOUT, MAX_TRIES, TRY_RETENTION};
-use crate::datagram::{Effect, FlowState, Mode, Ownership, Packet, Reason, RelayTag, Try};
+use crate::datagram::{Effect, Flow, FlowState, Mode, Ownership, Packet, Reason, RelayTag, Try};
 use crate::time::Millis;
 
 /// Time after which a packet is no longer held, as its caller may have given up.
@@ -56,11 +56,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.flows.update(&packet.flow, |s| {
-            s.tries.push(Try {
-                agent,
-                at: now,
-                has_failed: false,
-            });
+            s.tries.push(Try::pending(agent, now));
         });
         if agent == self.gossip.own().ip {
             self.try_delivery(agent, None, packet, now, out);
@@ -117,11 +113,20 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        let mode = packet.tag.mode;
         self.flows
-            .update(&packet.flow, |s| s.record_failed_try(from, now));
+            .update(&packet.flow, |s| s.record_failed_try(from, mode, now));
         self.continue_search(from, packet, now, out);
     }
 
+    /// Records that `from` delivered a packet of a flow that others search for, on somebody's word, and has no answer.
+    pub(super) fn handle_pending_try(&mut self, from: Ipv4Addr, flow: &Flow, now: Millis) {
+        let is_searched = |s: &FlowState| s.last_search.is_some();
+        if self.flows.get(flow).is_some_and(is_searched) {
+            self.flows.update(flow, |s| s.record_pending_try(from, now));
+        }
+    }
+
     /// Handles a packet that `from` was to try, which knows that its backend server does not hold the flow.
     pub(super) fn handle_declined_try(
         &mut self,
@@ -159,21 +164,39 @@
     }
 }
 
+impl Try {
+    /// A try that is neither answered nor failed yet.
+    const fn pending(agent: Ipv4Addr, now: Millis) -> Self {
+        Self {
+            agent,
+            at: now,
+            has_failed: false,
+        }
+    }
+}
+
 impl FlowState {
-    /// Records that the backend server beside `agent` returned a packet, whoever had it tried.
-    pub(super) fn record_failed_try(&mut self, agent: Ipv4Addr, now: Millis) {
-        self.last_seen = now;
+    /// Records that the backend server beside `agent` returned a packet, whoever had it tried; with
+    /// [`Mode::Exhausted`], that it was given as many packets as are allowed.
+    pub(super) fn record_failed_try(&mut self, agent: Ipv4Addr, mode: Mode, now: Millis) {
         if self.remote_owner().is_some_and(|(ip, _)| ip == agent) {
             self.ownership = Ownership::Remote { owner: None };
         }
-        let pending = self.tries.iter_mut().find(|t| t.agent == agent);
-        match pending {
-            Some(pending) => pending.has_failed = true,
-            None => self.tries.push(Try {
-                agent,
-                at: now,
-                has_failed: true,
-            }),
+        self.record_pending_try(agent, now);
+        let of_agent = |t: &&Try| t.agent == agent;
+        while mode == Mode::Exhausted && self.tries.iter().filter(of_agent).count() < MAX_TRIES {
+            self.tries.push(Try::pending(agent, now));
+        }
+        for failed in self.tries.iter_mut().filter(|t| t.agent == agent) {
+            failed.has_failed = true;
+        }
+    }
+
+    /// Records that the backend server beside `agent` was given a packet, unless that is known.
+    fn record_pending_try(&mut self, agent: Ipv4Addr, now: Millis) {
+        self.last_seen = now;
+        if !self.tries.iter().any(|t| t.agent == agent) {
+            self.tries.push(Try::pending(agent, now));
         }
     }
 
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -158,7 +158,7 @@
                     self.flow_cache.apply_owner_record(&record, now);
                 }
             }
-            Message::Denied(_) | Message::Query(_) => {}
+            Message::Denied(_) | Message::Query(_) | Message::Tried(_) => {}
         }
     }
 
--- a/buckthornlink-core/src/datagram/message.rs
+++ b/buckthornlink-core/src/datagram/message.rs
@@ -22,6 +22,8 @@
     Denied(Flow),
     /// The sender searches for the owners of these flows and has no packet of them in hand.
     Query(Vec<Flow>),
+    /// The sender's backend server was given a packet of the flow, which it has neither answered nor returned.
+    Tried(Flow),
 }
 
 impl Message {
--- a/buckthornlink-core/src/datagram/packet.rs
+++ b/buckthornlink-core/src/datagram/packet.rs
@@ -83,6 +83,8 @@
     Declined,
     /// The packet was held by the receiver itself.
     Held,
+    /// Like [`Mode::Failed`], after as many packets as may reach others than the owner of the flow.
+    Exhausted,
 }
 
 impl Mode {
@@ -107,6 +109,7 @@
             Self::Failed => "failed",
             Self::Declined => "declined",
             Self::Held => "held",
+            Self::Exhausted => "exhausted",
         }
     }
 }
@@ -220,6 +223,7 @@
             9 => Mode::Failed,
             10 => Mode::Declined,
             11 => Mode::Held,
+            12 => Mode::Exhausted,
             _ => Mode::Direct,
         };
         Self {
--- a/buckthornlink-core/tests/datagram_tries.rs
+++ b/buckthornlink-core/tests/datagram_tries.rs
@@ -188,6 +188,96 @@
     assert!(effects.iter().any(is_reset), "{effects:?}");
 }
 
+/// Guards against a third packet at others after an agent whose backend server returned the second one only: the first
+/// one, or its return, was lost (soak 90003).
+#[test]
+fn an_agent_that_was_given_two_packets_uses_up_the_tries() {
+    let (mut agent, port) = home();
+    let first = first_try(&mut agent, port);
+    let next = returned(&mut agent, first, port, Mode::Exhausted);
+    assert!(asked(&next).is_empty(), "{next:?}");
+    agent.run(Millis(1_000));
+    let later = agent.packet_from_peer(data(port), Mode::Lookup);
+    assert!(asked(&later).is_empty(), "{later:?}");
+}
+
+/// Guards against two tries beside one that another agent made on somebody's word, and whose return is lost.
+#[test]
+fn a_try_on_the_word_of_another_counts_before_it_has_failed() {
+    let (mut agent, port) = home();
+    agent.packet_from_peer(data(port), Mode::Lookup);
+    let trying: Vec<Ipv4Addr> = others().take(2).collect();
+    for &from in &trying {
+        let message = Message::Tried(flow(port));
+        agent.reduce(Event::Message { from, message });
+    }
+    agent.now = agent.now + Millis(100);
+    let mut effects = agent.packet_from_peer(data(port), Mode::Held);
+    for _ in 0..10 {
+        effects.extend(agent.advance(Millis(200)));
+        effects.extend(agent.packet_from_peer(data(port), Mode::Lookup));
+    }
+    assert!(asked(&effects).is_empty(), "{effects:?}");
+}
+
+/// An agent that was given a packet of a flow on a balancer's word, which its backend server has not answered.
+fn trying() -> AgentDriver {
+    let mut agent = AgentDriver::without_backend();
+    agent.heartbeat(heartbeat(40));
+    let tried = agent.packet_from_peer(data(1), Mode::Known);
+    assert!(is_delivered(&tried), "{tried:?}");
+    agent
+}
+
+fn is_delivered(effects: &[Effect]) -> bool {
+    effects.iter().any(|e| matches!(e, Effect::Deliver(_)))
+}
+
+/// Guards against the packets of searches at a backend server that left a try unanswered (soak 68017).
+#[test]
+fn an_agent_whose_try_is_unanswered_delivers_no_search() {
+    let mut agent = trying();
+    for _ in 0..20 {
+        agent.advance(Millis(400));
+        let searched = agent.packet_from_peer(data(1), Mode::Search);
+        assert!(!is_delivered(&searched), "{searched:?}");
+        let is_told = |e: &Effect| {
+            matches!(
+                e,
+                Effect::Send {
+                    message: Message::Tried(_),
+                    ..
+                }
+            )
+        };
+        assert!(searched.iter().any(is_told), "{searched:?}");
+    }
+}
+
+/// Guards against a third packet at a backend server that returned neither of the first two.
+#[test]
+fn an_unanswered_try_is_repeated_once() {
+    let mut agent = trying();
+    let mut deliveries = 1;
+    for mode in [Mode::Known, Mode::Try, Mode::Recorded]
+        .into_iter()
+        .cycle()
+        .take(30)
+    {
+        agent.advance(Millis(400));
+        deliveries += usize::from(is_delivered(&agent.packet_from_peer(data(1), mode)));
+    }
+    assert_eq!(deliveries, 2);
+    let failed = agent.packet_from_backend(bounced(data(1)));
+    let is_reported =
+        |e: &Effect| matches!(e, Effect::Relay { tag, .. } if tag.mode == Mode::Exhausted);
+    assert!(
+        failed
+            .iter()
+            .all(|e| !matches!(e, Effect::Relay { .. }) || is_reported(e))
+    );
+}
+
 /// Guards against an agent that failed a try, becomes the home agent, and forgets its own when it counts.
 #[test]
 fn a_try_that_the_home_agent_itself_failed_before_counts() {
