fix(core): keep what an earlier process saved when the settings are reloaded

Cause: a reload starts the task that reads the saved flows again, which then finds what this process saved itself; the agent took that for an earlier process's and saved its flows, ended ones included, for the idle timeout. Why this works: the first read counts. Test that failed before: what_this_process_saved_is_not_taken_over.

--- a/buckthornlink-core/src/datagram/agent/saved_flows.rs
+++ b/buckthornlink-core/src/datagram/agent/saved_flows.rs
@@ -22,8 +22,11 @@
 }
 
 impl Agent {
-    /// Takes over what an earlier process saved.
+    /// Takes over what an earlier process saved. A later read finds what this process saved itself.
     pub(super) fn load_saved_flows(&mut self, digest: FlowDigest, now: Millis) {
+        if self.saved_flows.loaded.is_some() {
+            return;
+        }
         self.saved_flows.saved = digest.clone();
         self.saved_flows.saved_at = now;
         self.saved_flows.loaded = Some((digest, now));
--- a/buckthornlink-core/tests/datagram_saved_flows.rs
+++ b/buckthornlink-core/tests/datagram_saved_flows.rs
@@ -90,6 +90,18 @@
     }
 }
 
+/// Guards against a reload of the settings, after which the process reads what it saved itself: flows that have ended
+/// since would be saved again.
+#[test]
+fn what_this_process_saved_is_not_taken_over() {
+    let mut agent = restarted();
+    load(&mut agent, FlowDigest::new(BootId(5_000), [flow(2)].iter()));
+    let own = agent.packet_from_peer(data(2), Mode::Search);
+    assert_eq!(own, []);
+    let earlier = agent.packet_from_peer(data(1), Mode::Search);
+    assert!(matches!(earlier[..], [Effect::Deliver(_)]), "{earlier:?}");
+}
+
 /// Guards against flows of a backend server that has ended since they were saved.
 #[test]
 fn flows_of_another_boot_are_not_taken_over() {
