fix(datagram): take a store that does not answer for no empty set of saved flows

Cause: an agent that could not read the store four times, some two seconds, took that for an empty set, and its next save replaced what its predecessor had saved. Why this works: it reads until the store answers, and saves nothing before. Test: saved_flows_are_read_once_the_store_answers, with five failed reads; the code before gave up after four.

--- a/buckthornlink-datagram/src/saved_flows.rs
+++ b/buckthornlink-datagram/src/saved_flows.rs
@@ -20,8 +20,6 @@
 const LEASE_TTL: Duration = Duration::from_mins(10);
 /// Age of a lease from which on a new one is granted.
 const MAX_LEASE_AGE: Duration = Duration::from_mins(5);
-/// Attempts to read what an earlier process saved.
-const MAX_READS: u32 = 4;
 
 /// Reads and writes the flows of one agent.
 #[derive(Debug)]
@@ -38,7 +36,8 @@
     /// Reports what an earlier process saved, then writes what this one has to save. Never returns while the
     /// sender of that lives.
     pub(crate) async fn run(mut self) {
-        self.load().await;
+        let digest = self.load().await;
+        self.handle.send(Event::SavedFlows(digest));
         let mut lease = None;
         while self.digests.changed().await.is_ok() {
             let digest = self.digests.borrow_and_update().clone();
@@ -49,17 +48,16 @@
         }
     }
 
-    /// Reports an empty set if nothing can be read: others may know the flows.
-    async fn load(&self) {
+    /// Reads what an earlier process saved, for as long as it takes: a store that does not answer does not say that
+    /// nothing was saved.
+    async fn load(&self) -> FlowDigest {
         let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-        let mut digest = FlowDigest::default();
-        for _ in 0..MAX_READS {
+        loop {
             self.metrics.count_store_call(StoreCall::ReadFlows);
             match self.store.get(&self.key()).await {
                 Ok(entry) => {
                     let value = entry.map(|entry| entry.value).unwrap_or_default();
-                    digest = rmp_serde::from_slice(&value).unwrap_or_default();
-                    break;
+                    return rmp_serde::from_slice(&value).unwrap_or_default();
                 }
                 Err(err) => {
                     log::debug!(target: LOG_TARGET, err:% = err; "cannot read the saved flows; retrying");
@@ -67,7 +65,6 @@
                 }
             }
         }
-        self.handle.send(Event::SavedFlows(digest));
     }
 
     async fn save(
@@ -90,3 +87,7 @@
         format!("{FLOWS_PREFIX}{}", self.ip)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/saved_flows.rs"]
+mod tests;
--- /dev/null
+++ b/buckthornlink-datagram/tests/unit/saved_flows.rs
@@ -0,0 +1,112 @@
+//! Saved flows of an agent whose store fails for a while.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use buckthornlink_core::BootId;
+use buckthornlink_core::datagram::Flow;
+use buckthornlink_platform::{Change, Entry, Position, Revision, SwapOutcome, Watch};
+
+use super::*;
+use crate::Input;
+
+/// A store that has one entry and fails as many calls as are left.
+#[derive(Clone, Debug)]
+struct FailingStore {
+    failures: Arc<AtomicU32>,
+    value: Vec<u8>,
+}
+
+struct NoWatch;
+
+impl Watch for NoWatch {
+    async fn next(&mut self) -> Result<Vec<Change>, StoreError> {
+        Err(unsupported())
+    }
+}
+
+fn unsupported() -> StoreError {
+    StoreError::Unreachable("not supported".to_owned())
+}
+
+impl Store for FailingStore {
+    type Watch = NoWatch;
+
+    async fn range(&self, _: &str, _: u32) -> Result<(Vec<Entry>, Position), StoreError> {
+        Err(unsupported())
+    }
+
+    async fn range_stale(&self, _: &str, _: u32) -> Result<(Vec<Entry>, Position), StoreError> {
+        Err(unsupported())
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let left = |n: u32| n.checked_sub(1);
+        let is_failing = self
+            .failures
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
+        if is_failing.is_ok() {
+            return Err(unsupported());
+        }
+        Ok(Some(Entry {
+            key: key.to_owned(),
+            value: self.value.clone(),
+            revision: Revision(1),
+        }))
+    }
+
+    async fn compare_and_swap(
+        &self,
+        _: &str,
+        _: &[u8],
+        _: Revision,
+    ) -> Result<SwapOutcome, StoreError> {
+        Err(unsupported())
+    }
+
+    async fn put_leased(&self, _: &str, _: &[u8], _: LeaseId) -> Result<(), StoreError> {
+        Err(unsupported())
+    }
+
+    async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        Err(unsupported())
+    }
+
+    async fn renew(&self, _: LeaseId) -> Result<Duration, StoreError> {
+        Err(unsupported())
+    }
+
+    async fn revoke(&self, _: LeaseId) -> Result<(), StoreError> {
+        Err(unsupported())
+    }
+
+    async fn watch(&self, _: &str, _: Position) -> Result<NoWatch, StoreError> {
+        Err(unsupported())
+    }
+}
+
+/// Guards against a store that is away for some seconds and counts as empty: the next save would replace what the
+/// earlier process saved.
+#[tokio::test]
+async fn saved_flows_are_read_once_the_store_answers() {
+    let flow = Flow {
+        caller: "100.64.0.7:40001".parse().unwrap(),
+        route: "198.18.0.1:443".parse().unwrap(),
+    };
+    let digest = FlowDigest::new(BootId(1), [flow].iter());
+    let (sender, inputs) = flume::unbounded();
+    let saved_flows = SavedFlows {
+        store: FailingStore {
+            failures: Arc::new(AtomicU32::new(5)),
+            value: rmp_serde::to_vec(&digest).unwrap(),
+        },
+        ip: Ipv4Addr::LOCALHOST,
+        handle: ReducerHandle::new(sender),
+        metrics: Metrics::new("").unwrap(),
+        digests: watch::channel(FlowDigest::default()).1,
+    };
+    saved_flows.run().await;
+    let loaded = inputs.drain().next();
+    let is_loaded = matches!(&loaded, Some(Input::Event(Event::SavedFlows(d))) if *d == digest);
+    assert!(is_loaded, "{loaded:?}");
+}
