fix(datagram): spread the reads of saved flows when a large fleet returns

Cause: each agent that starts read its saved flows at once, 21,000 of them in a second at the target size; the reads of other records wait for their turn. Why this works: the same wait, among the number of instances that the lists of members give.

--- a/buckthornlink-datagram/src/process/store_tasks.rs
+++ b/buckthornlink-datagram/src/process/store_tasks.rs
@@ -56,7 +56,7 @@
         let store = self.adapter.new_store_client(url);
         let (total_sender, total) = watch::channel(None);
         // There are few balancers, and callers wait for them.
-        let paced_by = (self.role != Role::Balancer).then_some(total);
+        let paced_by = (self.role != Role::Balancer).then(|| total.clone());
         let lists = MemberLists {
             store: store.clone(),
             zone: self.zone.clone(),
@@ -72,6 +72,7 @@
                 handle: self.handle.clone(),
                 metrics: self.metrics.clone(),
                 digests: self.control.digests.clone(),
+                total,
             };
             self.tasks.spawn(saved_flows.run());
         }
--- a/buckthornlink-datagram/src/saved_flows.rs
+++ b/buckthornlink-datagram/src/saved_flows.rs
@@ -12,7 +12,7 @@
 
 use crate::ReducerHandle;
 use crate::metrics::{Metrics, StoreCall};
-use crate::store_sync::{MAX_RETRY_DELAY, MIN_RETRY_DELAY};
+use crate::store_sync::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, wait_for_turn};
 
 /// Target of the log records of this module.
 const LOG_TARGET: &str = "buckthornlink_datagram::saved_flows";
@@ -30,12 +30,15 @@
     pub metrics: Metrics,
     /// The flows to save.
     pub digests: watch::Receiver<FlowDigest>,
+    /// Number of instances, among which the read waits for its turn.
+    pub total: watch::Receiver<Option<u32>>,
 }
 
 impl<S: Store> SavedFlows<S> {
     /// Reports what an earlier process saved, then writes what this one has to save. Never returns while the
     /// sender of that lives.
     pub(crate) async fn run(mut self) {
+        wait_for_turn(self.total.clone()).await;
         let digest = self.load().await;
         self.handle.send(Event::SavedFlows(digest));
         let mut lease = None;
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -67,7 +67,7 @@
 
 /// Waits for the turn of this instance among those that may all have started at once, whose number
 /// `total` holds once it is known.
-async fn wait_for_turn(mut total: watch::Receiver<Option<u32>>) {
+pub(crate) async fn wait_for_turn(mut total: watch::Receiver<Option<u32>>) {
     let counted = timeout(COUNT_TIMEOUT, total.wait_for(Option::is_some)).await;
     let total = counted.ok().and_then(|total| *total.ok()?);
     let share = rand::rng().random_range(0.0..1.0);
--- a/buckthornlink-datagram/tests/unit/saved_flows.rs
+++ b/buckthornlink-datagram/tests/unit/saved_flows.rs
@@ -104,6 +104,7 @@
         handle: ReducerHandle::new(sender),
         metrics: Metrics::new("").unwrap(),
         digests: watch::channel(FlowDigest::default()).1,
+        total: watch::channel(Some(1)).1,
     };
     saved_flows.run().await;
     let loaded = inputs.drain().next();
