fix(core): do not count an own absence as time without packets

What callers saw: a living flow could be reset after its agent was paused. Cause: an agent that returns forgot the flows whose last packet it saw longer ago than the idle timeout and 5 s, its absence included, before it read the packets that waited in its sockets; then it denied them, as it had seen its backend server start. Why this works: the time in which the process was away is left out of each flow's silence, as it is of other instances'. Test that failed before: an_agent_that_returns_knows_the_flows_that_were_open_before.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -372,7 +372,9 @@
 
 impl Reducer for Agent {
     fn reduce(&mut self, event: Event, now: Millis, out: &mut Vec<Effect>) {
-        self.gossip.notice_absence(now, out);
+        if let Some(absence) = self.gossip.notice_absence(now, out) {
+            self.flows.exclude_absence(absence, now);
+        }
         match event {
             Event::Packet { source, packet } => self.handle_packet(source, &packet, now, out),
             Event::Message { from, message } => self.handle_message(from, message, now, out),
--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -246,7 +246,7 @@
 
 impl Reducer for Balancer {
     fn reduce(&mut self, event: Event, now: Millis, out: &mut Vec<Effect>) {
-        self.gossip.notice_absence(now, out);
+        let _ = self.gossip.notice_absence(now, out);
         match event {
             Event::Packet { source, packet } => self.handle_packet(source, &packet, now, out),
             Event::Message { from, message } => self.handle_message(from, message, now, out),
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -191,6 +191,13 @@
         ended
     }
 
+    /// Leaves a time in which this process was away, which ends now, out of the time without packets.
+    pub fn exclude_absence(&mut self, absence: Millis, now: Millis) {
+        for state in self.states.values_mut() {
+            state.last_seen = now.min(state.last_seen + absence);
+        }
+    }
+
     /// Removes flows without packets for `idle`, or for an eighth of it if there are too many.
     pub fn remove_expired(&mut self, idle: Millis, now: Millis) {
         let is_full = self.states.len() > MAX_FLOWS;
--- a/buckthornlink-core/src/datagram/gossip/catch_up.rs
+++ b/buckthornlink-core/src/datagram/gossip/catch_up.rs
@@ -26,11 +26,15 @@
 
 impl Gossip {
     /// Asks others for their status if the last tick was long ago. To be called before any event is
-    /// handled.
-    pub(crate) fn notice_absence(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+    /// handled. Returns for how long the process was away, if it was.
+    pub(crate) fn notice_absence(
+        &mut self,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Millis> {
         let absence = now.since(self.last_tick);
         if absence < AWAY_TIME {
-            return;
+            return None;
         }
         self.last_tick = now;
         self.present_since = now;
@@ -42,6 +46,7 @@
             asked_seq: self.own.seq,
             newer: None,
         });
+        Some(absence)
     }
 
     /// When the process started, or last returned from an absence.
--- a/buckthornlink-core/tests/datagram_beliefs_absence.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_absence.rs
@@ -57,6 +57,21 @@
     assert!(!effects.iter().any(is_reset), "{effects:?}");
 }
 
+/// Guards against the denial of a living flow by an agent that counts its absence as time without packets of the flow,
+/// and forgets it before it reads those that wait.
+#[test]
+fn an_agent_that_returns_knows_the_flows_that_were_open_before() {
+    let mut agent = AgentDriver::ready();
+    agent.open_flow(1);
+    agent.run(Millis(12_000));
+    agent.advance(Millis(10_000));
+    let searched = agent.packet_from_peer(data(1), Mode::Search);
+    assert!(
+        searched.iter().any(|e| matches!(e, Effect::Deliver(_))),
+        "{searched:?}"
+    );
+}
+
 /// Guards against the denial of a living flow by an agent that counts its absence soon after its start as
 /// time in which it saw the packets of its backend server's flows.
 #[test]
