test(soak): cut the links between processes in one direction

Each process gets ports of its own, at which the soak receives what it sends to others and passes it on from an address of the process (--outages=links): what an instance sends, or what it is sent, is lost for 0.5 to 10 s, of one to all but one of them, beside kills. Until now the soak could not stand between two processes.

--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod departure;
 mod invariants;
+mod links;
 mod lossy_socket;
 mod plan;
 mod process;
@@ -29,7 +30,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use clap::{Args, Parser};
+use clap::{Args, Parser, ValueEnum};
 use tokio::runtime::Runtime;
 
 use lossy_socket::LinkQuality;
@@ -91,23 +92,29 @@
     /// Runs rolls of several agents and balancers at once only.
     #[arg(long)]
     rolls: bool,
-    /// Runs outages of one or several instances only.
-    #[arg(long)]
-    outages: bool,
+    /// Runs outages of one or several instances only; with `=links`, of links that are cut in one direction as well.
+    #[arg(long, num_args = 0..=1, require_equals = true, default_missing_value = "processes")]
+    outages: Option<Outages>,
+}
+
+/// What is away in an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Outages {
+    /// Processes.
+    Processes,
+    /// Processes, or their links in one direction.
+    Links,
 }
 
 impl ScenarioOptions {
     const fn scenario(self) -> Scenario {
-        if self.store_drills {
-            Scenario::StoreDrills
-        } else if self.planned_work {
-            Scenario::PlannedWork
-        } else if self.rolls {
-            Scenario::Rolls
-        } else if self.outages {
-            Scenario::Outages
-        } else {
-            Scenario::Mixed
+        match self.outages {
+            Some(Outages::Processes) => Scenario::Outages,
+            Some(Outages::Links) => Scenario::Cuts,
+            None if self.store_drills => Scenario::StoreDrills,
+            None if self.planned_work => Scenario::PlannedWork,
+            None if self.rolls => Scenario::Rolls,
+            None => Scenario::Mixed,
         }
     }
 }
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -45,6 +45,8 @@
     Rolls,
     /// Outages of one or several instances at once, during which some backend servers end, and no other faults.
     Outages,
+    /// The same with links of instances that are cut in one direction.
+    Cuts,
 }
 
 impl Scenario {
@@ -68,6 +70,10 @@
     RestartLater,
     /// A process is paused (SIGSTOP) and resumed.
     Pause,
+    /// What a process sends to others is lost.
+    Mute,
+    /// What others send to a process is lost.
+    Deafen,
     /// A process is paused and resumed again and again, for a moment each.
     PauseSeries,
     /// A process is told to reload its settings (SIGHUP).
@@ -190,6 +196,8 @@
 
 /// Kinds of outages, drawn uniformly: a process is killed, paused, or asked to terminate.
 const OUTAGES: [Fault; 3] = [Fault::Kill, Fault::Pause, Fault::RestartLater];
+/// Kinds of outages of [`Scenario::Cuts`], drawn uniformly.
+const CUTS: [Fault; 3] = [Fault::Mute, Fault::Deafen, Fault::Kill];
 /// Duration of an outage, in milliseconds.
 const OUTAGE_MS: std::ops::Range<u64> = 500..10_000;
 /// Time between the starts of two groups of outages, in milliseconds.
@@ -259,19 +267,26 @@
             .into_iter()
             .flat_map(|at| draw_roll(Duration::from_secs(at), instances, &mut rng))
             .collect(),
-        Scenario::Outages => draw_outages(duration, shape, &mut rng),
+        Scenario::Outages => draw_outages(&OUTAGES, duration, shape, &mut rng),
+        Scenario::Cuts => draw_outages(&CUTS, duration, shape, &mut rng),
     }
 }
 
 /// Draws groups of outages that begin at the same time and end at different ones.
-fn draw_outages(duration: Duration, shape: &Shape, rng: &mut SmallRng) -> Vec<Entry> {
+fn draw_outages(
+    kinds: &[Fault],
+    duration: Duration,
+    shape: &Shape,
+    rng: &mut SmallRng,
+) -> Vec<Entry> {
     let end = duration.saturating_sub(OUTAGE_RECOVERY_TIME);
     let mut at = FIRST_FAULT_TIME;
     let mut entries = Vec::new();
     while at < end {
-        let fault = OUTAGES[rng.random_range(0..OUTAGES.len())];
+        let fault = kinds[rng.random_range(0..kinds.len())];
         for target in draw_group(shape.instances(), rng) {
-            let span = Duration::from_millis(rng.random_range(OUTAGE_MS)).min(end - at);
+            let span = Duration::from_millis(rng.random_range(OUTAGE_MS));
+            let span = span.min(end.saturating_sub(at));
             entries.push(Entry {
                 at,
                 span,
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -18,6 +18,7 @@
     CallerProfile, FlowUse, LONG_THINK_TIMES, POOLED_THINK_TIMES, ReadyBalancers, run_caller,
 };
 use crate::invariants::{InvariantChecker, Summary};
+use crate::links::Links;
 use crate::plan::{Entry, Fault, Scenario, generate};
 use crate::process::{ManagedProcess, StopOutcome};
 use crate::rebind::rebind;
@@ -71,7 +72,10 @@
     let work_dir = setup.work_dir.join(format!("seed-{seed}"));
     let _ = std::fs::remove_dir_all(&work_dir);
     std::fs::create_dir_all(&work_dir)?;
-    let topology = Topology::new(block, &setup.shape);
+    let mut topology = Topology::new(block, &setup.shape);
+    if setup.scenario == Scenario::Cuts {
+        topology = topology.with_own_ports();
+    }
     let cluster = Arc::new(Cluster::start(topology, setup, &work_dir, seed).await?);
     let mut endpoints = JoinSet::new();
     cluster
@@ -111,6 +115,8 @@
     version: Mutex<u64>,
     processes: Vec<Mutex<ManagedProcess>>,
     store_proxies: Vec<TcpProxy>,
+    /// The links between the processes, if they can be cut.
+    links: Option<Links>,
     backend_commands: Mutex<Vec<mpsc::Sender<BackendCommand>>>,
 }
 
@@ -123,6 +129,10 @@
     ) -> anyhow::Result<Self> {
         let store = rebind(|| KvServer::bind(topology.store_addr())).await?;
         let checker = InvariantChecker::new(topology.balancers().collect());
+        let links = match setup.scenario {
+            Scenario::Cuts => Some(Links::open(&topology.instances).await?),
+            _ => None,
+        };
         let mut store_proxies = Vec::new();
         let mut running = Vec::new();
         for instance in &topology.instances {
@@ -140,6 +150,7 @@
             checker,
             store,
             store_proxies,
+            links,
         };
         cluster.publish_config(SERVICES[0]).await;
         Ok(cluster)
@@ -228,6 +239,8 @@
             Fault::Restart => self.restart(index, Duration::ZERO).await,
             Fault::RestartLater => self.restart(index, entry.span).await,
             Fault::Pause => self.pause(index, entry.span).await,
+            Fault::Mute => self.cut(index, Links::set_muted, entry.span).await,
+            Fault::Deafen => self.cut(index, Links::set_deaf, entry.span).await,
             Fault::PauseSeries => {
                 for [pause, gap] in entry.pauses() {
                     self.pause(index, pause).await;
@@ -350,6 +363,18 @@
         process.signal(Signal::CONT);
     }
 
+    /// Cuts the links of an instance in one direction for a while.
+    async fn cut(&self, index: usize, set: fn(&Links, usize, bool), duration: Duration) {
+        let Some(links) = &self.links else {
+            return;
+        };
+        self.checker.record_disruption(self.ip(index));
+        set(links, index, true);
+        sleep(duration).await;
+        self.checker.record_disruption(self.ip(index));
+        set(links, index, false);
+    }
+
     async fn stall_output(&self, index: usize, duration: Duration) {
         self.processes[index].lock().await.set_output_stalled(true);
         sleep(duration * STALL_DURATION_FACTOR).await;
--- a/buckthornlink-soak/src/seeds.rs
+++ b/buckthornlink-soak/src/seeds.rs
@@ -12,6 +12,8 @@
 const ROLLS_MARK: &str = "rolls";
 /// First word of a line whose seed is played with outages.
 const OUTAGES_MARK: &str = "outages";
+/// First word of a line whose seed is played with cuts.
+const CUTS_MARK: &str = "cuts";
 /// Word before a seed that still fails; `KNOWN-RED.txt` lists it.
 const KNOWN_RED_MARK: &str = "?";
 
@@ -37,6 +39,7 @@
         Scenario::PlannedWork => line.strip_prefix(PLANNED_MARK),
         Scenario::Rolls => line.strip_prefix(ROLLS_MARK),
         Scenario::Outages => line.strip_prefix(OUTAGES_MARK),
+        Scenario::Cuts => line.strip_prefix(CUTS_MARK),
     });
     lines.filter_map(parse_line).collect()
 }
--- a/buckthornlink-soak/src/topology.rs
+++ b/buckthornlink-soak/src/topology.rs
@@ -13,6 +13,8 @@
 pub const DATA_PORT: u16 = 18_172;
 const LINK_PORT: u16 = 17_720;
 const RELAY_PORT: u16 = 17_735;
+/// First of the ports between processes that have ports of their own.
+const FIRST_OWN_PORT: u16 = 21_000;
 const READINESS_PORT: u16 = 18_167;
 const CONTROL_PORT: u16 = 18_166;
 const BACKEND_PORT: u16 = 18_269;
@@ -51,6 +53,8 @@
     pub zone: &'static str,
     /// Address of its TCP proxy to the store.
     pub store_proxy: SocketAddrV4,
+    /// Ports between processes: for messages and fetches, and for packets.
+    pub internal_ports: [u16; 2],
 }
 
 /// The instances of a run; each concurrent run has its own block of loopback addresses.
@@ -76,6 +80,7 @@
                 Ipv4Addr::new(127, block, 20 + net, 10 + index),
                 STORE_PORT,
             ),
+            internal_ports: [LINK_PORT, RELAY_PORT],
         };
         let zones = shape.zones();
         let balancers = (0..).zip(shape.balancer_zones());
@@ -90,6 +95,15 @@
         }
     }
 
+    /// Gives each instance ports of its own, so that [`crate::links::Links`] can stand between them.
+    #[must_use]
+    pub fn with_own_ports(mut self) -> Self {
+        for (instance, port) in self.instances.iter_mut().zip((FIRST_OWN_PORT..).step_by(2)) {
+            instance.internal_ports = [port, port + 1];
+        }
+        self
+    }
+
     /// Address of the store itself, behind the proxies.
     #[must_use]
     pub const fn store_addr(&self) -> SocketAddrV4 {
@@ -138,7 +152,7 @@
                 control: instance.control_addr(),
                 outbound: service.map(|_| instance.outbound_addr()),
             },
-            internal_ports: [LINK_PORT, RELAY_PORT],
+            internal_ports: instance.internal_ports,
             contacts: contacts.collect(),
             heartbeat_ms: HEARTBEAT_INTERVAL.0,
             service: service.map(str::to_owned),
--- a/buckthornlink-soak/tests/unit/seeds.rs
+++ b/buckthornlink-soak/tests/unit/seeds.rs
@@ -34,6 +34,7 @@
         Scenario::PlannedWork,
         Scenario::Rolls,
         Scenario::Outages,
+        Scenario::Cuts,
     ] {
         for seed in recorded(scenario) {
             assert_eq!(seed.is_known_red, listed(&seed), "{seed:?}");
