fix(core): let agents that are leaving find out whether they own a flow

Cause: an agent that terminates beside a backend server of which it heard no heartbeat can deny nothing, and as it was leaving it got no try either, so that each search waited for it. Why this works: it still relays packets, so it can try one, and its failure counts as a denial.

--- a/buckthornlink-core/src/datagram/agent/candidates.rs
+++ b/buckthornlink-core/src/datagram/agent/candidates.rs
@@ -60,13 +60,11 @@
 
     /// Whether an agent can be asked for a flow that it may hold.
     fn can_hold(&self, member: &Member, flow: &Flow, now: Millis) -> bool {
-        let phase = member.fact.phase;
-        let is_gone = phase.is_over() || phase.is_leaving();
         let is_open = if member.fact.ip == self.gossip.own().ip {
             !self.can_deny(flow, now)
         } else {
             !member.is_unresponsive(now)
         };
-        is_open && !is_gone
+        is_open && !member.fact.phase.is_over()
     }
 }
