fix(core): know all flows of a backend server that started together with its agent

Cause: a backend server is up some 30 ms before its agent, whose first heartbeat from it is the second one. So no agent could deny, and each of them had to try. Why this works: a flow can only have been opened by an earlier process of the agent. Within 100 ms that process would have had to hear a heartbeat, open the flow and end, and this one to start. Only heartbeats up to number 3 count, so that a clock that was set back misleads in the first three seconds of a backend server at most; one that answered a packet before is left out. Tests: an_agent_that_started_together_with_its_backend_server_knows_all_flows fails before; the one about an agent that missed the first heartbeat starts 400 ms after its backend server, as it says, where it had started before.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -73,7 +73,7 @@
         Self {
             gossip: Gossip::new(setup, now),
             table: Arc::default(),
-            backend: Backend::new(now),
+            backend: Backend::new(setup.boot, now),
             outcomes: Outcomes::default(),
             flows: Flows::default(),
             ended_flows: EndedFlows::default(),
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -26,6 +26,10 @@
 /// Highest sequence number by which a boot is heard that started beside this process.
 const MAX_START_SEQ: u64 = 3;
 
+/// Maximum time from the start of a backend server to that of this process at which no earlier process can have admitted a
+/// flow: it would have had to hear a heartbeat, open the flow and end, and this one to start.
+const JOINT_START_TIME: Millis = Millis(100);
+
 /// Number of heartbeats by which a backend server is believed whose start time is before that of the current one.
 const MIN_SETBACK_HEARTBEATS: u32 = 3;
 /// Time without a heartbeat of the current backend server before another one takes its place that way.
@@ -92,6 +96,8 @@
     cold_until: Millis,
     slots: u16,
     is_tracked: bool,
+    /// When this process started, by the clock that its backend server uses as well.
+    process_start: BootId,
     /// Whether it answered a packet before its first heartbeat, and so held flows then.
     has_served: bool,
     /// Since when this process has counted the admissions; before, another process may have admitted
@@ -121,10 +127,11 @@
 }
 
 impl Backend {
-    /// A backend server of which a process that starts now knows nothing.
+    /// A backend server of which a process that starts now, with this boot id, knows nothing.
     #[must_use]
-    pub fn new(now: Millis) -> Self {
+    pub fn new(process_start: BootId, now: Millis) -> Self {
         Self {
+            process_start,
             counted_since: now,
             signs: Signs::new(now),
             ..Self::default()
@@ -363,8 +370,17 @@
         is_believed && self.receive_heartbeat(heartbeat, now)
     }
 
+    /// Whether no earlier process can have admitted flows of the boot whose first heartbeat heard here is this one: it is its
+    /// first one, or one of the first and the boot began together with this process.
+    fn is_seen_from_start(&self, heartbeat: &BackendHeartbeat) -> bool {
+        let began = heartbeat.born.filter(|_| heartbeat.is_start());
+        let began_here =
+            began.is_some_and(|born| born + JOINT_START_TIME.0 >= self.process_start.0);
+        heartbeat.seq <= FIRST_SEQ || began_here
+    }
+
     fn start_boot(&mut self, heartbeat: &BackendHeartbeat, boot: BootId) {
-        self.is_tracked = heartbeat.seq <= FIRST_SEQ && !self.has_served;
+        self.is_tracked = self.is_seen_from_start(heartbeat) && !self.has_served;
         self.has_served = false;
         self.id.clone_from(&heartbeat.id);
         self.boot = boot;
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -185,7 +185,19 @@
 
     /// The same, in a process that starts at `now`.
     pub fn started_at(now: Millis) -> Self {
-        let setup = setup(OWN, Role::Agent(service()));
+        Self::booted(setup(OWN, Role::Agent(service())), now)
+    }
+
+    /// The same, in a process that starts at this time of day.
+    pub fn started_at_time(boot: BootId) -> Self {
+        let setup = Setup {
+            boot,
+            ..setup(OWN, Role::Agent(service()))
+        };
+        Self::booted(setup, Millis(10_000))
+    }
+
+    fn booted(setup: Setup, now: Millis) -> Self {
         let agent = Agent::new(&setup, now);
         let mut driver = Self { agent, now };
         driver.reduce(Event::Table(Arc::new(table(1))));
--- a/buckthornlink-core/tests/datagram_restart.rs
+++ b/buckthornlink-core/tests/datagram_restart.rs
@@ -5,8 +5,8 @@
 
 use std::net::Ipv4Addr;
 
-use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::{Effect, Event, Message, Mode, Phase};
+use buckthornlink_core::{BootId, Millis};
 
 use datagram::{AgentDriver, OWN, PEER, data, flow, heartbeat, is_reset, service};
 
@@ -211,12 +211,43 @@
 /// restarts within a heartbeat interval of its backend server's start hears the second heartbeat first.
 #[test]
 fn an_agent_that_missed_the_first_heartbeat_does_not_claim_to_know_all_flows() {
-    let mut agent = AgentDriver::without_backend();
+    let mut agent = AgentDriver::started_at_time(BootId(5_400));
     agent.heartbeat(heartbeat(2));
     let tried = agent.packet_from_peer(data(1), Mode::Try);
     assert!(matches!(tried[..], [Effect::Deliver(_)]), "{tried:?}");
 }
 
+/// Whether an agent that starts at this time of day and hears this heartbeat first denies a flow. The backend server
+/// started at 5,000.
+fn denies_after(process_start: u64, seq: u64) -> bool {
+    let mut agent = AgentDriver::started_at_time(BootId(process_start));
+    agent.heartbeat(heartbeat(seq));
+    let searched = agent.packet_from_peer(data(1), Mode::Search);
+    let is_denial = |e: &Effect| {
+        matches!(
+            e,
+            Effect::Send {
+                message: Message::Denied(_),
+                ..
+            }
+        )
+    };
+    searched.iter().any(is_denial)
+}
+
+/// Guards against callers that wait for their deadline after a loss of power: each agent starts some milliseconds after its
+/// backend server, misses the first heartbeat, and could deny no flow.
+#[test]
+fn an_agent_that_started_together_with_its_backend_server_knows_all_flows() {
+    assert!(denies_after(5_030, 2));
+    assert!(denies_after(4_000, 2));
+    assert!(
+        !denies_after(5_101, 2),
+        "an earlier process may have admitted flows"
+    );
+    assert!(!denies_after(5_030, 4), "the clock may have been set back");
+}
+
 /// Guards against the reset of a flow whose agent is too young for the lists in the store, while another
 /// instance says that it knows more instances than this one.
 #[test]
