--- a/buckthornlink-core/src/datagram/agent/candidates.rs
+++ b/buckthornlink-core/src/datagram/agent/candidates.rs
@@ -3,13 +3,15 @@
 use std::net::Ipv4Addr;
 
 use super::Agent;
-use crate::datagram::fact::JOINT_START_TIME;
 use crate::datagram::{Flow, Member, Packet, Phase, addresses, sort_by_preference};
 use crate::time::Millis;
 
 /// Time after the start of an agent in which the others pass on what they know of flows that it owns, or
 /// whose home agent it is.
 const HANDOVER_TIME: Millis = Millis(500);
+/// Maximum time from the start of one agent to that of another at which both count as started together, so that neither
+/// knows more than the other.
+const GROUP_START_TIME: Millis = Millis(1_000);
 /// Time within which an agent that knows that it owns a flow answers a search.
 const SEARCH_TIME: Millis = Millis(100);
 
@@ -49,7 +51,7 @@
         let own = self.gossip.own();
         let mut agents = self.gossip.membership().all_agents();
         now.since(self.started_at) >= HANDOVER_TIME
-            || agents.all(|m| m.fact.boot.0 + JOINT_START_TIME.0 >= own.boot.0)
+            || agents.all(|m| m.fact.boot.0 + GROUP_START_TIME.0 >= own.boot.0)
     }
 
     /// Whether the agents that know that they own a flow have had time to say so.
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -6,7 +6,6 @@
 
 use super::ServiceTag;
 use crate::id::{BootId, ZoneTag};
-use crate::time::Millis;
 
 /// The state of one instance, which only that instance writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,10 +77,6 @@
     pub slots: u16,
 }
 
-/// Maximum time from the start of one process to that of another at which both count as started together. Flows
-/// do not get known in between.
-pub(super) const JOINT_START_TIME: Millis = Millis(1_000);
-
 impl Fact {
     /// Whether this fact replaces `other` about the same instance.
     #[must_use]
