fix(core): give the mode of exhausted tries a number that earlier versions do not use

Cause: Exhausted took the number of TryAll, which is gone. In a release, a process of the earlier version would try the packet of one of the new version, and count none of it. Why this works: an unknown number is a search there.

--- a/buckthornlink-core/src/datagram/packet.rs
+++ b/buckthornlink-core/src/datagram/packet.rs
@@ -83,8 +83,9 @@
     Declined,
     /// The packet was held by the receiver itself.
     Held,
-    /// Like [`Mode::Failed`], after as many packets as may reach others than the owner of the flow.
-    Exhausted,
+    /// Like [`Mode::Failed`], after as many packets as may reach others than the owner of the flow. Earlier versions
+    /// use 12 for something else.
+    Exhausted = 13,
 }
 
 impl Mode {
@@ -223,7 +224,7 @@
             9 => Mode::Failed,
             10 => Mode::Declined,
             11 => Mode::Held,
-            12 => Mode::Exhausted,
+            13 => Mode::Exhausted,
             _ => Mode::Direct,
         };
         Self {
