feat(core): name the silent agent in the warning of a reset by denial

A reset by denial has one case in which an agent does not answer: it reported the end of its backend server before. The decision, and so the warning, names it and how long it has been silent; all others have the age of the search.

--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -281,14 +281,32 @@
         if is_denied {
             let age = now.since(state.last_search.unwrap_or(now));
             out.push(Effect::Measure(Measure::Search, age));
-            let basis = (Some(Evidence::Denied), age);
-            out.push(self.end_decision(Reason::DeniedByAll, Some(*flow), basis));
+            out.push(self.denial_decision(flow, age, now));
             out.push(Effect::Reset { flow: *flow, seq });
             self.active_searches.remove(flow);
         }
         is_denied
     }
 
+    /// Returns the log entry of a reset for want of an owner. If an agent that reported the end of its backend server is
+    /// silent since, it names that one and for how long; otherwise it has the age of the search.
+    fn denial_decision(&self, flow: &Flow, search_age: Millis, now: Millis) -> Effect {
+        let membership = self.gossip.membership();
+        let silent = self
+            .pending_candidates(flow)
+            .find_map(|ip| membership.get(ip));
+        Effect::Log(Decision {
+            reason: Reason::DeniedByAll,
+            flow: Some(*flow),
+            peer: silent.map(|m| m.fact.ip),
+            version: self.table.version,
+            age: silent.map_or(search_age, |m| now.since(m.last_heard)),
+            phase: Some(silent.map_or(self.gossip.own().phase, |m| m.fact.phase)),
+            evidence: Some(Evidence::Denied),
+            trial: None,
+        })
+    }
+
     /// Whether each agent that may own a flow has denied it, or reported the end of its backend server before it
     /// fell silent. The silence of others says nothing about their backend servers.
     fn is_denied_by_all(&self, flow: &Flow, now: Millis) -> bool {
--- a/buckthornlink-datagram/src/reset_summary.rs
+++ b/buckthornlink-datagram/src/reset_summary.rs
@@ -24,7 +24,7 @@
 struct Group {
     evidence: Evidence,
     first: Flow,
-    /// Greatest age of the evidence. If an instance was silent, for how long.
+    /// Greatest age of the evidence; if the owner is silent, the greatest time for which it was.
     max_age: Millis,
     count: u64,
 }
