--- a/buckthornlink-core/tests/datagram/world.rs
+++ b/buckthornlink-core/tests/datagram/world.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use buckthornlink_core::datagram::{
-    Agent, Balancer, Effect, Event, Message, Mode, Packet, Reducer, RelayTag, Role, Setup, Source,
+    Agent, BackendHeartbeat, Balancer, Effect, Event, Message, Mode, Packet, Reducer, RelayTag,
+    Role, Setup, Source,
 };
 use buckthornlink_core::{BootId, Millis, ZoneTag};
 
@@ -80,6 +81,8 @@
     pub resets: usize,
     /// Instances whose packets and messages to others are lost.
     pub muted: BTreeSet<Ipv4Addr>,
+    /// Backend servers that were replaced, with the number of heartbeats before.
+    pub replaced: BTreeMap<Ipv4Addr, u64>,
 }
 
 /// The balancer with this index; the first one gets the flow's packets.
@@ -132,6 +135,7 @@
             arrivals: Vec::new(),
             resets: 0,
             muted: BTreeSet::new(),
+            replaced: BTreeMap::new(),
         };
         world.beat();
         for index in 0..2 {
@@ -193,7 +197,25 @@
         let agent = Agent::new(&setup_of(ip, role, self.now), self.now);
         self.agents.insert(ip, Some(agent));
         self.introduce(ip);
-        self.reduce(ip, Event::BackendHeartbeat(heartbeat(self.seq)), None);
+        self.reduce(ip, Event::BackendHeartbeat(self.next_heartbeat(ip)), None);
+    }
+
+    /// Ends the backend server that holds the flow, which another one replaces.
+    pub fn replace_owner(&mut self) {
+        self.replaced.insert(self.owner, self.seq);
+        self.owner = Ipv4Addr::UNSPECIFIED;
+    }
+
+    /// The heartbeat that the backend server beside an agent sends next.
+    fn next_heartbeat(&self, ip: Ipv4Addr) -> BackendHeartbeat {
+        let Some(before) = self.replaced.get(&ip) else {
+            return heartbeat(self.seq);
+        };
+        BackendHeartbeat {
+            id: "i-2".to_owned(),
+            born: Some(9_000),
+            ..heartbeat(self.seq + 1 - before)
+        }
     }
 
     /// Passes what the store holds to a process that starts.
@@ -370,7 +392,7 @@
         self.seq += 1;
         let ips: Vec<Ipv4Addr> = self.agents.keys().copied().collect();
         for ip in ips {
-            self.reduce(ip, Event::BackendHeartbeat(heartbeat(self.seq)), None);
+            self.reduce(ip, Event::BackendHeartbeat(self.next_heartbeat(ip)), None);
         }
     }
 
--- a/buckthornlink-core/tests/datagram_outages.rs
+++ b/buckthornlink-core/tests/datagram_outages.rs
@@ -124,3 +124,22 @@
         check(world, "all others restarted");
     }
 }
+
+/// Guards against callers that wait for their deadlines because nobody resets a flow whose backend server ended while its
+/// agent was away.
+#[test]
+fn a_flow_whose_backend_server_ended_meanwhile_is_reset_once_its_agent_is_back() {
+    for port in 1..=FLOWS {
+        for span in OUTAGES {
+            let mut world = World::open(port);
+            let owner = owner_index(&world);
+            world.kill(owner);
+            world.replace_owner();
+            send_for(&mut world, span);
+            assert_eq!(world.resets, 0, "port {port}, {} ms", span.0);
+            world.start(owner);
+            send_for(&mut world, Millis(1_000));
+            assert!(world.resets > 0, "port {port}, {} ms", span.0);
+        }
+    }
+}
