--- a/buckthornlink-soak/src/links.rs
+++ b/buckthornlink-soak/src/links.rs
@@ -97,3 +97,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/links.rs"]
+mod tests;
