fix(core): refuse no flow while an agent may have accepted it

Cause: a balancer offers a flow to one agent, and a retransmission of its opening packet to another, which accepts it. The late refusal of the first one found no further agent, and 'all were tried' counted as 'all have refused': silence once more. Any agent that answers 200 ms late does it, not only one that was paused; the fewer agents, the sooner. Why this works: a balancer counts the offers that were not refused, and refuses the flow with the last one. If a refusal is lost, the caller's retransmission or timeout settles it. Test that failed before: a_flow_is_not_refused_while_an_agent_may_have_accepted_it.

--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -128,7 +128,7 @@
         if placement.tried.is_empty() && now.since(self.started_at) < DISCOVERY_GRACE_PERIOD {
             return;
         }
-        self.refuse(packet, placement.tried.last().copied(), now, out);
+        self.refuse(packet, placement, now, out);
     }
 
     /// Leaves a flow that busy agents refused to the caller's next retransmission, which is placed
@@ -140,26 +140,34 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let last = placement.tried.last().copied();
         if packet.ack >= MAX_RETRANSMISSIONS {
-            self.refuse(packet, last, now, out);
+            self.refuse(packet, placement, now, out);
             return;
         }
+        let last = placement.tried.last().copied();
         out.push(self.decision(Reason::Deferred, packet, last, now));
         let placement = Placement {
             placed_at: now,
+            offer_count: placement.offer_count,
             ..Placement::default()
         };
         self.flow_cache.reset_placement(&packet.flow, placement);
     }
 
+    /// Resets a flow that no agent accepts. One that still has a copy of the opening packet may have accepted it.
     fn refuse(
         &mut self,
         packet: &Packet,
-        last: Option<Ipv4Addr>,
+        placement: &Placement,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        if placement.offer_count > 0 {
+            self.flow_cache
+                .reset_placement(&packet.flow, placement.clone());
+            return;
+        }
+        let last = placement.tried.last().copied();
         self.flow_cache.remove(&packet.flow);
         out.push(self.decision(Reason::NoAgent, packet, last, now));
         out.push(reset(packet));
--- a/buckthornlink-core/tests/datagram_balancer.rs
+++ b/buckthornlink-core/tests/datagram_balancer.rs
@@ -231,3 +231,34 @@
         );
     }
 }
+
+/// The agent that an opening packet was placed on.
+fn relayed_to(effects: &[Effect]) -> Ipv4Addr {
+    match effects {
+        [Effect::Relay { to, .. }] => *to,
+        _ => panic!("{effects:?}"),
+    }
+}
+
+/// Guards against the reset of a flow that one agent has accepted, by the late refusal of another one, which was paused
+/// with a copy of the opening packet (soak 92116).
+#[test]
+fn a_flow_is_not_refused_while_an_agent_may_have_accepted_it() {
+    for mode in [Mode::Refused, Mode::Busy] {
+        let mut balancer = BalancerDriver::ready();
+        balancer.receive_facts(&[
+            fact(AGENT_A, Phase::Ready, load(0, 0)),
+            fact(AGENT_B, Phase::Ready, load(0, 0)),
+        ]);
+        let first = relayed_to(&balancer.packet_from_caller(opening(1)));
+        balancer.now = balancer.now + Millis(200);
+        let mut copy = opening(1);
+        copy.ack = 2;
+        let second = relayed_to(&balancer.packet_from_caller(copy));
+        assert_ne!(first, second);
+        let late = balancer.packet_returned(first, copy, mode);
+        assert!(!late.iter().any(is_reset), "{mode:?}: {late:?}");
+        let last = balancer.packet_returned(second, copy, mode);
+        assert!(last.iter().any(is_reset), "{mode:?}: {last:?}");
+    }
+}
