--- a/buckthornlink-soak/tests/unit/links.rs
+++ b/buckthornlink-soak/tests/unit/links.rs
@@ -18,8 +18,8 @@
     let to = (receiver.local_addr().unwrap().ip(), from.port());
     sender.send_to(b"status", to).await.unwrap();
     let mut buffer = [0; 16];
-    let received = timeout(ARRIVAL_TIME, receiver.recv_from(&mut buffer)).await;
-    matches!(received, Ok(Ok((6, source))) if source.ip() == from.ip())
+    let arrival = timeout(ARRIVAL_TIME, receiver.recv_from(&mut buffer)).await;
+    matches!(arrival, Ok(Ok((6, source))) if source.ip() == from.ip())
 }
 
 /// Guards against a cut that cuts nothing, or both directions.
