fix(core): refuse no flow that another balancer may have placed

What callers saw: nothing yet; found by reading the change once more. The refusal of one copy of an opening packet could reset a flow that opened by a later copy, or an earlier one, which the fabric gave to another balancer. The copies are the caller's, and the fabric moves a flow when a balancer joins or leaves, so the bound was kept by each process and by nobody for the fleet. A balancer that has just started acted as if it were the only one. Why this works: the number of a copy is in it. A balancer refuses a flow only if it has seen every copy from the first one on, no later one is due, and each offer was refused. Otherwise the packet is dropped, and the caller's next copy or timeout settles it. All tests of the package and of the stand-ins pass.

--- a/buckthornlink-core/src/datagram/balancer/flow_cache.rs
+++ b/buckthornlink-core/src/datagram/balancer/flow_cache.rs
@@ -50,8 +50,11 @@
     pub tried: Vec<Ipv4Addr>,
     /// Number of busy refusals.
     pub busy_count: u8,
-    /// Number of agents that were offered the flow and have not refused it.
+    /// Number of packets with which agents were offered the flow and that they have not refused.
     pub offer_count: u8,
+    /// Which copies of the opening packet came here, a bit each, and when the last one did.
+    pub copies: u8,
+    pub last_copy: Millis,
 }
 
 #[derive(Clone, Debug)]
--- a/buckthornlink-core/src/datagram/balancer/place.rs
+++ b/buckthornlink-core/src/datagram/balancer/place.rs
@@ -34,16 +34,21 @@
     /// answer in time, and to any agent once all were tried.
     pub(super) fn place(&mut self, packet: &Packet, now: Millis, out: &mut Vec<Effect>) {
         let Some((placement, cached)) = self.flow_cache.placement(&packet.flow) else {
-            self.place_on_next(packet, Placement::default(), Reason::Placed, now, out);
+            let mut placement = Placement::default();
+            placement.record_copy(packet, now);
+            self.place_on_next(packet, placement, Reason::Placed, now, out);
             return;
         };
+        let mut placement = placement.clone();
+        placement.record_copy(packet, now);
         if now.since(placement.placed_at) < PLACEMENT_TIMEOUT {
+            placement.offer_count = placement.offer_count.saturating_add(1);
+            self.flow_cache.reset_placement(&packet.flow, placement);
             let to = cached.agent;
             let tag = self.build_tag(Mode::Placed, to, now);
             out.push(Effect::Relay { to, tag });
             return;
         }
-        let mut placement = placement.clone();
         if self.choose_agent(packet, &placement.tried, now).is_none() {
             placement.tried.clear();
         }
@@ -148,13 +153,15 @@
         out.push(self.decision(Reason::Deferred, packet, last, now));
         let placement = Placement {
             placed_at: now,
-            offer_count: placement.offer_count,
-            ..Placement::default()
+            tried: Vec::new(),
+            busy_count: 0,
+            ..placement.clone()
         };
         self.flow_cache.reset_placement(&packet.flow, placement);
     }
 
-    /// Resets a flow that no agent accepts. One that still has a copy of the opening packet may have accepted it.
+    /// Resets a flow that no agent accepts. An agent that still has a copy of the opening packet may have accepted it, and
+    /// so may one that got a copy from another balancer.
     fn refuse(
         &mut self,
         packet: &Packet,
@@ -162,7 +169,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if placement.offer_count > 0 {
+        if placement.offer_count > 0 || !placement.has_all_copies(now) {
             self.flow_cache
                 .reset_placement(&packet.flow, placement.clone());
             return;
@@ -219,3 +226,19 @@
         sample.min_by_key(cost).map(|m| m.fact.ip)
     }
 }
+
+impl Placement {
+    /// Records that a copy of the opening packet came here.
+    fn record_copy(&mut self, packet: &Packet, now: Millis) {
+        self.copies |= 1 << packet.ack.min(MAX_RETRANSMISSIONS);
+        self.last_copy = now;
+    }
+
+    /// Whether all copies of the opening packet that the caller has sent so far came here.
+    fn has_all_copies(&self, now: Millis) -> bool {
+        let count = self.copies.trailing_ones();
+        let is_gapless = self.copies.count_ones() == count;
+        let is_next_due = now.since(self.last_copy) >= PLACEMENT_TIMEOUT;
+        is_gapless && count > 0 && (count > MAX_RETRANSMISSIONS || !is_next_due)
+    }
+}
