--- a/buckthornlink-datagram/src/reset_summary.rs
+++ b/buckthornlink-datagram/src/reset_summary.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Decision, Evidence, Flow};
+use buckthornlink_core::datagram::{Decision, Evidence, Flow, Reason};
 
 use crate::decision_log::{LOG_TARGET, OrDash};
 
@@ -14,15 +14,18 @@
 /// The flows that were reset since the last warnings.
 #[derive(Debug, Default)]
 pub(crate) struct ResetSummary {
-    groups: BTreeMap<(&'static str, Option<Ipv4Addr>), Group>,
+    groups: BTreeMap<GroupKey, Group>,
     /// Resets that belong to no group, as there are [`MAX_GROUPS`].
     others: u64,
 }
 
-/// Resets that rest on the same evidence about the same instance.
+/// Why flows were reset: the decision, the name of its evidence if it has any, and the instance involved.
+type GroupKey = (Reason, Option<&'static str>, Option<Ipv4Addr>);
+
+/// Resets of flows for the same reason.
 #[derive(Debug)]
 struct Group {
-    evidence: Evidence,
+    evidence: Option<Evidence>,
     first: Flow,
     /// Greatest age of the evidence; if the owner is silent, the greatest time for which it was.
     max_age: Millis,
@@ -32,16 +35,17 @@
 impl ResetSummary {
     /// Counts a decision that reset a flow; ignores all others.
     pub(crate) fn record(&mut self, decision: &Decision) {
-        let (Some(evidence), Some(flow)) = (decision.evidence, decision.flow) else {
+        let Some(flow) = decision.flow.filter(|_| is_reset(decision)) else {
             return;
         };
-        let key = (evidence.name(), decision.peer);
+        let name = decision.evidence.map(Evidence::name);
+        let key = (decision.reason, name, decision.peer);
         if self.groups.len() >= MAX_GROUPS && !self.groups.contains_key(&key) {
             self.others += 1;
             return;
         }
         let group = self.groups.entry(key).or_insert(Group {
-            evidence,
+            evidence: decision.evidence,
             first: flow,
             max_age: decision.age,
             count: 0,
@@ -52,11 +56,12 @@
 
     /// Writes a warning for each group, and forgets them.
     pub(crate) fn write(&mut self) {
-        for ((name, owner), group) in std::mem::take(&mut self.groups) {
+        for ((reason, evidence, owner), group) in std::mem::take(&mut self.groups) {
             log::warn!(
                 target: LOG_TARGET,
-                evidence = name,
-                basis = group.evidence.basis().name(),
+                reason = reason.name(),
+                evidence:% = OrDash(evidence),
+                basis:% = OrDash(group.evidence.map(|e| e.basis().name())),
                 owner:% = OrDash(owner),
                 max_age_ms = group.max_age.0,
                 count = group.count,
@@ -71,3 +76,8 @@
         }
     }
 }
+
+/// Whether a decision resets its flow. One that is refused for want of an agent or a route may have opened meanwhile.
+fn is_reset(decision: &Decision) -> bool {
+    decision.evidence.is_some() || matches!(decision.reason, Reason::NoAgent | Reason::NoRoute)
+}
--- a/buckthornlink-datagram/tests/unit/decision_log.rs
+++ b/buckthornlink-datagram/tests/unit/decision_log.rs
@@ -101,20 +101,23 @@
     decision_log.write(&bare, Millis(1_000));
     insta::assert_snapshot!("lines", CAPTURE.take().join("\n"));
 
+    decision_log.advance_window(Millis(2_400));
+    insta::assert_snapshot!("reset_warnings", CAPTURE.take().join("\n"));
+
     for _ in 0..3 {
-        decision_log.write(&silent_owner(2, 1_500), Millis(1_100));
+        decision_log.write(&silent_owner(2, 1_500), Millis(2_500));
     }
     for host in 3..20 {
-        decision_log.write(&silent_owner(host, 1_000), Millis(1_100));
+        decision_log.write(&silent_owner(host, 1_000), Millis(2_500));
     }
     CAPTURE.take();
-    decision_log.advance_window(Millis(2_400));
-    insta::assert_snapshot!("reset_warnings", CAPTURE.take().join("\n"));
+    decision_log.advance_window(Millis(3_600));
+    insta::assert_snapshot!("warnings_of_silent_owners", CAPTURE.take().join("\n"));
 
     for _ in 0..10_000 {
-        decision_log.write(&decision(Reason::RefusedBusy), Millis(2_500));
+        decision_log.write(&decision(Reason::RefusedBusy), Millis(3_700));
     }
-    decision_log.advance_window(Millis(4_000));
+    decision_log.advance_window(Millis(5_000));
     let lines = CAPTURE.take();
     assert_eq!(lines.len(), MAX_LINES_PER_SECOND as usize + 1);
     let left_out = 10_000 - MAX_LINES_PER_SECOND;
