--- a/buckthornlink-core/tests/datagram_tries.rs
+++ b/buckthornlink-core/tests/datagram_tries.rs
@@ -295,3 +295,28 @@
     let next = returned(&mut agent, first, port, Mode::Failed);
     assert!(asked(&next).is_empty(), "{next:?}");
 }
+
+/// Guards against a search that waits for an agent which is leaving beside a living backend server: it can deny nothing, and
+/// nobody asked it to find out.
+#[test]
+fn an_agent_that_is_leaving_gets_a_try() {
+    let (mut agent, port) = home();
+    agent.packet_from_peer(data(port), Mode::Lookup);
+    let leaving = others().next().unwrap();
+    agent.discover_in(leaving, Phase::Leaving);
+    for from in others().skip(1) {
+        let message = Message::Denied(flow(port));
+        agent.reduce(Event::Message { from, message });
+    }
+    agent.now = agent.now + Millis(200);
+    let tried = agent.packet_from_peer(data(port), Mode::Held);
+    assert_eq!(asked(&tried), [leaving], "{tried:?}");
+}
+
+/// Guards against a process of an earlier version that takes an exhausted try for one that it shall make: 12 had that meaning.
+#[test]
+fn an_exhausted_try_has_a_number_that_earlier_versions_do_not_know() {
+    let tag = RelayTag::new(Mode::Exhausted, BALANCER);
+    assert_eq!(RelayTag::unpack(tag.pack(), BALANCER), tag);
+    assert_eq!(Mode::Exhausted as u8, 13);
+}
--- a/buckthornlink-datagram/tests/unit/saved_flows.rs
+++ b/buckthornlink-datagram/tests/unit/saved_flows.rs
@@ -85,10 +85,11 @@
     }
 }
 
-/// Guards against a store that is away for some seconds and counts as empty: the next save would replace what the
-/// earlier process saved.
-#[tokio::test]
-async fn saved_flows_are_read_once_the_store_answers() {
+/// What is saved in a store that fails this often, and the task that reads it among this many instances.
+fn saved_flows(
+    failures: u32,
+    total: u32,
+) -> (FlowDigest, SavedFlows<FailingStore>, flume::Receiver<Input>) {
     let flow = Flow {
         caller: "100.64.0.7:40001".parse().unwrap(),
         route: "198.18.0.1:443".parse().unwrap(),
@@ -97,15 +98,31 @@
     let (sender, inputs) = flume::unbounded();
     let saved_flows = SavedFlows {
         store: FailingStore {
-            failures: Arc::new(AtomicU32::new(5)),
+            failures: Arc::new(AtomicU32::new(failures)),
             value: rmp_serde::to_vec(&digest).unwrap(),
         },
         ip: Ipv4Addr::LOCALHOST,
         handle: ReducerHandle::new(sender),
         metrics: Metrics::new("").unwrap(),
         digests: watch::channel(FlowDigest::default()).1,
-        total: watch::channel(Some(1)).1,
+        total: watch::channel(Some(total)).1,
     };
+    (digest, saved_flows, inputs)
+}
+
+/// Guards against a large fleet whose agents all read what they saved at once when they return.
+#[tokio::test]
+async fn saved_flows_of_a_large_fleet_are_not_read_at_once() {
+    let (_, saved_flows, inputs) = saved_flows(0, 21_000);
+    let early = tokio::time::timeout(Duration::from_millis(900), saved_flows.run()).await;
+    assert!(early.is_err() && inputs.is_empty());
+}
+
+/// Guards against a store that is away for some seconds and counts as empty: the next save would replace what the
+/// earlier process saved.
+#[tokio::test]
+async fn saved_flows_are_read_once_the_store_answers() {
+    let (digest, saved_flows, inputs) = saved_flows(5, 1);
     saved_flows.run().await;
     let loaded = inputs.drain().next();
     let is_loaded = matches!(&loaded, Some(Input::Event(Event::SavedFlows(d))) if *d == digest);
