--- a/buckthornlink-datagram/src/decision_log.rs
+++ b/buckthornlink-datagram/src/decision_log.rs
@@ -82,11 +82,11 @@
     }
 }
 
-/// Level of the lines about a decision. Operators look for an instance that comes and goes before they know of a
-/// flow.
+/// Level of the lines about a decision. Operators look for an instance that comes and goes, or for a second writer of heartbeats,
+/// before they know of a flow.
 const fn level(reason: Reason) -> Level {
     match reason {
-        Reason::MemberLost | Reason::MemberReturned => Level::Warn,
+        Reason::MemberLost | Reason::MemberReturned | Reason::HeartbeatIgnored => Level::Warn,
         _ => Level::Info,
     }
 }
