--- a/buckthornlink-soak/src/backend_server.rs
+++ b/buckthornlink-soak/src/backend_server.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Interval, interval, sleep, timeout};
 
 use buckthornlink_adapter::Platform;
+use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::{Packet, ServiceTag, Source};
 use buckthornlink_datagram::Adapter;
 use buckthornlink_fakes::datagram::{Backend, HEARTBEAT_INTERVAL, Reaction};
@@ -41,7 +42,8 @@
     Relisten(Duration),
 }
 
-/// Runs successive backend servers at one address until the task is aborted.
+/// Runs successive backend servers at one address until the task is aborted. Those that exit slowly serve for several
+/// seconds after they reported their end.
 ///
 /// # Errors
 ///
@@ -51,6 +53,7 @@
     service: &'static str,
     mut commands: mpsc::Receiver<BackendCommand>,
     checker: InvariantChecker,
+    exits_slowly: bool,
     seed: u64,
 ) -> anyhow::Result<()> {
     let quality = LinkQuality::of_run(seed);
@@ -61,7 +64,7 @@
     loop {
         let server =
             BackendServer::start(&instance, service, &id, quality, &checker, &mut rng).await?;
-        let departure = Departure::draw(&mut departures);
+        let departure = Departure::draw(exits_slowly, &mut departures);
         let downtime = server.run(&mut commands, departure).await?;
         if !departure.keeps_id {
             id = new_id(&checker);
@@ -70,6 +73,11 @@
     }
 }
 
+/// Start time that a backend server reports if it starts at `now` of the run.
+pub const fn backend_born(now: Millis) -> u64 {
+    1_000_000 + now.0
+}
+
 /// Name of a backend server that has none yet.
 fn new_id(checker: &InvariantChecker) -> String {
     format!("i-{}", checker.now().0)
@@ -101,7 +109,7 @@
     ) -> anyhow::Result<Self> {
         let socket = rebind(|| UdpSocket::bind(instance.backend_addr())).await?;
         let listener = listen(instance).await?;
-        let born = 1_000_000 + checker.now().0;
+        let born = backend_born(checker.now());
         let boot = BackendBoot {
             ip: instance.ip,
             born,
--- a/buckthornlink-soak/src/callers.rs
+++ b/buckthornlink-soak/src/callers.rs
@@ -31,6 +31,14 @@
 /// The same in runs with long pauses, which are shorter than the idle timeout.
 pub const LONG_THINK_TIMES: [Millis; 3] = [Millis(12_000), Millis(9_000), Millis(12_000)];
 
+/// The same in runs in which a backend server that leaves gets no packets for seconds.
+pub const IDLE_THINK_TIMES: [Millis; 4] = [
+    Millis(12_000),
+    Millis(9_000),
+    Millis(12_000),
+    Millis(10_000),
+];
+
 /// The balancers that pass their readiness checks and get packets.
 #[derive(Clone, Debug, Default)]
 pub struct ReadyBalancers {
--- a/buckthornlink-soak/src/departure.rs
+++ b/buckthornlink-soak/src/departure.rs
@@ -15,6 +15,8 @@
 /// Time for which flows are served after the agent has answered the report of the end, in
 /// milliseconds.
 const LINGER_MS: Range<u64> = 0..2_000;
+/// The same in runs with backend servers that take long to exit.
+const LONG_LINGER_MS: Range<u64> = 0..9_000;
 /// One in this many reports of an end is repeated, on average.
 const REPORTS_PER_REPEAT: u32 = 4;
 /// Time from the report of the end to its repetition, in milliseconds; it may follow the next boot.
@@ -43,9 +45,9 @@
 }
 
 impl Departure {
-    /// Draws a departure.
+    /// Draws a departure; one that is slow may take several seconds from the report of the end to the exit.
     #[must_use]
-    pub fn draw(rng: &mut impl Rng) -> Self {
+    pub fn draw(is_slow: bool, rng: &mut impl Rng) -> Self {
         let port_closing = if rng.random_ratio(1, DEPARTURES_PER_EARLY_CLOSING) {
             PortClosing::BeforeDrain(draw_millis(0..HEARTBEAT_INTERVAL.0, rng))
         } else {
@@ -53,7 +55,7 @@
         };
         Self {
             port_closing,
-            linger: draw_millis(LINGER_MS, rng),
+            linger: draw_millis(if is_slow { LONG_LINGER_MS } else { LINGER_MS }, rng),
             repeat_delay: rng
                 .random_ratio(1, REPORTS_PER_REPEAT)
                 .then(|| draw_millis(REPEAT_DELAY_MS, rng)),
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -92,6 +92,9 @@
     /// Runs rolls of several agents and balancers at once only.
     #[arg(long)]
     rolls: bool,
+    /// Runs planned work beside heartbeats of other writers, with backend servers that take seconds to exit.
+    #[arg(long)]
+    foreign_heartbeats: bool,
     /// Runs outages of one or several instances only; with `=links`, of links that are cut in one direction as well.
     #[arg(long, num_args = 0..=1, require_equals = true, default_missing_value = "processes")]
     outages: Option<Outages>,
@@ -114,6 +117,7 @@
             None if self.store_drills => Scenario::StoreDrills,
             None if self.planned_work => Scenario::PlannedWork,
             None if self.rolls => Scenario::Rolls,
+            None if self.foreign_heartbeats => Scenario::ForeignHeartbeats,
             None => Scenario::Mixed,
         }
     }
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -47,13 +47,18 @@
     Outages,
     /// The same with links of instances that are cut in one direction.
     Cuts,
+    /// Planned work, beside heartbeats that agents get from other writers and backend servers that take seconds to exit.
+    ForeignHeartbeats,
 }
 
 impl Scenario {
     /// Whether nothing but planned work happens, so that no instance is exempt from the invariants.
     #[must_use]
     pub const fn is_planned(self) -> bool {
-        matches!(self, Self::PlannedWork | Self::Rolls)
+        matches!(
+            self,
+            Self::PlannedWork | Self::Rolls | Self::ForeignHeartbeats
+        )
     }
 }
 
@@ -102,6 +107,8 @@
     Replace,
     /// A backend server closes its TCP port for a while and serves on.
     Relisten,
+    /// An agent gets a heartbeat that is not its backend server's own.
+    ForeignHeartbeat,
     /// The callers' route points to the other service for a while.
     Move,
     /// A zone is taken out of service and returned to service later.
@@ -183,6 +190,9 @@
 /// Time between two steps of a series of planned work, in milliseconds.
 const STEP_INTERVAL_MS: std::ops::Range<u64> = 700..1_400;
 
+/// Time between two heartbeats of other writers, in milliseconds.
+const FOREIGN_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
+
 /// Times of the rolls of a run, after its start, in seconds.
 const ROLL_TIMES_S: [u64; 2] = [14, 20];
 /// Time between two steps of a roll, in milliseconds.
@@ -269,6 +279,12 @@
             .collect(),
         Scenario::Outages => draw_outages(&OUTAGES, duration, shape, &mut rng),
         Scenario::Cuts => draw_outages(&CUTS, duration, shape, &mut rng),
+        Scenario::ForeignHeartbeats => {
+            let kinds = [Fault::ForeignHeartbeat];
+            let mut entries = draw(&kinds, FOREIGN_INTERVAL_MS, duration, &mut rng);
+            entries.extend(draw_planned_work(duration, &mut rng));
+            entries
+        }
     }
 }
 
--- a/buckthornlink-soak/src/run.rs
+++ b/buckthornlink-soak/src/run.rs
@@ -11,11 +11,12 @@
 use tokio::time::{sleep, sleep_until};
 
 use buckthornlink_core::Millis;
-use buckthornlink_standin::{KvServer, Operator, ResponseMode, RouteSpec};
+use buckthornlink_standin::{ForeignHeartbeat, KvServer, Operator, ResponseMode, RouteSpec};
 
-use crate::backend_server::{BackendCommand, run_backend};
+use crate::backend_server::{BackendCommand, backend_born, run_backend};
 use crate::callers::{
-    CallerProfile, FlowUse, LONG_THINK_TIMES, POOLED_THINK_TIMES, ReadyBalancers, run_caller,
+    CallerProfile, FlowUse, IDLE_THINK_TIMES, LONG_THINK_TIMES, POOLED_THINK_TIMES, ReadyBalancers,
+    run_caller,
 };
 use crate::invariants::{InvariantChecker, Summary};
 use crate::links::Links;
@@ -24,7 +25,7 @@
 use crate::rebind::rebind;
 use crate::shape::Shape;
 use crate::tcp_proxy::{ProxyMode, TcpProxy};
-use crate::topology::{Role, SERVICES, Topology};
+use crate::topology::{Instance, Role, SERVICES, Topology};
 
 /// Time that processes and backend servers have to start before the callers do.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
@@ -169,7 +170,9 @@
                 let (sender, commands) = mpsc::channel(4);
                 senders.push(sender);
                 let (instance, checker) = (instance.clone(), self.checker.clone());
-                endpoints.spawn(run_backend(instance, service, commands, checker, seed));
+                let is_slow = self.scenario == Scenario::ForeignHeartbeats;
+                let backend = run_backend(instance, service, commands, checker, is_slow, seed);
+                endpoints.spawn(backend);
             }
         }
         sleep(STARTUP_TIME).await;
@@ -198,6 +201,7 @@
     const fn think_times(&self) -> &'static [Millis] {
         match self.scenario {
             Scenario::Rolls => &LONG_THINK_TIMES,
+            Scenario::ForeignHeartbeats => &IDLE_THINK_TIMES,
             _ => &POOLED_THINK_TIMES,
         }
     }
@@ -269,6 +273,7 @@
                 self.command_backend(entry.target, BackendCommand::Relisten(entry.span))
                     .await;
             }
+            Fault::ForeignHeartbeat => self.send_foreign_heartbeat(entry.target).await,
             Fault::Move => self.move_route(entry.span).await,
             Fault::ZoneOut => {
                 let zone = self.zone(entry.target);
@@ -408,6 +413,24 @@
         let _ = senders[target % senders.len()].try_send(command);
     }
 
+    /// Sends a heartbeat that names no backend server, or not that of the agent.
+    async fn send_foreign_heartbeat(&self, target: usize) {
+        let is_agent = |i: &&Instance| i.role != Role::Balancer;
+        let agents: Vec<_> = self.topology.instances.iter().filter(is_agent).collect();
+        let agent = agents[target % agents.len()];
+        let other = agents[(target + 1) % agents.len()];
+        let kinds = ForeignHeartbeat::ALL;
+        let kind = kinds[target / agents.len() % kinds.len()];
+        let born = backend_born(self.checker.now());
+        kind.send(
+            agent.control_addr(),
+            [agent, other].map(Instance::backend_addr),
+            SERVICES[0],
+            born,
+        )
+        .await;
+    }
+
     async fn move_route(&self, duration: Duration) {
         self.publish_config(SERVICES[1]).await;
         sleep(duration).await;
--- a/buckthornlink-soak/tests/unit/departure.rs
+++ b/buckthornlink-soak/tests/unit/departure.rs
@@ -10,7 +10,9 @@
 #[test]
 fn departures_differ_in_closing_and_in_lingering() {
     let mut rng = SmallRng::seed_from_u64(36);
-    let departures: Vec<_> = (0..DRAWS).map(|_| Departure::draw(&mut rng)).collect();
+    let departures: Vec<_> = (0..DRAWS)
+        .map(|_| Departure::draw(false, &mut rng))
+        .collect();
     let is_early = |d: &&Departure| matches!(d.port_closing, PortClosing::BeforeDrain(_));
     let early = departures.iter().filter(is_early).count();
     assert!((DRAWS / 5..DRAWS / 2).contains(&early), "{early}");
--- a/buckthornlink-soak/tests/unit/seeds.rs
+++ b/buckthornlink-soak/tests/unit/seeds.rs
@@ -35,6 +35,7 @@
         Scenario::Rolls,
         Scenario::Outages,
         Scenario::Cuts,
+        Scenario::ForeignHeartbeats,
     ] {
         for seed in recorded(scenario) {
             assert_eq!(seed.is_known_red, listed(&seed), "{seed:?}");
