--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -86,20 +86,27 @@
     /// faults of the store.
     #[arg(long)]
     store_drills: bool,
-    /// Runs planned work only, in series that overlap.
-    #[arg(long)]
-    planned_work: bool,
+    /// Runs planned work only, in series that overlap; with `=foreign-heartbeats`, beside heartbeats of other writers, and
+    /// with backend servers that take seconds to exit.
+    #[arg(long, num_args = 0..=1, require_equals = true, default_missing_value = "alone")]
+    planned_work: Option<PlannedWork>,
     /// Runs rolls of several agents and balancers at once only.
     #[arg(long)]
     rolls: bool,
-    /// Runs planned work beside heartbeats of other writers, with backend servers that take seconds to exit.
-    #[arg(long)]
-    foreign_heartbeats: bool,
     /// Runs outages of one or several instances only; with `=links`, of links that are cut in one direction as well.
     #[arg(long, num_args = 0..=1, require_equals = true, default_missing_value = "processes")]
     outages: Option<Outages>,
 }
 
+/// What there is beside planned work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum PlannedWork {
+    /// Nothing.
+    Alone,
+    /// Heartbeats that agents get from other writers.
+    ForeignHeartbeats,
+}
+
 /// What is away in an outage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Outages {
@@ -111,14 +118,14 @@
 
 impl ScenarioOptions {
     const fn scenario(self) -> Scenario {
-        match self.outages {
-            Some(Outages::Processes) => Scenario::Outages,
-            Some(Outages::Links) => Scenario::Cuts,
-            None if self.store_drills => Scenario::StoreDrills,
-            None if self.planned_work => Scenario::PlannedWork,
-            None if self.rolls => Scenario::Rolls,
-            None if self.foreign_heartbeats => Scenario::ForeignHeartbeats,
-            None => Scenario::Mixed,
+        match (self.outages, self.planned_work) {
+            (Some(Outages::Processes), _) => Scenario::Outages,
+            (Some(Outages::Links), _) => Scenario::Cuts,
+            (_, Some(PlannedWork::Alone)) => Scenario::PlannedWork,
+            (_, Some(PlannedWork::ForeignHeartbeats)) => Scenario::ForeignHeartbeats,
+            _ if self.store_drills => Scenario::StoreDrills,
+            _ if self.rolls => Scenario::Rolls,
+            _ => Scenario::Mixed,
         }
     }
 }
