fix: heartbeats of another writer replace no backend server

Cause: an agent took any heartbeat with a later start time, or without one, for the next boot of its own backend server.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -23,7 +23,7 @@
 mod tries;
 
 use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
 use super::{
@@ -57,6 +57,7 @@
     saved_flows: SavedFlows,
     active_searches: BTreeSet<Flow>,
     heartbeat_interval: Millis,
+    backend_address: Option<SocketAddrV4>,
     started_at: Millis,
     last_sweep: Millis,
     mean_waiting: u16,
@@ -80,6 +81,7 @@
             saved_flows: SavedFlows::default(),
             active_searches: BTreeSet::new(),
             heartbeat_interval: setup.heartbeat_interval,
+            backend_address: setup.backend_address,
             started_at: now,
             last_sweep: now,
             mean_waiting: 0,
@@ -188,7 +190,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if !self.is_known_service(heartbeat.service) {
+        if !self.is_of_backend(heartbeat) {
             let age = self.backend.age(now);
             out.push(self.decision(Reason::HeartbeatIgnored, None, age));
             return;
@@ -215,6 +217,11 @@
         }
     }
 
+    /// Whether a heartbeat names the backend server beside this agent, and a service that it may run.
+    fn is_of_backend(&self, heartbeat: &BackendHeartbeat) -> bool {
+        Some(heartbeat.address) == self.backend_address && self.is_known_service(heartbeat.service)
+    }
+
     /// Whether a service is the one of this agent's settings or of its backend server, or is configured.
     fn is_known_service(&self, service: ServiceTag) -> bool {
         let own = self.gossip.own().service();
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -3,6 +3,7 @@
 mod signs;
 
 use std::collections::VecDeque;
+use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,8 @@
     pub seq: u64,
     /// Service of the backend server.
     pub service: ServiceTag,
+    /// Address at which the backend server receives packets.
+    pub address: SocketAddrV4,
     /// Whether the backend server is leaving and accepts no new flows.
     pub draining: bool,
     /// Remaining time of the cold start.
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -119,7 +119,8 @@
     MemberLost,
     /// An instance that was suspected to have failed is heard again; the age is how long it was not.
     MemberReturned,
-    /// A heartbeat names a service that is not configured, so it comes from another writer.
+    /// A heartbeat is not that of the agent's backend server: it names another address, or a service that is not
+    /// configured.
     HeartbeatIgnored,
     /// The instance began to watch the store; the age is that of what it knows of the store.
     WatchStarted,
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -9,7 +9,7 @@
 mod zone_sync;
 
 use std::collections::VecDeque;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -52,6 +52,8 @@
     pub boot: BootId,
     /// Interval of the backend server's heartbeats.
     pub heartbeat_interval: Millis,
+    /// Address of the backend server beside an agent.
+    pub backend_address: Option<SocketAddrV4>,
     /// Seed of the random number generator.
     pub seed: u64,
 }
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -17,6 +17,8 @@
 
 /// The instance under test.
 pub const OWN: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+/// Address of the backend server beside each agent.
+pub const BACKEND: SocketAddrV4 = SocketAddrV4::new(OWN, 8_080);
 /// Another agent.
 pub const PEER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 2);
 /// A balancer.
@@ -70,6 +72,7 @@
         zone: ZoneTag::of("a"),
         boot: BootId(1),
         heartbeat_interval: Millis(1_200),
+        backend_address: Some(BACKEND),
         seed: u64::from(u32::from(ip)),
     }
 }
@@ -139,6 +142,7 @@
         born: Some(5_000),
         seq,
         service: service(),
+        address: BACKEND,
         draining: false,
         cold: Millis(0),
         slots: 8,
--- a/buckthornlink-datagram/src/process.rs
+++ b/buckthornlink-datagram/src/process.rs
@@ -150,6 +150,7 @@
         zone: ZoneTag::of(&settings.zone),
         boot,
         heartbeat_interval: Millis(settings.heartbeat_ms),
+        backend_address: settings.backend.as_ref().map(|b| b.address),
         seed: boot.0 ^ u64::from(u32::from(settings.ip)),
     }
 }
--- a/buckthornlink-fakes/examples/datagram_cost.rs
+++ b/buckthornlink-fakes/examples/datagram_cost.rs
@@ -97,6 +97,7 @@
         zone: ZoneTag(1),
         boot: BootId(1),
         heartbeat_interval: Millis(1_200),
+        backend_address: None,
         seed: 1,
     };
     let mut balancer = Balancer::new(&setup, Millis(0));
--- a/buckthornlink-fakes/src/datagram/backend.rs
+++ b/buckthornlink-fakes/src/datagram/backend.rs
@@ -1,6 +1,7 @@
 //! A simulated backend server that bounces packets of flows that it does not hold.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::{BackendHeartbeat, Flow, Packet, ServiceTag};
@@ -8,11 +9,18 @@
 
 /// Interval of the backend server's heartbeats.
 pub const HEARTBEAT_INTERVAL: Millis = Millis(1_200);
+/// Port of each backend server.
+const BACKEND_PORT: u16 = 8_080;
 /// Duration of a cold start.
 const COLD_START_PERIOD: Millis = Millis(2_000);
 /// Maximum number of new flows per second that a backend server can take during cold start.
 pub(super) const MAX_COLD_FLOWS_PER_SECOND: usize = 20;
 
+/// Address of the backend server beside the agent at `ip`.
+pub(super) const fn backend_address(ip: Ipv4Addr) -> SocketAddrV4 {
+    SocketAddrV4::new(ip, BACKEND_PORT)
+}
+
 /// A backend server from one boot to its end.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -78,14 +86,15 @@
         self.half_open.contains_key(flow) || self.open.contains_key(flow)
     }
 
-    /// Creates the next heartbeat.
-    pub fn next_heartbeat(&mut self, now: Millis) -> BackendHeartbeat {
+    /// Creates the next heartbeat of the backend server, which is at `address`.
+    pub fn next_heartbeat(&mut self, address: SocketAddrV4, now: Millis) -> BackendHeartbeat {
         self.seq += 1;
         BackendHeartbeat {
             id: format!("i-{}", self.born),
             born: Some(self.born),
             seq: self.seq,
             service: self.service,
+            address,
             draining: self.draining_since.is_some(),
             cold: COLD_START_PERIOD.since(now.since(self.started_at)),
             slots: 8,
--- a/buckthornlink-fakes/src/datagram/process.rs
+++ b/buckthornlink-fakes/src/datagram/process.rs
@@ -5,7 +5,7 @@
 use buckthornlink_core::datagram::{Agent, Balancer, Effect, Event, Reducer, Role, Setup};
 use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
 
-use super::backend::{Backend, HEARTBEAT_INTERVAL};
+use super::backend::{Backend, HEARTBEAT_INTERVAL, backend_address};
 
 /// An instance with its process and, if the process is an agent, its backend server.
 pub(super) struct Instance {
@@ -43,6 +43,7 @@
             zone,
             boot: BootId(now.0),
             heartbeat_interval: HEARTBEAT_INTERVAL,
+            backend_address: Some(backend_address(ip)),
             seed,
         };
         match role {
--- a/buckthornlink-fakes/src/datagram/simulation.rs
+++ b/buckthornlink-fakes/src/datagram/simulation.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::backend::{Backend, HEARTBEAT_INTERVAL};
+use super::backend::{Backend, HEARTBEAT_INTERVAL, backend_address};
 use super::caller::Caller;
 use super::fabric::{Delivery, DeliveryQueue};
 use super::process::{Instance, Process};
@@ -351,7 +351,7 @@
         let now = self.now;
         let instance = self.instances.get_mut(&ip);
         let backend = instance.and_then(|i| i.backend.as_mut());
-        if let Some(heartbeat) = backend.map(|b| b.next_heartbeat(now)) {
+        if let Some(heartbeat) = backend.map(|b| b.next_heartbeat(backend_address(ip), now)) {
             self.dispatch(ip, Event::BackendHeartbeat(heartbeat));
         }
     }
--- a/buckthornlink-soak/src/backend_server.rs
+++ b/buckthornlink-soak/src/backend_server.rs
@@ -123,12 +123,7 @@
             listener,
             heartbeats: interval(Duration::from_millis(HEARTBEAT_INTERVAL.0)),
             has_reported_end: false,
-            heartbeat_client: HeartbeatClient::new(
-                instance.control_addr(),
-                id,
-                service,
-                instance.backend_addr(),
-            ),
+            heartbeat_client: HeartbeatClient::new(instance.control_addr(), id, service),
             checker,
             boot,
             rng,
@@ -233,7 +228,9 @@
     }
 
     fn send_heartbeat(&mut self) {
-        let heartbeat = self.backend.next_heartbeat(self.checker.now());
+        let heartbeat = self
+            .backend
+            .next_heartbeat(self.instance.backend_addr(), self.checker.now());
         let (client, checker, boot) = (
             self.heartbeat_client.clone(),
             self.checker.clone(),
