--- a/buckthornlink-soak/src/callers.rs
+++ b/buckthornlink-soak/src/callers.rs
@@ -26,17 +26,23 @@
 const READINESS_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of consecutive failed readiness checks after which a balancer gets no packets.
 const MAX_FAILED_CHECKS: u8 = 2;
+/// Minimum number of profiles that callers have in turn.
+const MIN_PROFILES: usize = 4;
 /// Times between the requests of callers that keep flows open and idle in between.
 pub const POOLED_THINK_TIMES: [Millis; 2] = [Millis(3_000), Millis(9_000)];
 /// The same in runs with long pauses, which are shorter than the idle timeout.
 pub const LONG_THINK_TIMES: [Millis; 3] = [Millis(12_000), Millis(9_000), Millis(12_000)];
 
-/// The same in runs in which a backend server that leaves gets no packets for seconds.
-pub const IDLE_THINK_TIMES: [Millis; 4] = [
+/// The same in runs in which a backend server that leaves gets no packets for seconds; they differ, so that some caller sends in
+/// each second.
+pub const IDLE_THINK_TIMES: [Millis; 7] = [
     Millis(12_000),
-    Millis(9_000),
-    Millis(12_000),
-    Millis(10_000),
+    Millis(9_100),
+    Millis(11_300),
+    Millis(10_200),
+    Millis(8_300),
+    Millis(10_900),
+    Millis(7_700),
 ];
 
 /// The balancers that pass their readiness checks and get packets.
@@ -111,10 +117,11 @@
 
 impl CallerProfile {
     /// Profile of the caller with this index. Of four callers, as many as there are think times pause for seconds
-    /// between their requests.
+    /// between their requests; all of them if there are more.
     #[must_use]
     pub fn new(index: u16, flow_use: FlowUse, think_times: &[Millis]) -> Self {
-        let think_time = think_times.get(usize::from(index % 4)).copied();
+        let cycle = think_times.len().max(MIN_PROFILES);
+        let think_time = think_times.get(usize::from(index) % cycle).copied();
         Self {
             flow_use,
             think_time,
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -190,6 +190,8 @@
 /// Time between two steps of a series of planned work, in milliseconds.
 const STEP_INTERVAL_MS: std::ops::Range<u64> = 700..1_400;
 
+/// Time that two departures of a backend server in a row may take if it exits slowly, until the last idle caller has noticed.
+const SLOW_EXIT_TIME: Duration = Duration::from_secs(36);
 /// Time between two heartbeats of other writers, in milliseconds.
 const FOREIGN_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
 
@@ -281,6 +283,7 @@
         Scenario::Cuts => draw_outages(&CUTS, duration, shape, &mut rng),
         Scenario::ForeignHeartbeats => {
             let kinds = [Fault::ForeignHeartbeat];
+            let duration = duration.saturating_sub(SLOW_EXIT_TIME);
             let mut entries = draw(&kinds, FOREIGN_INTERVAL_MS, duration, &mut rng);
             entries.extend(draw_planned_work(duration, &mut rng));
             entries
