fix(core): the silence of a backend server that has nothing left to say ends no flow

What callers saw: flows of a living backend server that leaves were reset: one that takes more than 3 s to exit after its DELETE, with all flows idle; one that drains, has closed its port and is slow for 0.8 s; one beside which the agent restarts meanwhile.

Silence beside refused connections was taken for the end, although a backend server that leaves may close its port, and sends no heartbeats after DELETE.

Why it works: what is missing counts only where the backend server owes it: answers and heartbeats while it is ready, heartbeats while it drains, nothing after DELETE or before its first heartbeat. Then only refused packets, another boot or the idle timeout end its flows. On real machines the first packet to a process that is gone is refused.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -254,7 +254,9 @@
 
     /// Ends the flows of the backend server if the signs observed so far show that it has ended.
     fn conclude_backend_end(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let evidence = self.backend.conclude_end(self.heartbeat_interval, now);
+        let evidence = self
+            .backend
+            .conclude_end(self.heartbeat_interval, self.table.idle, now);
         if let Some(evidence) = evidence {
             self.end_flows(evidence, now);
             self.update_own_fact(now, out);
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -13,7 +13,7 @@
 use crate::time::Millis;
 use contender::Contender;
 pub use signs::Connection;
-use signs::Signs;
+use signs::{Duty, Signs};
 
 /// Window over which admissions are counted.
 const ADMISSION_WINDOW: Millis = Millis(1_000);
@@ -255,10 +255,20 @@
     }
 
     /// Concludes from the signs observed so far whether the backend server has ended; returns the evidence
-    /// if it counts as ended now and did not before. A heartbeat or packet reverts this.
-    pub fn conclude_end(&mut self, interval: Millis, now: Millis) -> Option<Evidence> {
-        let interval = (!self.is_exiting()).then_some(interval);
-        let evidence = self.signs.check(interval, now);
+    /// if it counts as ended now and did not before. A heartbeat or packet reverts this. Heartbeats are due at `interval`; flows may
+    /// be idle for `idle_timeout`.
+    pub fn conclude_end(
+        &mut self,
+        interval: Millis,
+        idle_timeout: Millis,
+        now: Millis,
+    ) -> Option<Evidence> {
+        let duty = match self.state {
+            BackendState::Ready if !self.is_exiting() => Duty::Serve(interval),
+            BackendState::Draining if !self.is_exiting() => Duty::Report(interval),
+            _ => Duty::Nothing(idle_timeout),
+        };
+        let evidence = self.signs.check(duty, now);
         if self.is_over() {
             return None;
         }
--- a/buckthornlink-core/src/datagram/backend/signs.rs
+++ b/buckthornlink-core/src/datagram/backend/signs.rs
@@ -10,9 +10,6 @@
 /// Time without a heartbeat or packet after which a backend server to which connections are refused has
 /// ended, in tenths of the heartbeat interval: two heartbeats are missing.
 const ABSENCE_TIMEOUT_TENTHS: u64 = 25;
-/// The same for one that has announced its end, and so sends no more heartbeats: the time that its process
-/// may take to exit.
-const EXIT_TIMEOUT: Millis = Millis(3_000);
 /// Time without an answer to any packet after which a backend server to which connections are refused has
 /// ended.
 const ANSWER_TIMEOUT: Millis = Millis(800);
@@ -27,6 +24,17 @@
 /// was paused; ticks are due twice as often.
 const MAX_CHECK_GAP: Millis = Millis(400);
 
+/// What a backend server that lives does, and whose absence beside refused connections shows its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Duty {
+    /// It listens, answers, and sends heartbeats at this interval.
+    Serve(Millis),
+    /// It sends heartbeats at this interval, but may have closed its port.
+    Report(Millis),
+    /// Nothing, for as long as its flows may be idle.
+    Nothing(Millis),
+}
+
 /// The idle connection to the backend server, or an attempt to open it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Connection {
@@ -129,9 +137,8 @@
         matches!(self.connection, Some(Connection::Refused))
     }
 
-    /// Returns what shows that the backend server has ended, if anything. To be called with every tick;
-    /// `interval` is that of its heartbeats, if it sends any.
-    pub(super) fn check(&mut self, interval: Option<Millis>, now: Millis) -> Option<Evidence> {
+    /// Returns what shows that the backend server has ended, if anything. To be called with every tick.
+    pub(super) fn check(&mut self, duty: Duty, now: Millis) -> Option<Evidence> {
         self.exclude_gap(now);
         if !self.is_refused() {
             return None;
@@ -139,7 +146,7 @@
         if self.has_refused_delivery(now) {
             return Some(Evidence::PortsRefused);
         }
-        let inferred = self.infer_end(interval, now);
+        let inferred = self.infer_end(duty, now);
         let since = inferred.map(|_| self.inferred_since.unwrap_or(now));
         self.inferred_since = since;
         inferred.filter(|_| since.is_some_and(|at| now.since(at) >= CONFIRMATION_TIME))
@@ -151,14 +158,18 @@
     }
 
     /// Returns the evidence that lies in the silence of a backend server to which connections are refused.
-    fn infer_end(&self, interval: Option<Millis>, now: Millis) -> Option<Evidence> {
+    fn infer_end(&self, duty: Duty, now: Millis) -> Option<Evidence> {
         let unanswered_for = self.unanswered_since.map_or(Millis(0), |at| now.since(at));
-        if self.unanswered >= MIN_UNANSWERED && unanswered_for >= ANSWER_TIMEOUT {
+        let is_serving = matches!(duty, Duty::Serve(_));
+        if is_serving && self.unanswered >= MIN_UNANSWERED && unanswered_for >= ANSWER_TIMEOUT {
             return Some(Evidence::Unanswered);
         }
-        let timeout = interval.map_or(EXIT_TIMEOUT, |interval| {
-            Millis(interval.0 * ABSENCE_TIMEOUT_TENTHS / 10)
-        });
+        let timeout = match duty {
+            Duty::Serve(interval) | Duty::Report(interval) => {
+                Millis(interval.0 * ABSENCE_TIMEOUT_TENTHS / 10)
+            }
+            Duty::Nothing(idle_timeout) => idle_timeout,
+        };
         let silent_for = now.since(self.last_sign) + CONFIRMATION_TIME;
         (silent_for > timeout).then_some(Evidence::Silent)
     }
