--- a/buckthornlink-core/tests/datagram_stray.rs
+++ b/buckthornlink-core/tests/datagram_stray.rs
@@ -170,3 +170,19 @@
     });
     assert!(strays <= MAX_STRAYS, "{strays}");
 }
+
+/// Guards against a count of tries that is lost with the home agent, and the memory of them with the agents that failed: all are
+/// killed once more just after a try.
+#[test]
+fn two_kills_of_all_in_a_row_reach_few_other_backend_servers() {
+    let strays = max_strays_anywhere(|world| {
+        for _ in 0..2 {
+            world.kill_all();
+            for balancer in [0, 1, 0, 1] {
+                world.send_through(balancer);
+                world.run(Millis(250));
+            }
+        }
+    });
+    assert!(strays <= MAX_STRAYS, "{strays}");
+}
