--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -11,6 +11,7 @@
 
 mod backend_server;
 mod callers;
+mod cluster;
 mod departure;
 mod invariants;
 mod links;
