fix(core): without a configuration, no silence of an unknown backend server is its end

What callers would see: an agent that starts without a configuration, as while the store is away, beside a backend server that has closed its port took it for ended after 0.1 s, and denied its flows.

Cause: in the idle timeout bounds that silence, and it is zero before the first configuration.

Why it works: the idle timeout counts only once it is known. 'an_agent_without_a_configuration_takes_no_silence_for_an_end' failed before, with Over for Starting.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -254,9 +254,10 @@
 
     /// Ends the flows of the backend server if the signs observed so far show that it has ended.
     fn conclude_backend_end(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let idle_timeout = self.has_table().then_some(self.table.idle);
         let evidence = self
             .backend
-            .conclude_end(self.heartbeat_interval, self.table.idle, now);
+            .conclude_end(self.heartbeat_interval, idle_timeout, now);
         if let Some(evidence) = evidence {
             self.end_flows(evidence, now);
             self.update_own_fact(now, out);
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -256,11 +256,11 @@
 
     /// Concludes from the signs observed so far whether the backend server has ended; returns the evidence
     /// if it counts as ended now and did not before. A heartbeat or packet reverts this. Heartbeats are due at `interval`; flows may
-    /// be idle for `idle_timeout`.
+    /// be idle for `idle_timeout`, if that is known.
     pub fn conclude_end(
         &mut self,
         interval: Millis,
-        idle_timeout: Millis,
+        idle_timeout: Option<Millis>,
         now: Millis,
     ) -> Option<Evidence> {
         let duty = match self.state {
--- a/buckthornlink-core/src/datagram/backend/signs.rs
+++ b/buckthornlink-core/src/datagram/backend/signs.rs
@@ -31,8 +31,8 @@
     Serve(Millis),
     /// It sends heartbeats at this interval, but may have closed its port.
     Report(Millis),
-    /// Nothing, for as long as its flows may be idle.
-    Nothing(Millis),
+    /// Nothing, for as long as its flows may be idle, if that is known.
+    Nothing(Option<Millis>),
 }
 
 /// The idle connection to the backend server, or an attempt to open it.
@@ -168,7 +168,7 @@
             Duty::Serve(interval) | Duty::Report(interval) => {
                 Millis(interval.0 * ABSENCE_TIMEOUT_TENTHS / 10)
             }
-            Duty::Nothing(idle_timeout) => idle_timeout,
+            Duty::Nothing(idle_timeout) => idle_timeout?,
         };
         let silent_for = now.since(self.last_sign) + CONFIRMATION_TIME;
         (silent_for > timeout).then_some(Evidence::Silent)
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -119,8 +119,8 @@
     MemberLost,
     /// An instance that was suspected to have failed is heard again; the age is how long it was not.
     MemberReturned,
-    /// A heartbeat is not that of the agent's backend server: it names another address, or a service that is not
-    /// configured.
+    /// A heartbeat is not that of the agent's backend server: it names another address, a service that is not
+    /// configured, or another boot while the known one is still there.
     HeartbeatIgnored,
     /// The instance began to watch the store; the age is that of what it knows of the store.
     WatchStarted,
--- a/buckthornlink-core/tests/datagram_refused.rs
+++ b/buckthornlink-core/tests/datagram_refused.rs
@@ -3,10 +3,11 @@
 mod datagram;
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{Connection, Effect, Event, Message, Mode, Phase};
+use buckthornlink_core::datagram::{Agent, Connection, Effect, Event, Message, Mode, Phase, Role};
 
 use datagram::{
-    AgentDriver, TICK_INTERVAL, answer, bounced, data, draining, heartbeat, is_reset, opening,
+    AgentDriver, OWN, TICK_INTERVAL, answer, bounced, data, draining, heartbeat, is_reset, opening,
+    service, setup,
 };
 
 const HEARTBEAT_INTERVAL: Millis = Millis(1_200);
@@ -106,6 +107,15 @@
     assert_ne!(agent.phase(), Phase::Over);
 }
 
+/// Guards against the same by an agent that does not know yet how long flows may be idle.
+#[test]
+fn an_agent_without_a_configuration_takes_no_silence_for_an_end() {
+    let mut agent = AgentDriver::without_backend();
+    agent.agent = Agent::new(&setup(OWN, Role::Agent(service())), agent.now);
+    refuse(&mut agent, LONG_EXIT_TIME);
+    assert_eq!(agent.phase(), Phase::Starting);
+}
+
 /// Guards against the reset of the flows of a backend server that drains, has closed its port and is slow.
 #[test]
 fn a_slow_backend_server_that_drains_keeps_its_flows() {
