fix(core): a heartbeat may name the instance's address where the agent uses the loopback one

Cause: the settings say where the agent reaches its backend server, on its own machine; the heartbeat says where the backend server is. Where the former is a loopback address, each heartbeat would be ignored since.

The same port at the instance's own address counts as well, which is no other machine's.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -226,7 +226,15 @@
 
     /// Whether a heartbeat names the backend server beside this agent, and a service that it may run.
     fn is_of_backend(&self, heartbeat: &BackendHeartbeat) -> bool {
-        Some(heartbeat.address) == self.backend_address && self.is_known_service(heartbeat.service)
+        self.is_backend_address(heartbeat.address) && self.is_known_service(heartbeat.service)
+    }
+
+    /// Whether the backend server is at this address: that of the settings, or the same port at the address of the instance.
+    fn is_backend_address(&self, address: SocketAddrV4) -> bool {
+        let own = self.gossip.own().ip;
+        self.backend_address.is_some_and(|known| {
+            address == known || address == SocketAddrV4::new(own, known.port())
+        })
     }
 
     /// Whether a service is the one of this agent's settings or of its backend server, or is configured.
--- a/buckthornlink-core/tests/datagram_foreign_heartbeat.rs
+++ b/buckthornlink-core/tests/datagram_foreign_heartbeat.rs
@@ -2,14 +2,17 @@
 
 mod datagram;
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::{
-    BackendHeartbeat, Connection, Effect, Event, Mode, Phase, ServiceTag,
+    Agent, BackendHeartbeat, Connection, Effect, Event, Mode, Phase, Role, ServiceTag, Setup,
 };
 
-use datagram::{AgentDriver, BACKEND, PEER, data, draining, ending, heartbeat, is_reset, opening};
+use datagram::{
+    AgentDriver, BACKEND, OWN, PEER, data, draining, ending, heartbeat, is_reset, opening, service,
+    setup,
+};
 
 const HEARTBEAT_INTERVAL: Millis = Millis(1_200);
 
@@ -61,6 +64,21 @@
     assert_eq!(agent.phase(), Phase::Starting);
 }
 
+/// Guards against heartbeats that are ignored as the agent reaches its backend server at the loopback address.
+#[test]
+fn a_heartbeat_with_the_address_of_the_instance_counts() {
+    let own = setup(OWN, Role::Agent(service()));
+    let loopback = SocketAddrV4::new(Ipv4Addr::LOCALHOST, BACKEND.port());
+    let mut agent = AgentDriver::without_backend();
+    let setup = Setup {
+        backend_address: Some(loopback),
+        ..own
+    };
+    agent.agent = Agent::new(&setup, agent.now);
+    agent.heartbeat(heartbeat(1));
+    assert_eq!(agent.phase(), Phase::Ready);
+}
+
 /// Guards against the same at an agent whose own backend server has yet to say anything.
 #[test]
 fn a_heartbeat_for_a_service_that_is_not_configured_starts_nothing() {
