--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1406,9 +1406,17 @@
     let backend = Arc::clone(&deployment.backends[0]);
     // The agent replaces its idle connection every 10 s; the next one is the one that falls silent.
     deployment.wait_change(&backend.last_accept, 11_000);
+    let accepted_at = backend.last_accept.load(Ordering::SeqCst);
+    let is_in_gap = trouble == "gap";
     thread::sleep(ms(1_500));
+    if is_in_gap {
+        // The connection is 10 s old, and the next one follows 0.1 s later.
+        deployment.sleep_until(accepted_at + 10_020);
+    }
     let silenced_at = deployment.run.now();
-    if trouble != "0" {
+    if is_in_gap {
+        *backend.order.lock().unwrap() = Order::Crash(100);
+    } else if trouble != "0" {
         if trouble != "crash" {
             backend.silence();
             deployment.run.log(format!("open connections to {} fall silent", backend.ip));
