--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -29,6 +29,8 @@
 const ACK: u8 = 4;
 const BOUNCED: u8 = 8;
 const FIN: u8 = 32;
+/// Number of times that the disruption of the case `silent-connection` is played.
+const ROUNDS: usize = 2;
 /// Distance from the consumer's last acknowledgement within which it takes a reset.
 const RESET_WINDOW: u32 = 76_800;
 const SERVICE: &str = "huvo11a";
@@ -869,7 +871,7 @@
                 *self.ran.lock().unwrap().entry(id.clone()).or_default() += 1;
                 self.run.log(format!("run {id} at {} boot {number}", self.ip));
                 let work = match rng.next() % 20 {
-                    0 => self.work_ms * 6,
+                    0 => self.work_ms * 12,
                     n => self.work_ms / 2 + self.work_ms * n / 20,
                 };
                 due.push((now + work, key, id));
@@ -1202,6 +1204,8 @@
     router: Arc<Router>,
     seen: Arc<Seen>,
     block: u8,
+    /// When channels fell silent or a backend crashed.
+    disturbances: Mutex<Vec<u64>>,
     programs: Programs,
 }
 
@@ -1262,7 +1266,7 @@
         }
         let router = Router::start(&run, balancers);
         let backends = Vec::new();
-        let mut deployment = Self { run, store, store_addr, seeds, backends, router, seen: Arc::default(), block, programs };
+        let mut deployment = Self { run, store, store_addr, seeds, backends, router, seen: Arc::default(), block, disturbances: Mutex::default(), programs };
         for i in 0..shape.agents {
             deployment.add_agent(shape, zone(usize::from(i)), false)?;
         }
@@ -1333,7 +1337,9 @@
     }
 
     /// Resets that the rule FLOW, part (a), counts: the flow's backend lives, was without impairment for `ContactMs`, and sent no reset.
-    fn count_flow_breaks(&self, calm_since: u64) -> usize {
+    fn count_flow_breaks(&self) -> usize {
+        let disturbances = self.disturbances.lock().unwrap().clone();
+        let is_disturbed = |at: u64| disturbances.iter().any(|&d| d <= at && at < d + CONTACT_MS);
         let mut count = 0;
         for reset in self.seen.resets.lock().unwrap().iter() {
             let owner = self.backends.iter().find_map(|b| {
@@ -1343,7 +1349,7 @@
             let Some((backend, number)) = owner else { continue };
             let boot = backend.boots.lock().unwrap()[number].clone();
             let lives = boot.ended_at.is_none_or(|at| at > reset.at);
-            let is_calm = reset.at >= boot.started_at + CONTACT_MS && reset.at >= calm_since + CONTACT_MS;
+            let is_calm = reset.at >= boot.started_at + CONTACT_MS && !is_disturbed(reset.at);
             let is_own = backend.sent_resets.lock().unwrap().contains(&reset.key);
             let is_young = reset.at - reset.opened_at < 60_000 && reset.idle_ms < IDLE_TIMEOUT_MS;
             let counts = lives && is_calm && !is_own && is_young;
@@ -1393,43 +1399,48 @@
 
 /// A backend crashes and is back within a second while its agent's idle connection to it has fallen silent.
 fn silent_connection(run: Arc<Run>, trouble: &str) -> Res<bool> {
-    let shape = Shape { zones: &ZONES, balancers: 5, agents: 7, slots: 8, work_ms: 72, warmup_per_s: 0.0 };
+    let shape = Shape { zones: &ZONES, balancers: 5, agents: 7, slots: 8, work_ms: 36, warmup_per_s: 0.0 };
     let mut deployment = Deployment::start(run, &shape)?;
     deployment.sleep_until(4_000);
     let habit = Habit { every_ms: 600, pauses_ms: &[6_000] };
-    deployment.start_consumers(40, habit, 34_000)?;
+    deployment.start_consumers(60, habit, 80_000)?;
     deployment.sleep_until(8_000);
     deployment.check_running()?;
     if deployment.seen.answered.load(Ordering::SeqCst) < 100 {
         return Err("the deployment doesn't serve".into());
     }
     let backend = Arc::clone(&deployment.backends[0]);
-    // The agent replaces its idle connection every 10 s; the next one is the one that falls silent.
-    deployment.wait_change(&backend.last_accept, 11_000);
-    let accepted_at = backend.last_accept.load(Ordering::SeqCst);
     let is_in_gap = trouble == "gap";
-    thread::sleep(ms(1_500));
-    if is_in_gap {
-        // The connection is 10 s old, and the next one follows 0.1 s later.
-        deployment.sleep_until(accepted_at + 10_020);
-    }
-    let silenced_at = deployment.run.now();
-    if is_in_gap {
-        *backend.order.lock().unwrap() = Order::Crash(100);
-    } else if trouble != "0" {
-        if trouble != "crash" {
-            backend.silence();
-            deployment.run.log(format!("open connections to {} fall silent", backend.ip));
+    let mut silenced_at = 0;
+    for _ in 0..ROUNDS {
+        // The agent replaces its idle connection every 10 s; the next one is the one that falls silent.
+        deployment.wait_change(&backend.last_accept, 11_000);
+        let accepted_at = backend.last_accept.load(Ordering::SeqCst);
+        thread::sleep(ms(1_500));
+        if is_in_gap {
+            // The connection is 10 s old, and the next one follows 0.1 s later.
+            deployment.sleep_until(accepted_at + 10_020);
         }
-        thread::sleep(ms(500));
-        deployment.wait_change(&backend.last_heartbeat, 2_000);
-        thread::sleep(ms(150));
-        *backend.order.lock().unwrap() = Order::Crash(100);
+        silenced_at = deployment.run.now();
+        deployment.disturbances.lock().unwrap().push(silenced_at);
+        if is_in_gap {
+            *backend.order.lock().unwrap() = Order::Crash(100);
+        } else if trouble != "0" {
+            if trouble != "crash" {
+                backend.silence();
+                deployment.run.log(format!("open connections to {} fall silent", backend.ip));
+            }
+            thread::sleep(ms(500));
+            deployment.wait_change(&backend.last_heartbeat, 2_000);
+            thread::sleep(ms(150));
+            *backend.order.lock().unwrap() = Order::Crash(100);
+        }
+        deployment.disturbances.lock().unwrap().push(deployment.run.now());
     }
-    deployment.sleep_until(silenced_at + 20_000);
+    deployment.sleep_until(silenced_at + 12_000);
     deployment.check_running()?;
     deployment.summary();
-    let count = deployment.count_flow_breaks(silenced_at);
+    let count = deployment.count_flow_breaks();
     deployment.run.log(format!("FLOW broken {count} times"));
     deployment.run.stop.store(true, Ordering::SeqCst);
     Ok(count > 0)
