fix(datagram): end no flow because its boot has another name

Callers saw resets on open flows of a backend server that crashed and was back at once: seconds after their first request, from an agent that does not own the flow.

Cause: the end of a boot was inferred from a greater number. While the connection to the backend server tells nothing, its agent takes the boot before for the running one and records the flows that open at the next one under the old name. Once it knows the new name, it keeps these flows, but its fact looked like that of an agent whose boot has ended, and home agents and balancers reset them. The agent itself ended flows that opened between a crash that it saw and the late first heartbeat of the next boot.

Change: a fact says whether flows recorded under earlier names may be open; others ask the owner then. The agent keeps up to when its boot has run for certain (an answered heartbeat, a packet of a flow that the boot held, a connection closed now), and a successor ends what opened before. A process that starts beside a running backend server has seen no end. No timeout has changed.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -39,7 +39,6 @@
     Flow, FlowCounts, Flows, Gossip, Heard, Load, Message, Outcomes, Packet, Phase, Reason,
     Reducer, Role, ServiceTag, Setup, Source, Status, Table,
 };
-use crate::id::BootId;
 use crate::time::Millis;
 use ended::EndedFlows;
 use saved_flows::SavedFlows;
@@ -67,7 +66,6 @@
     saved_flows: SavedFlows,
     try_mark: TryMark,
     active_searches: BTreeSet<Flow>,
-    heartbeat_interval: Millis,
     backend_address: Option<SocketAddrV4>,
     started_at: Millis,
     last_sweep: Millis,
@@ -76,6 +74,8 @@
     resumed_changes: u64,
     last_resume: Millis,
     is_leaving: bool,
+    /// Whether flows that were recorded at earlier boots of the backend server may be open.
+    holds_earlier: bool,
 }
 
 impl Agent {
@@ -85,7 +85,7 @@
         Self {
             gossip: Gossip::new(setup, now),
             table: Arc::default(),
-            backend: Backend::new(setup.boot, now),
+            backend: Backend::new(setup.boot, setup.heartbeat_interval, now),
             outcomes: Outcomes::default(),
             admission: Admission::default(),
             flows: Flows::default(),
@@ -93,7 +93,6 @@
             saved_flows: SavedFlows::default(),
             try_mark: TryMark::default(),
             active_searches: BTreeSet::new(),
-            heartbeat_interval: setup.heartbeat_interval,
             backend_address: setup.backend_address,
             started_at: now,
             last_sweep: now,
@@ -101,6 +100,7 @@
             resumed_changes: 0,
             last_resume: Millis(0),
             is_leaving: false,
+            holds_earlier: false,
         }
     }
 
@@ -211,37 +211,44 @@
             out.push(self.decision(Reason::HeartbeatIgnored, None, age));
             return;
         }
-        let boot = self.backend.boot();
         let was_over = self.backend.is_over();
         let heard = self.backend.receive_heartbeat(heartbeat, now);
-        match heard {
-            Heard::Stale => return,
-            Heard::Contender => {
-                let age = self.backend.age(now);
-                out.push(self.decision(Reason::HeartbeatIgnored, None, age));
-                return;
-            }
-            Heard::Current | Heard::Successor | Heard::Corrected => {}
+        if heard == Heard::Contender {
+            let age = self.backend.age(now);
+            out.push(self.decision(Reason::HeartbeatIgnored, None, age));
+        }
+        if matches!(heard, Heard::Stale | Heard::Contender) {
+            return;
         }
         self.update_admission();
-        let has_restarted = self.backend.boot() != boot;
-        if has_restarted && boot != BootId::default() {
-            self.outcomes.clear();
-            // Of a boot that did not start now, the flows seen so far may be its own.
-            if heard == Heard::Successor && heartbeat.is_start() {
-                self.end_flows(Evidence::Replaced, now);
-            }
-        } else if was_over {
+        if was_over && matches!(heard, Heard::Current | Heard::First) {
             self.keep_ended_flows();
         }
+        match heard {
+            Heard::Stale | Heard::Contender | Heard::Current => {}
+            Heard::First => self.holds_earlier = !self.backend.is_tracked(),
+            Heard::Successor(proven_until) => {
+                self.end_flows(Evidence::Replaced, proven_until, now);
+                self.keep_other_flows(true);
+            }
+            Heard::Corrected => self.keep_other_flows(was_over),
+        }
         self.update_own_fact(now, out);
-        if has_restarted {
+        if heard != Heard::Current {
             self.decide_trials(now, out);
             self.report_ended_flows(now, out);
             self.resume_searches(now, out);
         }
     }
 
+    /// Keeps the flows that have not ended for the boot that is known from now on, and has their home agents told of it. If
+    /// the end of the boot before `is_observed`, the flows recorded there have ended but for those.
+    fn keep_other_flows(&mut self, is_observed: bool) {
+        self.outcomes.clear();
+        let is_kept = self.flows.renew_records();
+        self.holds_earlier = is_kept || !is_observed;
+    }
+
     /// Whether a heartbeat names the backend server beside this agent, and a service that it may run.
     fn is_of_backend(&self, heartbeat: &BackendHeartbeat) -> bool {
         self.is_backend_address(heartbeat.address) && self.is_known_service(heartbeat.service)
@@ -282,11 +289,9 @@
     /// Ends the flows of the backend server if the signs observed so far show that it has ended.
     fn conclude_backend_end(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let idle_timeout = self.has_table().then_some(self.table.idle);
-        let evidence = self
-            .backend
-            .conclude_end(self.heartbeat_interval, idle_timeout, now);
+        let evidence = self.backend.conclude_end(idle_timeout, now);
         if let Some(evidence) = evidence {
-            self.end_flows(evidence, now);
+            self.end_flows(evidence, now, now);
             self.update_own_fact(now, out);
         }
     }
@@ -327,11 +332,12 @@
     fn update_own_fact(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let old = *self.gossip.own();
         let recent = self.backend.recent_admissions(now);
-        let phase = self.backend.phase(self.heartbeat_interval, now);
+        let phase = self.backend.phase(now);
         let fact = Fact {
             role: self.role(old.role),
             phase: self.announced_phase(phase),
             backend: self.backend.boot(),
+            holds_earlier: self.holds_earlier,
             load: Load {
                 waiting: self.mean_waiting,
                 flows: saturating_u16(self.flows.open_count() + recent),
@@ -402,6 +408,7 @@
     fn reduce(&mut self, event: Event, now: Millis, out: &mut Vec<Effect>) {
         if let Some(absence) = self.gossip.notice_absence(now, out) {
             self.flows.exclude_absence(absence, now);
+            self.backend.record_pause(now.since(absence));
         }
         match event {
             Event::Packet { source, packet } => self.handle_packet(source, &packet, now, out),
--- a/buckthornlink-core/src/datagram/agent/admit.rs
+++ b/buckthornlink-core/src/datagram/agent/admit.rs
@@ -93,7 +93,7 @@
         if !self.has_table() || self.gossip.is_catching_up(now) {
             return Some(Reason::RefusedUnready);
         }
-        let phase = self.backend.phase(self.heartbeat_interval, now);
+        let phase = self.backend.phase(now);
         let is_closed = self.is_leaving || !phase.can_accept_flows() || self.is_saved_set_final();
         is_closed.then_some(Reason::RefusedPhase)
     }
@@ -109,7 +109,7 @@
         if connections > 0 && self.flows.open_count() >= connections {
             return Some(Reason::RefusedFull);
         }
-        let phase = self.backend.phase(self.heartbeat_interval, now);
+        let phase = self.backend.phase(now);
         if phase == Phase::Cold && limits.cold_rate > 0 {
             let limit = limits.cold_rate / 1_000 + COLD_BURST;
             let limit = usize::try_from(limit).unwrap_or(usize::MAX);
--- a/buckthornlink-core/src/datagram/agent/ended.rs
+++ b/buckthornlink-core/src/datagram/agent/ended.rs
@@ -24,9 +24,10 @@
 }
 
 impl Agent {
-    /// Marks all flows of the backend server's last boot as ended; their callers are told shortly.
-    pub(super) fn end_flows(&mut self, evidence: Evidence, now: Millis) {
-        let ended = self.flows.end_all();
+    /// Marks the flows of the backend server's last boot that opened up to `opened_until` as ended; their callers are told shortly. Later
+    /// ones may have opened at the next boot.
+    pub(super) fn end_flows(&mut self, evidence: Evidence, opened_until: Millis, now: Millis) {
+        let ended = self.flows.end_opened(opened_until);
         self.admission.forget_requests();
         self.ended_flows.flows.extend(ended);
         self.ended_flows.ended_at = now;
--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -87,6 +87,7 @@
         if state.is_some_and(|s| s.was_reset) && !packet.flags.syn {
             return;
         }
+        self.record_owned_packet(packet, now);
         self.record_outcome(packet, now, out);
         let measured = self
             .flows
@@ -97,6 +98,15 @@
         out.extend(measured.map(|(measure, duration)| Effect::Measure(measure, duration)));
     }
 
+    /// Records a packet of an open flow, which shows that the boot that holds it runs.
+    fn record_owned_packet(&mut self, packet: &Packet, now: Millis) {
+        let state = self.flows.get(&packet.flow);
+        let state = state.filter(|s| s.ownership == Ownership::Open && !s.is_reoffered);
+        if let Some(state) = state.filter(|_| !packet.flags.syn) {
+            self.backend.record_flow_packet(state.opened_at, now);
+        }
+    }
+
     /// Resets a flow that its backend server no longer holds. A late packet of that flow must not
     /// reach the caller any more, who may use the port for another flow.
     fn reset_ended(&mut self, packet: &Packet, out: &mut Vec<Effect>) {
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -2,6 +2,7 @@
 
 mod admissions;
 mod contender;
+mod proof;
 mod signs;
 
 use std::net::SocketAddrV4;
@@ -13,6 +14,7 @@
 use crate::time::Millis;
 use admissions::Admissions;
 use contender::Contender;
+use proof::Proof;
 pub use signs::Connection;
 use signs::{Duty, Signs};
 
@@ -111,6 +113,10 @@
     process_start: BootId,
     /// Whether it answered a packet before its first heartbeat, and so held flows then.
     has_served: bool,
+    /// Up to when the boot is known to have run.
+    proof: Proof,
+    /// Interval at which heartbeats are due.
+    interval: Millis,
     admissions: Admissions,
 }
 
@@ -123,9 +129,11 @@
     Contender,
     /// It was the current boot's.
     Current,
-    /// It began another boot, whose flows are its own.
-    Successor,
-    /// It began another boot, to which the flows seen so far may belong: the connection was open all along.
+    /// It is the first one that this process hears.
+    First,
+    /// It began another boot. The one before has ended, and with it the flows that opened before this time.
+    Successor(Millis),
+    /// It names another boot, to which the flows seen so far may belong: the end of the one before was not observed.
     Corrected,
 }
 
@@ -138,11 +146,13 @@
 }
 
 impl Backend {
-    /// A backend server of which a process that starts now, with this boot id, knows nothing.
+    /// A backend server of which a process that starts now, with this boot id, knows nothing. Its heartbeats are due at
+    /// `interval`.
     #[must_use]
-    pub fn new(process_start: BootId, now: Millis) -> Self {
+    pub fn new(process_start: BootId, interval: Millis, now: Millis) -> Self {
         Self {
             process_start,
+            interval,
             admissions: Admissions::new(now),
             signs: Signs::new(now),
             ..Self::default()
@@ -178,16 +188,29 @@
         boot: BootId,
         now: Millis,
     ) -> Heard {
-        let heard = if boot <= self.boot {
-            Heard::Current
-        } else if self.is_connected() {
-            Heard::Corrected
+        let is_current = boot <= self.boot;
+        let is_first = self.boot == BootId::default();
+        let was_connected = self.is_connected();
+        let proven_until = self.proof.until();
+        if is_current {
+            self.proof.record_heartbeat(self.last_heartbeat);
         } else {
-            Heard::Successor
-        };
-        if boot > self.boot {
             self.start_boot(heartbeat, boot);
         }
+        if is_first {
+            self.proof.begin(now);
+        }
+        // Of a boot that did not start now, the flows seen so far may be its own.
+        let is_start = heartbeat.is_start() && self.is_tracked();
+        let heard = if is_current {
+            Heard::Current
+        } else if is_first {
+            Heard::First
+        } else if !was_connected && is_start {
+            Heard::Successor(proven_until)
+        } else {
+            Heard::Corrected
+        };
         self.seq = heartbeat.seq;
         self.last_heartbeat = now;
         self.signs.record_heartbeat(now);
@@ -231,6 +254,11 @@
         was_over
     }
 
+    /// Records a packet that the backend server sent on a flow which has been open since this time.
+    pub fn record_flow_packet(&mut self, opened_at: Millis, now: Millis) {
+        self.proof.record_packet(opened_at, now);
+    }
+
     /// Whether it announced its end after its last heartbeat.
     fn is_exiting(&self) -> bool {
         self.doubt == Some(Doubt::Exiting)
@@ -251,7 +279,13 @@
 
     /// Records what became of a connection to the backend server.
     pub fn record_connection(&mut self, connection: Connection, now: Millis) {
+        let was_connected = self.signs.is_connected();
         self.signs.record_connection(connection, now);
+        match connection {
+            Connection::Accepted => self.proof.record_accepted(now),
+            Connection::Closed if was_connected => self.proof.record_closed(now),
+            Connection::Closed | Connection::Refused => {}
+        }
         if connection == Connection::Refused {
             self.doubt.get_or_insert(Doubt::Unheard);
         }
@@ -263,17 +297,12 @@
     }
 
     /// Concludes from the signs observed so far whether the backend server has ended; returns the evidence
-    /// if it counts as ended now and did not before. A heartbeat or packet reverts this. Heartbeats are due at `interval`; flows may
-    /// be idle for `idle_timeout`, if that is known.
-    pub fn conclude_end(
-        &mut self,
-        interval: Millis,
-        idle_timeout: Option<Millis>,
-        now: Millis,
-    ) -> Option<Evidence> {
+    /// if it counts as ended now and did not before. A heartbeat or packet reverts this. Flows may be idle for `idle_timeout`,
+    /// if that is known.
+    pub fn conclude_end(&mut self, idle_timeout: Option<Millis>, now: Millis) -> Option<Evidence> {
         let duty = match self.state {
-            BackendState::Ready if !self.is_exiting() => Duty::Serve(interval),
-            BackendState::Draining if !self.is_exiting() => Duty::Report(interval),
+            BackendState::Ready if !self.is_exiting() => Duty::Serve(self.interval),
+            BackendState::Draining if !self.is_exiting() => Duty::Report(self.interval),
             _ => Duty::Nothing(idle_timeout),
         };
         let evidence = self.signs.check(duty, now);
@@ -344,10 +373,17 @@
         !matches!(self.start, Start::Unseen)
     }
 
-    /// The phase that the agent reports, given the heartbeat interval.
+    /// Whether the known boot is sure to hold, or to have held, a flow that opened at this time. Otherwise the flow may be one of
+    /// the next boot, of which nothing is known yet.
     #[must_use]
-    pub fn phase(&self, interval: Millis, now: Millis) -> Phase {
-        let silence_timeout = Millis(interval.0 * SILENCE_TIMEOUT_TENTHS / 10);
+    pub const fn is_proven_at(&self, opened_at: Millis) -> bool {
+        opened_at.0 <= self.proof.until().0
+    }
+
+    /// The phase that the agent reports.
+    #[must_use]
+    pub fn phase(&self, now: Millis) -> Phase {
+        let silence_timeout = Millis(self.interval.0 * SILENCE_TIMEOUT_TENTHS / 10);
         match self.state {
             _ if self.is_over() => Phase::Over,
             BackendState::Unknown => Phase::Starting,
@@ -361,6 +397,11 @@
         }
     }
 
+    /// Records that this process was paused at `since` and runs again.
+    pub(super) const fn record_pause(&mut self, since: Millis) {
+        self.proof.record_pause(since);
+    }
+
     /// Records that the machine has booted since an earlier process ran there.
     pub const fn record_machine_boot(&mut self) {
         self.admissions.record_machine_boot();
--- a/buckthornlink-core/src/datagram/fact.rs
+++ b/buckthornlink-core/src/datagram/fact.rs
@@ -28,6 +28,10 @@
     pub store: bool,
     /// Load of the backend server.
     pub load: Load,
+    /// Whether flows that were recorded at earlier boots of the backend server may be open: the agent knows it by
+    /// another name since, and has not observed the end of what it held.
+    #[serde(default)]
+    pub holds_earlier: bool,
 }
 
 /// What an instance does.
@@ -86,8 +90,9 @@
 
     /// Fields whose change is sent to other instances at once.
     #[must_use]
-    pub const fn urgent_fields(&self) -> (Phase, Role, BootId, BootId, bool) {
-        (self.phase, self.role, self.boot, self.backend, self.store)
+    pub const fn urgent_fields(&self) -> (Phase, Role, BootId, BootId, [bool; 2]) {
+        let flags = [self.store, self.holds_earlier];
+        (self.phase, self.role, self.boot, self.backend, flags)
     }
 
     /// The service of an agent, or `None` for a balancer.
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -201,22 +201,30 @@
         }
     }
 
-    /// Marks the flows of a backend server that has ended, and forgets its trial deliveries. Returns
-    /// the flows that were open, in order.
-    pub fn end_all(&mut self) -> Vec<Flow> {
+    /// Marks the flows of a backend server that has ended which opened up to `until`, and forgets its trial deliveries. Returns
+    /// those that were open, in order.
+    pub fn end_opened(&mut self, until: Millis) -> Vec<Flow> {
         let mut ended = Vec::new();
         for (flow, state) in &mut self.states {
+            if state.is_offered() && state.opened_at > until {
+                continue;
+            }
             if state.is_established() {
                 ended.push(*flow);
             }
             state.ownership = state.ownership.after_end();
         }
-        self.open_count = 0;
-        self.waiting_count = 0;
+        self.count();
         ended.sort_unstable();
         ended
     }
 
+    /// Has the home agents of all open flows told of them once more; returns whether there are any.
+    pub fn renew_records(&mut self) -> bool {
+        let open = self.states.values_mut().filter(|s| s.is_established());
+        open.map(|s| s.recorded_home = None).count() > 0
+    }
+
     /// Leaves a time in which this process was away, which ends now, out of the time without packets.
     pub fn exclude_absence(&mut self, absence: Millis, now: Millis) {
         for state in self.states.values_mut() {
@@ -233,6 +241,10 @@
             let span = if is_record { RECORD_RETENTION } else { span };
             now.since(s.last_seen) <= span
         });
+        self.count();
+    }
+
+    fn count(&mut self) {
         self.open_count = self.states.values().filter(|s| s.counts().0).count();
         self.waiting_count = self.states.values().filter(|s| s.counts().1).count();
     }
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -108,6 +108,7 @@
             backend: BootId(0),
             store: false,
             load: Load::default(),
+            holds_earlier: false,
         };
         let mut membership = Membership::default();
         membership.merge(own, now);
--- a/buckthornlink-core/src/datagram/membership/member.rs
+++ b/buckthornlink-core/src/datagram/membership/member.rs
@@ -144,7 +144,7 @@
         !phase.is_over() && !phase.is_leaving() && !self.is_unresponsive(now)
     }
 
-    /// Whether this boot of its backend server, and with it all its flows, has ended.
+    /// Whether all flows recorded at this boot of its backend server have ended.
     ///
     /// An agent that starts next to a running backend server does not know its boot id, and uses
     /// zero, until the next heartbeat; nothing is known about the end of such a boot.
@@ -153,17 +153,22 @@
         self.end_evidence(boot).is_some()
     }
 
-    /// What it reported that shows that this boot of its backend server has ended, if anything.
+    /// What it reported that shows that the flows recorded at this boot of its backend server have ended, if anything. A later
+    /// boot alone is only another name for what the agent has.
     #[must_use]
     pub fn end_evidence(&self, boot: BootId) -> Option<Evidence> {
-        if boot == BootId::default() {
-            None
-        } else if self.fact.backend > boot {
-            Some(Evidence::ReportedReplaced)
-        } else {
-            let has_ended = self.fact.backend == boot && self.fact.phase.is_over();
-            has_ended.then_some(Evidence::ReportedOver)
+        let is_later = self.has_renamed(boot);
+        if is_later && !self.fact.holds_earlier {
+            return Some(Evidence::ReportedReplaced);
         }
+        let is_known = boot != BootId::default() && (is_later || self.fact.backend == boot);
+        (is_known && self.fact.phase.is_over()).then_some(Evidence::ReportedOver)
+    }
+
+    /// Whether it knows its backend server by a later boot than this one.
+    #[must_use]
+    pub fn has_renamed(&self, boot: BootId) -> bool {
+        boot != BootId::default() && self.fact.backend > boot
     }
 
     /// Flows that it reported, plus those placed on it since.
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -387,6 +387,7 @@
         backend: BootId(1),
         store: false,
         load,
+        holds_earlier: false,
     }
 }
 
--- a/buckthornlink-core/tests/datagram_beliefs_heartbeats.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_heartbeats.rs
@@ -4,7 +4,9 @@
 mod datagram;
 
 use buckthornlink_core::Millis;
-use buckthornlink_core::datagram::{BackendHeartbeat, Effect, Mode, Phase, Reducer};
+use buckthornlink_core::datagram::{
+    BackendHeartbeat, Connection, Effect, Event, Mode, Phase, Reducer,
+};
 
 use datagram::{AgentDriver, answer, data, heartbeat, is_reset};
 
@@ -79,3 +81,63 @@
     let next = agent.packet_from_peer(data(1), Mode::Known);
     assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
 }
+
+/// An agent whose backend server has a flow of port 1, and crashed: the connection to it was closed, and the next one accepted.
+fn crashed() -> AgentDriver {
+    let mut agent = AgentDriver::ready();
+    agent.reduce(Event::BackendConnection(Connection::Accepted));
+    agent.open_flow(1);
+    agent.run(Millis(1_200));
+    agent.heartbeat(heartbeat(2));
+    agent.run(Millis(1_200));
+    agent.heartbeat(heartbeat(3));
+    agent.run(TICK);
+    agent.reduce(Event::BackendConnection(Connection::Closed));
+    agent.run(TICK);
+    agent.reduce(Event::BackendConnection(Connection::Accepted));
+    agent
+}
+
+/// Whether the flow of this port is reset within two ticks.
+fn is_told(agent: &mut AgentDriver, port: u16) -> bool {
+    let effects = agent.run(Millis(2 * TICK.0));
+    let is_of = |e: &Effect| matches!(e, Effect::Reset { flow, .. } if flow.caller.port() == port);
+    effects.iter().any(is_of)
+}
+
+/// Guards against the reset of a flow that opened at the next boot, whose first heartbeat is late or was lost: the crash was seen, and
+/// the agent let flows open since. Those that opened before are reset as soon as ever.
+#[test]
+fn flows_that_opened_since_a_crash_are_kept_when_its_successor_is_heard() {
+    for first_heartbeat in [1, 2] {
+        let mut agent = crashed();
+        agent.open_flow(2);
+        agent.run(Millis(400));
+        agent.heartbeat(heartbeat_of("i-2", 9_000, first_heartbeat));
+        assert!(agent.agent.gossip().own().holds_earlier);
+        assert!(is_told(&mut agent, 1));
+        let next = agent.packet_from_peer(data(2), Mode::Known);
+        assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+    }
+}
+
+/// Guards against callers of dead flows that wait: nothing opened since the crash, and all others may act on it.
+#[test]
+fn others_hear_of_the_end_of_a_boot_that_left_nothing() {
+    let mut agent = crashed();
+    agent.heartbeat(heartbeat_of("i-2", 9_000, 1));
+    assert!(!agent.agent.gossip().own().holds_earlier);
+    assert!(is_told(&mut agent, 1));
+}
+
+/// Guards against the reset of flows that an earlier process recorded under another name: an agent that starts beside a running backend
+/// server has not seen the end of the boot before.
+#[test]
+fn an_agent_that_starts_beside_a_running_backend_server_has_seen_no_end() {
+    let mut agent = AgentDriver::started_at_time(buckthornlink_core::BootId(9_000));
+    agent.heartbeat(heartbeat_of("i-1", 5_000, 40));
+    assert!(agent.agent.gossip().own().holds_earlier);
+    let mut joint = AgentDriver::started_at_time(buckthornlink_core::BootId(9_000));
+    joint.heartbeat(heartbeat_of("i-1", 9_010, 2));
+    assert!(!joint.agent.gossip().own().holds_earlier);
+}
--- a/buckthornlink-core/tests/datagram_stale_facts.rs
+++ b/buckthornlink-core/tests/datagram_stale_facts.rs
@@ -75,6 +75,32 @@
     }
 }
 
+/// Guards against the reset of a flow by a process that knows less of it than its owner: it opened while the owner took the old boot for
+/// the running one, and the owner knows the new one since.
+#[test]
+fn a_flow_whose_owner_holds_flows_of_an_earlier_name_goes_to_its_owner() {
+    let renamed = Fact {
+        holds_earlier: true,
+        ..agent_fact(Phase::Ready, NEW)
+    };
+    let mut balancer = placed();
+    balancer.message(AGENT, owner_record(OLD));
+    balancer.receive_facts(&[renamed]);
+    let next = balancer.packet_from_caller(data(1));
+    assert!(
+        matches!(next[..], [Effect::Relay { to: AGENT, tag }] if tag.mode == Mode::Known),
+        "{next:?}"
+    );
+    let ended = Fact {
+        seq: 2,
+        phase: Phase::Over,
+        ..renamed
+    };
+    balancer.receive_facts(&[ended]);
+    let next = balancer.packet_from_caller(data(1));
+    assert!(next.iter().any(is_reset), "{next:?}");
+}
+
 #[test]
 fn a_flow_whose_owner_reported_the_new_boot_goes_to_its_owner() {
     let mut balancer = placed();
--- a/buckthornlink-fakes/examples/datagram_cost.rs
+++ b/buckthornlink-fakes/examples/datagram_cost.rs
@@ -132,6 +132,7 @@
             flows: 570,
             slots: 8,
         },
+        holds_earlier: false,
     };
     Status {
         from: fact,
