fix(datagram): save no flow as held that may be another boot's

Callers of living flows were reset by the next process of an agent that restarted beside their backend server.

Cause: flows that opened while the agent took the boot before for the running one were saved under its name as held for certain. The next process heard a later boot, and took the greater number for the end of all that was saved.

Change: a flow counts as held only if its boot is known to have run after it opened; others are named as flows that may be held, which are tried and never reset.

Evidence: a_flow_that_may_have_opened_at_an_unknown_boot_is_not_saved_as_held failed on (`digest.held(&flow(2)).is_none()`). Flow 1 of the same test, which the ended boot held for certain, is reset as before.

--- a/buckthornlink-core/src/datagram/agent/saved_flows.rs
+++ b/buckthornlink-core/src/datagram/agent/saved_flows.rs
@@ -227,7 +227,10 @@
         let held = lasting.filter(|(_, s)| may_be_held(s));
         FlowDigest::new(
             self.backend.boot(),
-            held.map(|(flow, s)| SavedFlow::of(flow, s)),
+            held.map(|(flow, s)| {
+                let is_proven = self.backend.is_proven_at(s.opened_at);
+                SavedFlow::of(flow, s, is_proven)
+            }),
         )
     }
 }
--- a/buckthornlink-core/src/datagram/flow_digest.rs
+++ b/buckthornlink-core/src/datagram/flow_digest.rs
@@ -66,12 +66,13 @@
         }
     }
 
-    /// What is saved of a flow in this state.
-    pub(super) fn of(flow: &Flow, state: &FlowState) -> Self {
+    /// What is saved of a flow in this state, which opened while its boot of the backend server ran for certain if it
+    /// `is_proven`.
+    pub(super) fn of(flow: &Flow, state: &FlowState, is_proven: bool) -> Self {
         Self {
             flow: *flow,
             ack: state.last_ack,
-            is_held: state.is_established() && !state.is_reoffered,
+            is_held: is_proven && state.is_established() && !state.is_reoffered,
         }
     }
 
--- a/buckthornlink-core/tests/datagram_saved_flows.rs
+++ b/buckthornlink-core/tests/datagram_saved_flows.rs
@@ -3,7 +3,8 @@
 mod datagram;
 
 use buckthornlink_core::datagram::{
-    Connection, Effect, Event, FlowDigest, Message, Mode, OwnerRecord, Phase, Reducer, SavedFlow,
+    BackendHeartbeat, Connection, Effect, Event, FlowDigest, Message, Mode, OwnerRecord, Phase,
+    Reducer, SavedFlow,
 };
 use buckthornlink_core::{BootId, Millis};
 
@@ -454,3 +455,37 @@
         assert_eq!(next, [ended(port)]);
     }
 }
+
+/// Guards against the reset of a living flow by the next process: it opened while its agent took the boot before for the running one, and
+/// was saved under that name. What the boot before held for certain is told of its end.
+#[test]
+fn a_flow_that_may_have_opened_at_an_unknown_boot_is_not_saved_as_held() {
+    let mut agent = AgentDriver::ready();
+    load(&mut agent, FlowDigest::default());
+    agent.open_flow(1);
+    for seq in 2..9 {
+        agent.run(Millis(1_200));
+        agent.heartbeat(heartbeat(seq));
+    }
+    agent.open_flow(2);
+    let digests = saved(&mut agent);
+    let digest = digests.last().expect("flow 2 is to be saved");
+    assert!(digest.held(&flow(1)).is_some(), "{digest:?}");
+    assert!(digest.contains(&flow(2)) && digest.held(&flow(2)).is_none());
+
+    let mut next = AgentDriver::without_backend();
+    load(&mut next, digest.clone());
+    let mut effects = next.heartbeat(next_boot(40));
+    effects.extend(next.packet_from_peer(data(2), Mode::Known));
+    assert!(effects.contains(&told_of_end(1)), "{effects:?}");
+    assert!(!effects.contains(&told_of_end(2)), "{effects:?}");
+    assert!(effects.iter().any(|e| matches!(e, Effect::Deliver(_))));
+}
+
+/// A heartbeat of the boot after that of the saved flows.
+fn next_boot(seq: u64) -> BackendHeartbeat {
+    BackendHeartbeat {
+        born: Some(6_000),
+        ..heartbeat(seq)
+    }
+}
