fix(datagram): report the end of a saved flow that is under trial

A flow under trial counted as located, so that the report of ended flows left it out for good, and later searches were answered with the try.

Change: only a flow that is open here or elsewhere is left out. The try is over, as the backend server that may answer is another boot than the one that held the flow.

--- a/buckthornlink-core/src/datagram/agent/saved_flows.rs
+++ b/buckthornlink-core/src/datagram/agent/saved_flows.rs
@@ -102,21 +102,25 @@
         self.saved_flows.loaded = Some(loaded);
     }
 
-    /// Resets a saved flow. If others have asked for it, its home agent is told as well: the reset may be lost, and a home agent
+    /// Resets a saved flow, unless it is open here or elsewhere since. A try of it is over: the backend server that it was made at is another
+    /// boot, so its answer need not be waited for. If others have asked for it, its home agent is told as well: the reset may be lost, and a home agent
     /// whose packet came back from this one does not ask again.
     fn report_ended_flow(
-        &self,
+        &mut self,
         saved: &SavedFlow,
         age: Millis,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if self
-            .flows
-            .get(&saved.flow)
-            .is_some_and(FlowState::is_located)
-        {
-            return;
+        let state = self.flows.get(&saved.flow);
+        match state.map(|s| s.ownership).unwrap_or_default() {
+            Ownership::Open | Ownership::Remote { owner: Some(_) } => return,
+            Ownership::Trial { .. } | Ownership::Recorded => {
+                self.flows.update(&saved.flow, |s| {
+                    s.ownership = Ownership::Remote { owner: None };
+                });
+            }
+            _ => {}
         }
         let basis = (Some(Evidence::SavedAsEnded), age);
         out.push(self.end_decision(Reason::BackendOver, Some(saved.flow), basis));
--- a/buckthornlink-core/tests/datagram_saved_flows.rs
+++ b/buckthornlink-core/tests/datagram_saved_flows.rs
@@ -489,3 +489,18 @@
         ..heartbeat(seq)
     }
 }
+
+/// Guards against callers that wait for their deadlines after a loss of all: a saved flow was tried before the next boot was heard, and
+/// the answer was lost.
+#[test]
+fn the_end_of_a_saved_flow_under_trial_is_reported_once_the_next_boot_is_heard() {
+    for heard in [2, 40] {
+        let mut agent = restarted();
+        agent.discover(PEER);
+        agent.packet_from_peer(data(1), Mode::Search);
+        let effects = agent.heartbeat(next_boot(heard));
+        assert!(effects.contains(&told_of_end(1)), "{heard}: {effects:?}");
+        let next = agent.packet_from_peer(data(1), Mode::Search);
+        assert_eq!(next, [ended(1)], "{heard}");
+    }
+}
