fix(datagram): let the owner's returned packet end a flow of an earlier boot

Callers of a flow that had ended with an earlier boot would have waited for a search of all agents since others no longer take a later boot for that end.

Cause: a home agent that relayed a packet to the recorded owner, and got it back, forgot the record and searched. Where one agent cannot tell, the search resets nothing.

Change: if the record names an earlier boot than the owner's present one, the returned packet ends the flow: its owner held it, and what runs there does not. Decisions about another instance are built in one place instead of three.

Evidence: a_packet_that_the_owner_returns_ends_a_flow_of_an_earlier_boot failed on the commit before (the packet was held for a try).

--- a/buckthornlink-core/src/datagram/agent/saved_ends.rs
+++ b/buckthornlink-core/src/datagram/agent/saved_ends.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use super::Agent;
-use crate::datagram::{Decision, Effect, Evidence, Flow, FlowState, Reason, SavedFlow};
+use crate::datagram::{Effect, Evidence, Flow, FlowState, Reason, SavedFlow};
 use crate::time::Millis;
 
 impl Agent {
@@ -44,15 +44,8 @@
 
     /// Returns the log entry of the reset of a flow that its owner reported as ended.
     pub(super) fn saved_end_decision(&self, flow: &Flow, owner: Ipv4Addr, age: Millis) -> Effect {
-        Effect::Log(Decision {
-            reason: Reason::BackendOver,
-            flow: Some(*flow),
-            peer: Some(owner),
-            version: self.table.version,
-            age,
-            phase: self.gossip.membership().get(owner).map(|m| m.fact.phase),
-            evidence: Some(Evidence::SavedAsEnded),
-            trial: None,
-        })
+        let mut decision = self.peer_end_decision(Reason::BackendOver, flow, owner, age);
+        decision.evidence = Some(Evidence::SavedAsEnded);
+        Effect::Log(decision)
     }
 }
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -184,8 +184,19 @@
         peer: Ipv4Addr,
         age: Millis,
     ) -> Effect {
+        Effect::Log(self.peer_end_decision(reason, flow, peer, age))
+    }
+
+    /// The same, to be completed by its evidence.
+    pub(super) fn peer_end_decision(
+        &self,
+        reason: Reason,
+        flow: &Flow,
+        peer: Ipv4Addr,
+        age: Millis,
+    ) -> Decision {
         let member = self.gossip.membership().get(peer);
-        Effect::Log(Decision {
+        Decision {
             reason,
             flow: Some(*flow),
             peer: Some(peer),
@@ -194,22 +205,16 @@
             phase: member.map(|m| m.fact.phase),
             evidence: None,
             trial: None,
-        })
+        }
     }
 
     /// Returns the log entry of the reset of a flow whose owner reported the end of its backend server.
     fn reported_end_decision(&self, flow: &Flow, owner: (Ipv4Addr, BootId), now: Millis) -> Effect {
         let member = self.gossip.membership().get(owner.0);
-        Effect::Log(Decision {
-            reason: Reason::BackendOver,
-            flow: Some(*flow),
-            peer: Some(owner.0),
-            version: self.table.version,
-            age: member.map_or(Millis(0), |m| now.since(m.last_fact)),
-            phase: member.map(|m| m.fact.phase),
-            evidence: member.and_then(|m| m.end_evidence(owner.1)),
-            trial: None,
-        })
+        let age = member.map_or(Millis(0), |m| now.since(m.last_fact));
+        let mut decision = self.peer_end_decision(Reason::BackendOver, flow, owner.0, age);
+        decision.evidence = member.and_then(|m| m.end_evidence(owner.1));
+        Effect::Log(decision)
     }
 
     /// Records that another agent denies a searched flow.
--- a/buckthornlink-core/src/datagram/agent/tries.rs
+++ b/buckthornlink-core/src/datagram/agent/tries.rs
@@ -7,8 +7,12 @@
 use std::net::Ipv4Addr;
 
 use super::Agent;
+use super::established::reset;
 use super::trial::{BOUNCE_TIMEOUT, MAX_TRIES, TRY_RETENTION};
-use crate::datagram::{Effect, Flow, FlowState, Mode, Ownership, Packet, Reason, RelayTag, Try};
+use crate::datagram::{
+    Effect, Evidence, Flow, FlowState, Mode, Ownership, Packet, Reason, RelayTag, Try,
+};
+use crate::id::BootId;
 use crate::time::Millis;
 
 /// Time after which a packet is no longer held, as its caller may have given up.
@@ -112,6 +116,8 @@
     }
 
     /// Handles a packet that came back from a failed try of `from`, and has it tried by another agent.
+    ///
+    /// If `from` owned the flow and knows its backend server by a later boot since, the flow has ended with an earlier one.
     pub(super) fn handle_failed_try(
         &mut self,
         from: Ipv4Addr,
@@ -120,11 +126,30 @@
         out: &mut Vec<Effect>,
     ) {
         let mode = packet.tag.mode;
-        self.flows
+        let owner = self
+            .flows
             .update(&packet.flow, |s| s.record_failed_try(from, mode, now));
+        if owner.is_some_and(|boot| self.has_renamed(from, boot)) {
+            out.push(self.returned_decision(&packet.flow, from));
+            out.push(reset(packet));
+            return;
+        }
         self.continue_search(from, packet, now, out);
     }
 
+    /// Whether an agent knows its backend server by a later boot than this one.
+    fn has_renamed(&self, agent: Ipv4Addr, boot: BootId) -> bool {
+        let member = self.gossip.membership().get(agent);
+        member.is_some_and(|m| m.has_renamed(boot))
+    }
+
+    /// Returns the log entry of the reset of a flow whose owner returned a packet of it.
+    fn returned_decision(&self, flow: &Flow, owner: Ipv4Addr) -> Effect {
+        let mut decision = self.peer_end_decision(Reason::BackendOver, flow, owner, Millis(0));
+        decision.evidence = Some(Evidence::Bounced);
+        Effect::Log(decision)
+    }
+
     /// Records that `from` delivered a packet of a flow that others search for, on somebody's word, and has no answer.
     pub(super) fn handle_pending_try(&mut self, from: Ipv4Addr, flow: &Flow, now: Millis) {
         let is_searched = |s: &FlowState| s.last_search.is_some();
@@ -185,9 +210,16 @@
 
 impl FlowState {
     /// Records that the backend server beside `agent` returned a packet, whoever had it tried; with
-    /// [`Mode::Exhausted`], that it was given as many packets as are allowed.
-    pub(super) fn record_failed_try(&mut self, agent: Ipv4Addr, mode: Mode, now: Millis) {
-        if self.remote_owner().is_some_and(|(ip, _)| ip == agent) {
+    /// [`Mode::Exhausted`], that it was given as many packets as are allowed. Returns the boot at which `agent` was known to own the flow,
+    /// if it was.
+    pub(super) fn record_failed_try(
+        &mut self,
+        agent: Ipv4Addr,
+        mode: Mode,
+        now: Millis,
+    ) -> Option<BootId> {
+        let owner = self.remote_owner().filter(|(ip, _)| *ip == agent);
+        if owner.is_some() {
             self.ownership = Ownership::Remote { owner: None };
         }
         self.record_pending_try(agent, now);
@@ -198,6 +230,7 @@
         for failed in self.tries.iter_mut().filter(|t| t.agent == agent) {
             failed.has_failed = true;
         }
+        owner.map(|(_, boot)| boot)
     }
 
     /// Records that the backend server beside `agent` was given a packet, unless that is known.
--- a/buckthornlink-core/tests/datagram_beliefs_records.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_records.rs
@@ -5,12 +5,12 @@
 use std::net::Ipv4Addr;
 
 use buckthornlink_core::datagram::{
-    Effect, Event, Fact, Load, Message, Mode, OwnerRecord, Phase, Reducer,
+    Effect, Event, Fact, Load, Message, Mode, OwnerRecord, Phase, Reducer, RelayTag, Source,
 };
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{
-    AgentDriver, BalancerDriver, OWN, PEER, data, fact, flow, is_reset, service, status,
+    AgentDriver, BALANCER, BalancerDriver, OWN, PEER, data, fact, flow, is_reset, service, status,
 };
 
 /// Boots of the backend server beside [`PEER`], in their order.
@@ -147,3 +147,26 @@
     let next = home.packet_from_peer(data(1), Mode::Lookup);
     assert!(is_relayed(&next), "{next:?}");
 }
+
+/// Guards against callers of dead flows that wait for a search of all agents: the owner, which knows its backend server by a later boot
+/// and has not seen the end of the one before, returned the packet.
+#[test]
+fn a_packet_that_the_owner_returns_ends_a_flow_of_an_earlier_boot() {
+    for (recorded, is_ended) in [(OLD, true), (NEW, false)] {
+        let mut home = AgentDriver::ready();
+        home.message(status(Fact {
+            holds_earlier: true,
+            ..new_boot()
+        }));
+        home.message(record(recorded));
+        let next = home.packet_from_peer(data(1), Mode::Lookup);
+        assert!(is_relayed(&next), "{next:?}");
+        let mut returned = data(1);
+        returned.tag = RelayTag::new(Mode::Failed, BALANCER);
+        let effects = home.reduce(Event::Packet {
+            source: Source::Peer(PEER),
+            packet: returned,
+        });
+        assert_eq!(effects.iter().any(is_reset), is_ended, "{effects:?}");
+    }
+}
