fix(datagram): admit for both boots while either may run

A backend server that has just returned would get new flows at the rate of the boot before, also while it is cold or already leaves, or runs for another service.

Cause: while the agent takes the boot before for the running one, the heartbeats of the next one were acknowledged and otherwise ignored, though new flows reach whichever runs.

Change: until the known boot is heard again, what admits fewer new flows counts: the other heartbeat's cold start, its draining, or its service.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -392,11 +392,23 @@
             BackendState::Ready if self.is_exiting() => Phase::Draining,
             BackendState::Ready if self.doubt.is_some() => Phase::Silent,
             BackendState::Ready if self.signs.is_refused() => Phase::Silent,
-            BackendState::Ready if now < self.cold_until => Phase::Cold,
-            BackendState::Ready => Phase::Ready,
+            BackendState::Ready => self.ready_phase(now),
         }
     }
 
+    /// The phase by the last heartbeats of the current backend server and of another one that may have taken its place: what admits fewer
+    /// new flows.
+    fn ready_phase(&self, now: Millis) -> Phase {
+        let other = self.contender.as_ref();
+        let limited = other.and_then(|c| c.phase(self.last_heartbeat, self.service, now));
+        let own = if now < self.cold_until {
+            Phase::Cold
+        } else {
+            Phase::Ready
+        };
+        limited.unwrap_or(own)
+    }
+
     /// Records that this process was paused at `since` and runs again.
     pub(super) const fn record_pause(&mut self, since: Millis) {
         self.proof.record_pause(since);
@@ -447,7 +459,7 @@
         if heartbeat.born.is_none_or(|born| BootId(born) == self.boot) {
             return Heard::Stale;
         }
-        let Some(mut contender) = Contender::note(self.contender.as_ref(), heartbeat) else {
+        let Some(mut contender) = Contender::note(self.contender.as_ref(), heartbeat, now) else {
             return Heard::Stale;
         };
         let silence = now.since(self.last_heartbeat);
--- a/buckthornlink-core/tests/datagram/mod.rs
+++ b/buckthornlink-core/tests/datagram/mod.rs
@@ -307,6 +307,12 @@
         effects.into_iter().flatten().collect()
     }
 
+    /// The phase that the agent announces with its next tick.
+    pub fn phase_after_tick(&mut self) -> Phase {
+        self.advance(Millis(1));
+        self.phase()
+    }
+
     /// The phase that the agent announces.
     pub fn phase(&self) -> Phase {
         self.agent.gossip().own().phase
--- a/buckthornlink-core/tests/datagram_foreign_heartbeat.rs
+++ b/buckthornlink-core/tests/datagram_foreign_heartbeat.rs
@@ -174,3 +174,25 @@
     let admitted = agent.packet_from_peer(opening(2), Mode::Placed);
     assert!(matches!(admitted[..], [Effect::Deliver(_)]), "{admitted:?}");
 }
+
+/// Guards against more new flows at a backend server than it bears, or than its service may get, while its agent still takes the boot
+/// before for the running one: the flows reach whichever of both runs.
+#[test]
+fn a_possible_successor_limits_new_flows() {
+    let cold = BackendHeartbeat {
+        cold: Millis(2_000),
+        ..impostor(1)
+    };
+    let leaving = BackendHeartbeat {
+        draining: true,
+        ..impostor(1)
+    };
+    for (heartbeat, phase) in [(cold, Phase::Cold), (leaving, Phase::Draining)] {
+        let mut agent = connected();
+        agent.heartbeat(heartbeat);
+        assert_eq!(agent.phase_after_tick(), phase);
+        agent.run(Millis(1_000));
+        agent.heartbeat(datagram::heartbeat(3));
+        assert_eq!(agent.phase_after_tick(), Phase::Ready, "{phase:?}");
+    }
+}
