fix(datagram): believe records of an earlier name of the backend server

A flow was searched for at all agents although others knew its owner: the owner's next process heard another boot than the record names, and did not believe it.

Change: while an agent may hold flows of earlier names, a record with such a name counts; its backend server's answer decides.

--- a/buckthornlink-core/src/datagram/agent/records.rs
+++ b/buckthornlink-core/src/datagram/agent/records.rs
@@ -63,9 +63,10 @@
         let state = self.flows.get(&record.flow);
         let ownership = state.map(|s| s.ownership).unwrap_or_default();
         let boot = self.backend.boot();
-        let is_same_boot =
+        let is_of_present =
             [record.backend, boot].contains(&BootId::default()) || record.backend == boot;
-        let is_news = ownership == Ownership::Unknown && is_same_boot;
+        let may_be_held = is_of_present || self.holds_earlier && record.backend < boot;
+        let is_news = ownership == Ownership::Unknown && may_be_held;
         if !is_news || self.can_deny(&record.flow, now) {
             return;
         }
--- a/buckthornlink-core/tests/datagram_beliefs_records.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_records.rs
@@ -10,7 +10,8 @@
 use buckthornlink_core::{BootId, Millis};
 
 use datagram::{
-    AgentDriver, BALANCER, BalancerDriver, OWN, PEER, data, fact, flow, is_reset, service, status,
+    AgentDriver, BALANCER, BalancerDriver, OWN, PEER, data, fact, flow, heartbeat, is_reset,
+    service, status,
 };
 
 /// Boots of the backend server beside [`PEER`], in their order.
@@ -170,3 +171,16 @@
         assert_eq!(effects.iter().any(is_reset), is_ended, "{effects:?}");
     }
 }
+
+/// Guards against a flow that nobody finds, since an agent that has just started does not believe the record of its earlier process: that
+/// one knew the backend server by an earlier boot.
+#[test]
+fn an_agent_believes_that_it_owns_a_flow_by_an_earlier_name() {
+    let mut agent = AgentDriver::started_at_time(BootId(9_000));
+    agent.heartbeat(heartbeat(40));
+    let message = record_of(1, OWN);
+    agent.message(message);
+    let next = agent.packet_from_peer(data(1), Mode::Search);
+    let is_delivered = |e: &Effect| matches!(e, Effect::Deliver(_));
+    assert!(next.iter().any(is_delivered), "{next:?}");
+}
