fix(datagram): tell home agents of an end that is taken back

A living flow could be reset by its home agent on denials of an owner that took its backend server for ended, and took that back before it told any caller.

Change: an agent that takes an end back sends the owner records of the flows that it keeps at once. A record goes before denials.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -222,7 +222,7 @@
         }
         self.update_admission();
         if was_over && matches!(heard, Heard::Current | Heard::First) {
-            self.keep_ended_flows();
+            self.keep_ended_flows(now, out);
         }
         match heard {
             Heard::Stale | Heard::Contender | Heard::Current => {}
@@ -299,7 +299,7 @@
     /// Records a packet of the backend server; one that was taken for ended keeps its flows.
     fn record_backend_life(&mut self, is_bounced: bool, now: Millis, out: &mut Vec<Effect>) {
         if self.backend.record_packet(is_bounced, now) {
-            self.keep_ended_flows();
+            self.keep_ended_flows(now, out);
             self.update_own_fact(now, out);
         }
     }
--- a/buckthornlink-core/src/datagram/agent/ended.rs
+++ b/buckthornlink-core/src/datagram/agent/ended.rs
@@ -34,11 +34,14 @@
         self.ended_flows.evidence = Some(evidence);
     }
 
-    /// Keeps the flows whose callers are yet to be told of an end that was taken back.
-    pub(super) fn keep_ended_flows(&mut self) {
+    /// Keeps the flows whose callers are yet to be told of an end that was taken back. Their home agents, which others may have told
+    /// meanwhile that they are not held here, are told so at once.
+    pub(super) fn keep_ended_flows(&mut self, now: Millis, out: &mut Vec<Effect>) {
         for flow in std::mem::take(&mut self.ended_flows.flows) {
             self.flows.update(&flow, FlowState::revert_end);
         }
+        self.flows.renew_records();
+        self.send_due_records(now, out);
     }
 
     /// What showed that the backend server of ended flows has ended, and how long ago.
--- a/buckthornlink-core/tests/datagram_beliefs_records.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_records.rs
@@ -184,3 +184,33 @@
     let is_delivered = |e: &Effect| matches!(e, Effect::Deliver(_));
     assert!(next.iter().any(is_delivered), "{next:?}");
 }
+
+/// Guards against the reset of a flow by denials of an agent that took its backend server for ended, and takes that back: it says so before
+/// others can have acted on it.
+#[test]
+fn an_end_that_is_taken_back_is_followed_by_records_of_the_flows() {
+    let mut agent = AgentDriver::ready();
+    agent.add_agent(PEER, service());
+    agent.open_flow(1);
+    agent.run(Millis(400));
+    agent.end_backend();
+    let denied = agent.packet_from_peer(data(1), Mode::Search);
+    let is_denied = |e: &Effect| is_reset(e) || matches!(e, Effect::Send { .. });
+    assert!(denied.iter().any(is_denied), "{denied:?}");
+    let mut agent = AgentDriver::ready();
+    agent.add_agent(PEER, service());
+    agent.open_flow(1);
+    agent.run(Millis(400));
+    agent.end_backend();
+    let kept = agent.heartbeat(heartbeat(2));
+    let is_record = |e: &Effect| {
+        matches!(
+            e,
+            Effect::Send {
+                to: PEER,
+                message: Message::OwnerRecords(_)
+            }
+        )
+    };
+    assert!(kept.iter().any(is_record), "{kept:?}");
+}
