fix(datagram): enforce any rate of a cold start

Cause: an agent remembered its last 255 admissions and compared their number with the rate, so that a rate of 254 and more was never reached.

Change: admissions are counted in groups of 10 ms, at most 101 of them.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -425,13 +425,12 @@
         self.admissions.are_counted(self.start, now) && self.recent_admissions(now) < limit
     }
 
-    /// Flows admitted within the last second, at most 255.
+    /// Flows admitted within the last second.
     pub fn recent_admissions(&mut self, now: Millis) -> usize {
         self.admissions.recent(now)
     }
 
-    /// Records the admission of a flow. Only the last 255 are kept, so that
-    /// [`Backend::has_cold_capacity`] does not enforce a higher limit.
+    /// Records the admission of a flow.
     pub fn record_admission(&mut self, now: Millis) {
         self.admissions.record(now);
     }
--- a/buckthornlink-core/src/datagram/backend/admissions.rs
+++ b/buckthornlink-core/src/datagram/backend/admissions.rs
@@ -7,19 +7,27 @@
 
 /// Window over which admissions are counted.
 const WINDOW: Millis = Millis(1_000);
-/// Maximum number of admissions that are kept.
-const MAX_ADMISSIONS: usize = 255;
+/// Time within which admissions are counted together, so that their number is not bounded by memory.
+const GROUP_TIME: Millis = Millis(10);
 
 /// The admissions of one process.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Admissions {
-    times: VecDeque<Millis>,
+    groups: VecDeque<Group>,
     /// Since when this process has counted; before, another process may have admitted flows.
     counted_since: Millis,
     /// Whether the machine has booted since an earlier process ran there.
     has_machine_booted: bool,
 }
 
+/// Admissions within [`GROUP_TIME`], which count up to the end of the window after the last one.
+#[derive(Clone, Copy, Debug)]
+struct Group {
+    first: Millis,
+    last: Millis,
+    count: usize,
+}
+
 impl Admissions {
     /// The admissions of a process that starts now.
     pub(super) fn new(now: Millis) -> Self {
@@ -42,17 +50,24 @@
 
     /// Number of those of the last second.
     pub(super) fn recent(&mut self, now: Millis) -> usize {
-        let is_old = |at: &Millis| now.since(*at) > WINDOW;
-        while self.times.front().is_some_and(is_old) {
-            self.times.pop_front();
+        let is_old = |group: &Group| now.since(group.last) > WINDOW;
+        while self.groups.front().is_some_and(is_old) {
+            self.groups.pop_front();
         }
-        self.times.len()
+        self.groups.iter().map(|group| group.count).sum()
     }
 
     pub(super) fn record(&mut self, now: Millis) {
-        self.times.push_back(now);
-        while self.times.len() > MAX_ADMISSIONS {
-            self.times.pop_front();
+        let last = self.groups.back_mut();
+        if let Some(group) = last.filter(|group| now.since(group.first) < GROUP_TIME) {
+            group.last = now;
+            group.count += 1;
+        } else {
+            self.groups.push_back(Group {
+                first: now,
+                last: now,
+                count: 1,
+            });
         }
     }
 }
--- a/buckthornlink-core/tests/datagram_cold.rs
+++ b/buckthornlink-core/tests/datagram_cold.rs
@@ -2,10 +2,12 @@
 
 mod datagram;
 
+use std::sync::Arc;
+
 use buckthornlink_core::datagram::{BackendHeartbeat, Effect, Event, FlowDigest, Mode, SavedFlow};
 use buckthornlink_core::{BootId, Millis};
 
-use datagram::{AgentDriver, flow, heartbeat, opening};
+use datagram::{AgentDriver, flow, heartbeat, opening, syn_ack, table};
 
 /// New flows in a second that the configuration of the test drivers allows a cold backend server: its
 /// rate and a burst of two.
@@ -113,3 +115,29 @@
     let end = agent.now + STEP;
     assert_eq!(offer_until(&mut agent, end).len(), 1);
 }
+
+/// Guards against a cold backend server whose rate is not enforced, since it is higher than the number of admissions that are remembered.
+#[test]
+fn a_high_rate_of_a_cold_start_is_enforced() {
+    const RATE: u32 = 260;
+    let mut agent = AgentDriver::ready();
+    let mut table = table(2);
+    for limits in table.services.values_mut() {
+        limits.cold_rate = RATE * 1_000;
+        limits.connections = 0;
+    }
+    agent.reduce(Event::Table(Arc::new(table)));
+    agent.run(Millis(1_200));
+    agent.heartbeat(cold(2));
+    let start = agent.now;
+    let mut delivered = Vec::new();
+    for port in 1..=1_600 {
+        agent.now = start + Millis(u64::from(port) * 5 / 8);
+        let effects = agent.packet_from_peer(opening(port), Mode::Placed);
+        let is_delivered = effects.iter().any(|e| matches!(e, Effect::Deliver(_)));
+        delivered.extend(is_delivered.then_some(agent.now));
+        agent.packet_from_backend(syn_ack(port, 500));
+    }
+    let limit = usize::try_from(RATE).unwrap() + 2;
+    assert_eq!(most_in_a_second(&delivered), limit);
+}
