fix(datagram): take a zone that returns for cold until it is heard

Cause: an agent decided by its last heartbeat, which was up to 1.6 intervals older than the return and did not say that the backend server had become cold just before.

Change: from the return of its zone up to the next heartbeat, an agent admits at the rate of a cold start. Without such a rate nothing changes.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -410,6 +410,7 @@
             self.flows.exclude_absence(absence, now);
             self.backend.record_pause(now.since(absence));
         }
+        let was_zone_out = self.is_zone_out();
         match event {
             Event::Packet { source, packet } => self.handle_packet(source, &packet, now, out),
             Event::Message { from, message } => self.handle_message(from, message, now, out),
@@ -429,6 +430,10 @@
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
         }
+        if was_zone_out && !self.is_zone_out() {
+            self.backend.record_zone_return();
+            self.update_own_fact(now, out);
+        }
         self.advance_admission(now, out);
     }
 
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -107,6 +107,8 @@
     contender: Option<Contender>,
     last_heartbeat: Millis,
     cold_until: Millis,
+    /// Whether the zone has returned to service since the last heartbeat, so that the backend server may have become cold.
+    has_returned: bool,
     slots: u16,
     start: Start,
     /// When this process started, by the clock that its backend server uses as well.
@@ -218,6 +220,7 @@
         self.doubt = None;
         self.slots = heartbeat.slots;
         self.cold_until = now + heartbeat.cold;
+        self.has_returned = false;
         self.state = if heartbeat.draining || self.state == BackendState::Draining {
             BackendState::Draining
         } else {
@@ -401,7 +404,7 @@
     fn ready_phase(&self, now: Millis) -> Phase {
         let other = self.contender.as_ref();
         let limited = other.and_then(|c| c.phase(self.last_heartbeat, self.service, now));
-        let own = if now < self.cold_until {
+        let own = if now < self.cold_until || self.has_returned {
             Phase::Cold
         } else {
             Phase::Ready
@@ -409,6 +412,11 @@
         limited.unwrap_or(own)
     }
 
+    /// Records that the zone has returned to service. While it got no flows, the backend server may have become cold.
+    pub const fn record_zone_return(&mut self) {
+        self.has_returned = true;
+    }
+
     /// Records that this process was paused at `since` and runs again.
     pub(super) const fn record_pause(&mut self, since: Millis) {
         self.proof.record_pause(since);
--- a/buckthornlink-core/tests/datagram_cold.rs
+++ b/buckthornlink-core/tests/datagram_cold.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use buckthornlink_core::datagram::{BackendHeartbeat, Effect, Event, FlowDigest, Mode, SavedFlow};
-use buckthornlink_core::{BootId, Millis};
+use buckthornlink_core::member::{ZoneRecord, ZoneSeq};
+use buckthornlink_core::{BootId, Millis, ZoneTag};
 
 use datagram::{AgentDriver, flow, heartbeat, opening, syn_ack, table};
 
@@ -141,3 +142,34 @@
     let limit = usize::try_from(RATE).unwrap() + 2;
     assert_eq!(most_in_a_second(&delivered), limit);
 }
+
+fn zone_record(number: u64, out: bool) -> Event {
+    let seq = ZoneSeq { epoch: 1, number };
+    let zone = ZoneTag::of("a");
+    Event::Zone(ZoneRecord { zone, seq, out })
+}
+
+/// Guards against a backend server that gets more than its rate, as it became cold shortly before its zone returned to service and has
+/// yet to say so.
+#[test]
+fn a_zone_that_returns_is_cold_until_its_backend_servers_are_heard() {
+    let mut agent = AgentDriver::ready();
+    agent.run(Millis(1_200));
+    agent.reduce(zone_record(1, true));
+    agent.heartbeat(heartbeat(2));
+    agent.run(Millis(600));
+    agent.reduce(zone_record(2, false));
+    let mut delivered = 0;
+    for port in 1..100 {
+        let effects = agent.packet_from_peer(opening(port), Mode::Placed);
+        delivered += effects
+            .iter()
+            .filter(|e| matches!(e, Effect::Deliver(_)))
+            .count();
+        agent.packet_from_backend(syn_ack(port, 500));
+    }
+    assert_eq!(delivered, LIMIT);
+    agent.heartbeat(heartbeat(3));
+    let effects = agent.packet_from_peer(opening(100), Mode::Placed);
+    assert!(matches!(effects[..], [Effect::Deliver(_)]), "{effects:?}");
+}
