--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -2,18 +2,16 @@
 
 mod admissions;
 mod contender;
+mod heartbeat;
 mod proof;
 mod signs;
 
-use std::net::SocketAddrV4;
-
-use serde::{Deserialize, Serialize};
-
 use super::{Evidence, Phase, ServiceTag};
 use crate::id::BootId;
 use crate::time::Millis;
 use admissions::Admissions;
 use contender::Contender;
+pub use heartbeat::{BackendHeartbeat, Heard};
 use proof::Proof;
 pub use signs::Connection;
 use signs::{Duty, Signs};
@@ -27,34 +25,10 @@
 /// first may have a predecessor that admitted flows.
 const FIRST_SEQ: u64 = 1;
 
-/// Highest sequence number by which a boot is heard that started beside this process.
-const MAX_START_SEQ: u64 = 3;
-
 /// Maximum time from the start of a backend server to that of this process at which no earlier process can have admitted a
 /// flow: it would have had to hear a heartbeat, open the flow and end, and this one to start.
 const JOINT_START_TIME: Millis = Millis(100);
 
-/// One heartbeat of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BackendHeartbeat {
-    /// Name of the backend server, as it reports itself.
-    pub id: String,
-    /// Start time of the backend server, in milliseconds of its wall clock.
-    pub born: Option<u64>,
-    /// Sequence number of the heartbeat within one boot.
-    pub seq: u64,
-    /// Service of the backend server.
-    pub service: ServiceTag,
-    /// Address at which the backend server receives packets.
-    pub address: SocketAddrV4,
-    /// Whether the backend server is leaving and accepts no new flows.
-    pub draining: bool,
-    /// Remaining time of the cold start.
-    pub cold: Millis,
-    /// Requests that the backend server processes concurrently.
-    pub slots: u16,
-}
-
 /// State of a backend server by its heartbeats, apart from silence, cold start and its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackendState {
@@ -122,31 +96,6 @@
     admissions: Admissions,
 }
 
-/// What became of a heartbeat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// It was older than the known state.
-    Stale,
-    /// It comes from another backend server than the current one, which is not known to have ended.
-    Contender,
-    /// It was the current boot's.
-    Current,
-    /// It is the first one that this process hears.
-    First,
-    /// It began another boot. The one before has ended, and with it the flows that opened before this time.
-    Successor(Millis),
-    /// It names another boot, to which the flows seen so far may belong: the end of the one before was not observed.
-    Corrected,
-}
-
-impl BackendHeartbeat {
-    /// Whether it is one of the heartbeats with which a backend server starts, of which some may be lost.
-    #[must_use]
-    pub const fn is_start(&self) -> bool {
-        self.seq <= MAX_START_SEQ
-    }
-}
-
 impl Backend {
     /// A backend server of which a process that starts now, with this boot id, knows nothing. Its heartbeats are due at
     /// `interval`.
--- a/buckthornlink-core/tests/datagram_refused.rs
+++ b/buckthornlink-core/tests/datagram_refused.rs
@@ -7,7 +7,7 @@
 
 use datagram::{
     AgentDriver, OWN, TICK_INTERVAL, answer, bounced, data, draining, heartbeat, is_reset, opening,
-    service, setup,
+    service, setup, syn_ack,
 };
 
 const HEARTBEAT_INTERVAL: Millis = Millis(1_200);
@@ -340,3 +340,18 @@
     assert!(!effects.iter().any(is_reset), "{effects:?}");
     assert_ne!(agent.phase(), Phase::Over);
 }
+
+/// Guards against the end of a boot that has begun and does not listen yet, by a packet that was refused before: what it sends since shows
+/// that it runs.
+#[test]
+fn a_refused_packet_shows_no_end_of_a_boot_that_has_answered_since() {
+    let mut agent = AgentDriver::ready();
+    agent.packet_from_peer(opening(1), Mode::Placed);
+    agent.reduce(Event::DeliveryRefused);
+    agent.packet_from_backend(syn_ack(1, 500));
+    agent.packet_from_peer(data(1), Mode::Placed);
+    let mut effects = agent.reduce(Event::BackendConnection(Connection::Refused));
+    effects.extend(agent.run(Millis(600)));
+    assert_ne!(agent.phase(), Phase::Over);
+    assert!(!effects.iter().any(is_reset), "{effects:?}");
+}
