fix(datagram): pass on a record with the boot that it names

An agent that believes a record of an earlier name passed it on under the present name of its backend server. The flow's home agent would then have searched for a dead flow in place of resetting it when its packet comes back.

Change: a recorded flow keeps the boot of its record until the backend server answers. Evidence: an_agent_believes_that_it_owns_a_flow_by_an_earlier_name asks for the boot too.

--- a/buckthornlink-core/src/datagram/agent/established.rs
+++ b/buckthornlink-core/src/datagram/agent/established.rs
@@ -40,7 +40,7 @@
                 self.deliver(from, packet, now, out);
             }
             Ownership::Trial { .. } => self.repeat_trial(from, packet, now, out),
-            Ownership::Recorded if !self.can_deny(&packet.flow, now) => {
+            Ownership::Recorded { .. } if !self.can_deny(&packet.flow, now) => {
                 self.try_recorded(from, packet, now, out);
             }
             Ownership::Unknown
--- a/buckthornlink-core/src/datagram/agent/records.rs
+++ b/buckthornlink-core/src/datagram/agent/records.rs
@@ -71,7 +71,9 @@
             return;
         }
         self.flows.update(&record.flow, |s| {
-            s.ownership = Ownership::Recorded;
+            s.ownership = Ownership::Recorded {
+                backend: record.backend,
+            };
             s.opened_at = now;
             s.last_seen = now;
         });
@@ -108,11 +110,17 @@
         )
     }
 
+    /// The owner record of a flow of this agent. What others have recorded, and this process has not seen, keeps the boot that they named.
     pub(super) fn owner_record(&self, flow: &Flow) -> OwnerRecord {
+        let ownership = self.flows.get(flow).map(|s| s.ownership);
+        let backend = match ownership {
+            Some(Ownership::Recorded { backend }) if backend != BootId::default() => backend,
+            _ => self.backend.boot(),
+        };
         OwnerRecord {
             flow: *flow,
             owner: self.gossip.own().ip,
-            backend: self.backend.boot(),
+            backend,
         }
     }
 }
--- a/buckthornlink-core/src/datagram/agent/saved_flows.rs
+++ b/buckthornlink-core/src/datagram/agent/saved_flows.rs
@@ -115,7 +115,7 @@
         let state = self.flows.get(&saved.flow);
         match state.map(|s| s.ownership).unwrap_or_default() {
             Ownership::Open | Ownership::Remote { owner: Some(_) } => return,
-            Ownership::Trial { .. } | Ownership::Recorded => {
+            Ownership::Trial { .. } | Ownership::Recorded { .. } => {
                 self.flows.update(&saved.flow, |s| {
                     s.ownership = Ownership::Remote { owner: None };
                 });
@@ -245,7 +245,7 @@
         self.is_offered()
             || matches!(
                 self.ownership,
-                Ownership::Trial { .. } | Ownership::Recorded
+                Ownership::Trial { .. } | Ownership::Recorded { .. }
             )
     }
 }
--- a/buckthornlink-core/src/datagram/agent/search.rs
+++ b/buckthornlink-core/src/datagram/agent/search.rs
@@ -356,7 +356,7 @@
             Ownership::Unknown
                 | Ownership::Offered
                 | Ownership::HalfOpen { .. }
-                | Ownership::Recorded
+                | Ownership::Recorded { .. }
         );
         let is_unnamed = || self.is_saved_set_final() && !self.is_saved(flow);
         is_observed || self.backend.is_over() || self.knows_all_flows(now) || is_unnamed()
@@ -444,7 +444,7 @@
         matches!(
             self.ownership,
             Ownership::Open
-                | Ownership::Recorded
+                | Ownership::Recorded { .. }
                 | Ownership::Trial { .. }
                 | Ownership::Remote { owner: Some(_) }
         )
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -30,7 +30,10 @@
     /// The backend server holds the flow.
     Open,
     /// Others have a record that the backend server holds the flow; this process has not seen it yet.
-    Recorded,
+    Recorded {
+        /// The boot of the backend server that the record names.
+        backend: BootId,
+    },
     /// A packet was delivered to the backend server to find out whether it holds the flow.
     Trial {
         /// The home agent that asked for that. There is none if others know this agent as the owner.
@@ -52,7 +55,7 @@
         match self {
             Self::Open => Self::Ended,
             Self::Offered | Self::HalfOpen { .. } => Self::Remote { owner: None },
-            Self::Trial { .. } | Self::Recorded => Self::Unknown,
+            Self::Trial { .. } | Self::Recorded { .. } => Self::Unknown,
             Self::Unknown | Self::Remote { .. } | Self::Ended => self,
         }
     }
@@ -270,7 +273,8 @@
     pub fn iter_located(&self) -> impl Iterator<Item = (&Flow, &FlowState)> {
         let located = self.states.iter();
         located.filter(|(_, s)| {
-            s.is_established() || s.remote_owner().is_some() || s.ownership == Ownership::Recorded
+            let is_recorded = matches!(s.ownership, Ownership::Recorded { .. });
+            s.is_established() || s.remote_owner().is_some() || is_recorded
         })
     }
 
--- a/buckthornlink-core/tests/datagram_beliefs_records.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_records.rs
@@ -178,8 +178,18 @@
 fn an_agent_believes_that_it_owns_a_flow_by_an_earlier_name() {
     let mut agent = AgentDriver::started_at_time(BootId(9_000));
     agent.heartbeat(heartbeat(40));
-    let message = record_of(1, OWN);
-    agent.message(message);
+    agent.add_agent(PEER, service());
+    agent.message(record_of(1, OWN));
+    let named = |e: &Effect| match e {
+        Effect::Send {
+            message: Message::OwnerRecords(records),
+            ..
+        } => records.first().map(|r| r.backend),
+        _ => None,
+    };
+    let effects = agent.run(Millis(400));
+    let boots: Vec<BootId> = effects.iter().filter_map(named).collect();
+    assert_eq!(boots, [NEW], "the record keeps its boot");
     let next = agent.packet_from_peer(data(1), Mode::Search);
     let is_delivered = |e: &Effect| matches!(e, Effect::Deliver(_));
     assert!(next.iter().any(is_delivered), "{next:?}");
