--- a/buckthornlink-core/tests/datagram_beliefs_heartbeats.rs
+++ b/buckthornlink-core/tests/datagram_beliefs_heartbeats.rs
@@ -141,3 +141,36 @@
     joint.heartbeat(heartbeat_of("i-1", 9_010, 2));
     assert!(!joint.agent.gossip().own().holds_earlier);
 }
+
+/// Guards against the reset of flows of the next boot after a pause of the agent, in which its backend server crashed and returned: it learns
+/// of the closed connection late, and a heartbeat of the boot before waited in a socket.
+#[test]
+fn flows_of_a_boot_that_began_during_a_pause_are_kept() {
+    for is_late_heartbeat_first in [false, true] {
+        let mut agent = AgentDriver::ready();
+        agent.reduce(Event::BackendConnection(Connection::Accepted));
+        agent.run(Millis(1_200));
+        agent.heartbeat(heartbeat(2));
+        agent.run(TICK);
+        agent.now = agent.now + Millis(4_000);
+        let late = |agent: &mut AgentDriver| agent.heartbeat(heartbeat(3));
+        if is_late_heartbeat_first {
+            late(&mut agent);
+        }
+        agent.open_flow(1);
+        agent.reduce(Event::BackendConnection(Connection::Closed));
+        agent.reduce(Event::BackendConnection(Connection::Accepted));
+        if !is_late_heartbeat_first {
+            late(&mut agent);
+        }
+        for seq in 1..6 {
+            agent.heartbeat(heartbeat_of("i-2", 9_000, seq));
+            assert!(!is_told(&mut agent, 1), "{is_late_heartbeat_first}, {seq}");
+            agent.run(Millis(800));
+        }
+        let own = agent.agent.gossip().own();
+        assert!(own.holds_earlier && own.phase == Phase::Ready, "{own:?}");
+        let next = agent.packet_from_peer(data(1), Mode::Known);
+        assert!(matches!(next[..], [Effect::Deliver(_)]), "{next:?}");
+    }
+}
