--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -3,7 +3,7 @@
 mod admissions;
 mod contender;
 mod heartbeat;
-mod proof;
+mod liveness;
 mod signs;
 
 use super::{Evidence, Phase, ServiceTag};
@@ -12,7 +12,7 @@
 use admissions::Admissions;
 use contender::Contender;
 pub use heartbeat::{BackendHeartbeat, Heard};
-use proof::Proof;
+use liveness::Liveness;
 pub use signs::Connection;
 use signs::{Duty, Signs};
 
@@ -90,7 +90,7 @@
     /// Whether it answered a packet before its first heartbeat, and so held flows then.
     has_served: bool,
     /// Up to when the boot is known to have run.
-    proof: Proof,
+    liveness: Liveness,
     /// Interval at which heartbeats are due.
     interval: Millis,
     admissions: Admissions,
@@ -142,14 +142,14 @@
         let is_current = boot <= self.boot;
         let is_first = self.boot == BootId::default();
         let was_connected = self.is_connected();
-        let proven_until = self.proof.until();
+        let proven_until = self.liveness.until();
         if is_current {
-            self.proof.record_heartbeat(self.last_heartbeat);
+            self.liveness.record_heartbeat(self.last_heartbeat);
         } else {
             self.start_boot(heartbeat, boot);
         }
         if is_first {
-            self.proof.begin(now);
+            self.liveness.begin(now);
         }
         // Of a boot that did not start now, the flows seen so far may be its own.
         let is_start = heartbeat.is_start() && self.is_tracked();
@@ -208,7 +208,7 @@
 
     /// Records a packet that the backend server sent on a flow which has been open since this time.
     pub fn record_flow_packet(&mut self, opened_at: Millis, now: Millis) {
-        self.proof.record_packet(opened_at, now);
+        self.liveness.record_packet(opened_at, now);
     }
 
     /// Whether it announced its end after its last heartbeat.
@@ -234,8 +234,8 @@
         let was_connected = self.signs.is_connected();
         self.signs.record_connection(connection, now);
         match connection {
-            Connection::Accepted => self.proof.record_accepted(now),
-            Connection::Closed if was_connected => self.proof.record_closed(now),
+            Connection::Accepted => self.liveness.record_accepted(now),
+            Connection::Closed if was_connected => self.liveness.record_closed(now),
             Connection::Closed | Connection::Refused => {}
         }
         if connection == Connection::Refused {
@@ -329,7 +329,7 @@
     /// the next boot, of which nothing is known yet.
     #[must_use]
     pub const fn is_proven_at(&self, opened_at: Millis) -> bool {
-        opened_at.0 <= self.proof.until().0
+        opened_at.0 <= self.liveness.until().0
     }
 
     /// The phase that the agent reports.
@@ -368,7 +368,7 @@
 
     /// Records that this process was paused at `since` and runs again.
     pub(super) const fn record_pause(&mut self, since: Millis) {
-        self.proof.record_pause(since);
+        self.liveness.record_pause(since);
     }
 
     /// Records that the machine has booted since an earlier process ran there.
--- a/buckthornlink-core/src/datagram/backend/proof.rs
+++ b/buckthornlink-core/src/datagram/backend/liveness.rs
@@ -7,7 +7,7 @@
 
 /// What shows that the known boot has run, and until when.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Proof {
+pub(super) struct Liveness {
     until: Millis,
     /// When the present connection was accepted, by the boot that ran then.
     accepted_at: Option<Millis>,
@@ -15,7 +15,7 @@
     paused_at: Option<Millis>,
 }
 
-impl Proof {
+impl Liveness {
     /// Up to when the known boot has run for certain.
     pub(super) const fn until(&self) -> Millis {
         self.until
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -224,8 +224,12 @@
 
     /// Has the home agents of all open flows told of them once more; returns whether there are any.
     pub fn renew_records(&mut self) -> bool {
-        let open = self.states.values_mut().filter(|s| s.is_established());
-        open.map(|s| s.recorded_home = None).count() > 0
+        let mut has_open = false;
+        for state in self.states.values_mut().filter(|s| s.is_established()) {
+            state.recorded_home = None;
+            has_open = true;
+        }
+        has_open
     }
 
     /// Leaves a time in which this process was away, which ends now, out of the time without packets.
