--- a/review/stand-3/consumer.rs
+++ b/review/stand-3/consumer.rs
@@ -43,6 +43,7 @@
 /// One thing that a consumer saw.
 #[derive(Clone, Debug)]
 pub struct Event {
+    pub at_ms: u64,
     pub caller: SocketAddrV4,
     pub route: SocketAddrV4,
     pub seen: Seen,
@@ -345,6 +346,7 @@
         self.record
             .line(&format!("consumer {caller} on {route}: {seen:?}"));
         events.push(Event {
+            at_ms: self.record.now(),
             caller,
             route,
             seen,
