--- a/review/stand-3/cases/late.rs
+++ b/review/stand-3/cases/late.rs
@@ -79,7 +79,8 @@
         fleet.kill(&reused);
         load.run(Duration::from_millis(150));
         fleet.start_process(&reused)?;
-        load.run(Duration::from_millis(250));
+        load.run(Duration::from_millis(100));
+        fleet.wait_ready(&[&reused], Duration::from_millis(500));
         let status = call(
             reused.identity("").control,
             "PUT",
--- a/review/stand-3/cases/young.rs
+++ b/review/stand-3/cases/young.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use crate::Outcome;
-use crate::backend::Backend;
+use crate::backend::{Backend, HEARTBEAT};
 use crate::consumer::{Consumer, Seen};
 use crate::fleet::{DATA_PORT, Fleet, Machine};
+use crate::http::call;
 use crate::record::Record;
 
 /// What makes the next process believe that the backend server began together with it.
@@ -17,6 +18,8 @@
     Clock,
     /// The backend server counts its heartbeats from zero.
     Seq,
+    /// The first heartbeat of the backend server is held up, and reaches the next process.
+    Held,
     /// Nothing: for comparison, the agent is killed only.
     Kill,
 }
@@ -68,13 +71,21 @@
     if variant == Variant::Seq {
         identity.first_seq = 0;
     }
+    if variant == Variant::Held {
+        // It got no answer to heartbeat 1, so that heartbeat 2 follows after an interval.
+        identity.first_seq = 2;
+        identity.first_beat_after = HEARTBEAT;
+    }
+    let first_beat_after = identity.first_beat_after;
+    let control = identity.control;
     let started = record.now();
     let backend = Backend::start(identity, record)?;
-    sleep(Duration::from_millis(100));
+    sleep(first_beat_after + Duration::from_millis(100));
     let kill_at = started
         + match variant {
             Variant::Clock => 1_500,
             Variant::Seq | Variant::Kill => 800,
+            Variant::Held => 2_000,
         };
     let mut flows = Vec::new();
     while record.now() < kill_at {
@@ -88,6 +99,20 @@
         sleep(Duration::from_millis(150));
         fleet.start_process(&young)?;
     }
+    if variant == Variant::Held && has_trouble {
+        fleet.wait_ready(&[&young], Duration::from_millis(500));
+        let path = format!("/v1/backends/{}", backend.identity.id);
+        let status = call(
+            control,
+            "PUT",
+            &path,
+            &backend.heartbeat(1),
+            Duration::from_secs(1),
+        );
+        record.line(&format!(
+            "heartbeat 1, which was held up, arrives: {status:?}"
+        ));
+    }
     let held: Vec<_> = flows
         .iter()
         .copied()
