fix(datagram): drop no record of the store that a process then believes to know

What callers would see: an old configuration, or a zone that is out, at a process that was busy when the store answered.

Cause: the task that reads the store dropped records while the input channel of the event loop was full, and then reported the answer, from which the age of what is known counts.

Change: records and answers wait for room in the channel, in order.

--- a/buckthornlink-datagram/src/reducer_handle.rs
+++ b/buckthornlink-datagram/src/reducer_handle.rs
@@ -60,6 +60,11 @@
         self.try_send(Event::BackendEnding(id))
     }
 
+    /// Sends an event once the channel has room, so that none of a series is missing when the last one is handled.
+    pub async fn deliver(&self, event: Event) {
+        let _ = self.sender.send_async(Input::Event(event)).await;
+    }
+
     /// Sends an event, which is dropped if the channel is full; important events are repeated.
     pub fn send(&self, event: Event) {
         if let Err(TrySendError::Full(_)) = self.sender.try_send(Input::Event(event)) {
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -61,7 +61,7 @@
             err = sync.watch_store(&mut backoff, watching.clone()) => err,
             () = watching_stopped(&mut watching) => continue,
         };
-        sync.report_unreachable(&err);
+        sync.report_unreachable(&err).await;
         tokio::select! {
             () = sleep(backoff.next_delay()) => {}
             () = watching_started(&mut watching) => {}
@@ -142,10 +142,14 @@
         loop {
             self.metrics.count_store_call(StoreCall::WatchRecords);
             match watch.next().await {
-                Ok(changes) => changes.iter().for_each(|change| self.report_change(change)),
+                Ok(changes) => {
+                    for change in &changes {
+                        self.report_change(change).await;
+                    }
+                }
                 Err(err) => return err,
             }
-            self.report_answer();
+            self.report_answer().await;
         }
     }
 
@@ -171,7 +175,7 @@
             let position = result?;
             self.has_read = true;
             backoff.reset();
-            self.report_answer();
+            self.report_answer().await;
             if is_watching {
                 return Ok(position);
             }
@@ -183,12 +187,13 @@
         self.metrics.count_store_call(StoreCall::ReadRecords);
         let (entries, position) = self.store.range(prefix, MAX_ENTRIES).await?;
         self.record_epoch(position.epoch);
-        let zones_out = entries.iter().filter_map(|e| self.report_record(e));
-        let snapshot = ZoneSnapshot {
-            zones_out: zones_out.collect(),
-            seq: self.zone_seq(position.revision),
-        };
-        self.handle.send(Event::Zones(snapshot));
+        let mut zones_out = Vec::new();
+        for entry in &entries {
+            zones_out.extend(self.report_record(entry).await);
+        }
+        let seq = self.zone_seq(position.revision);
+        let snapshot = ZoneSnapshot { zones_out, seq };
+        self.handle.deliver(Event::Zones(snapshot)).await;
         Ok(position)
     }
 
@@ -203,28 +208,29 @@
         self.metrics.set_store_epoch(epoch.0);
     }
 
-    fn report_change(&mut self, change: &Change) {
+    async fn report_change(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => {
-                if let Some(record) = self.report_record(entry) {
-                    self.handle.send(Event::Zone(record));
+                if let Some(record) = self.report_record(entry).await {
+                    self.handle.deliver(Event::Zone(record)).await;
                 }
             }
             Change::Delete { key, revision } => {
                 if let Some(zone) = self.adapter.zone_of(key) {
                     let seq = self.zone_seq(*revision);
                     let out = false;
-                    self.handle.send(Event::Zone(ZoneRecord { zone, seq, out }));
+                    let record = ZoneRecord { zone, seq, out };
+                    self.handle.deliver(Event::Zone(record)).await;
                 }
             }
         }
     }
 
     /// Reports a configuration; returns the record of a zone that is out of service.
-    fn report_record(&self, entry: &Entry) -> Option<ZoneRecord> {
+    async fn report_record(&self, entry: &Entry) -> Option<ZoneRecord> {
         match self.adapter.parse_record(&entry.key, &entry.value) {
             Some(Record::Config(table)) => {
-                self.handle.send(Event::Table(Arc::new(table)));
+                self.handle.deliver(Event::Table(Arc::new(table))).await;
                 None
             }
             Some(Record::ZoneOut(zone)) => Some(ZoneRecord {
@@ -252,21 +258,21 @@
     }
 
     /// Logs the first of a series of failures; `age_ms` is the time since the store last answered.
-    fn report_unreachable(&mut self, err: &StoreError) {
+    async fn report_unreachable(&mut self, err: &StoreError) {
         if !self.is_unreachable {
             self.is_unreachable = true;
             log::warn!(target: LOG_TARGET, err:% = err, age_ms = self.age_ms(); "store is lost");
         }
-        self.handle.send(Event::StoreReachable(false));
+        self.handle.deliver(Event::StoreReachable(false)).await;
     }
 
-    fn report_answer(&mut self) {
+    async fn report_answer(&mut self) {
         if self.is_unreachable {
             self.is_unreachable = false;
             log::info!(target: LOG_TARGET, age_ms = self.age_ms(); "store is regained");
         }
         self.last_answer = Instant::now();
-        self.handle.send(Event::StoreReachable(true));
+        self.handle.deliver(Event::StoreReachable(true)).await;
     }
 
     fn age_ms(&self) -> u64 {
