test(soak): lose instances while the configuration and zones change

--outages=changes: each group of outages (one, two, half or all but one of the instances are killed, paused or asked to terminate) meets a move of the route or a zone out of service within a second, and half of the callers open a flow for each request, which shows those that are behind.

--- a/buckthornlink-soak/src/cluster.rs
+++ b/buckthornlink-soak/src/cluster.rs
@@ -122,7 +122,11 @@
         for index in 0..callers {
             let (topology, ready_balancers) = (self.topology.clone(), ready_balancers.clone());
             let checker = self.checker.clone();
-            let flow_use = if self.scenario == Scenario::StoreDrills && index % 2 == 1 {
+            let shows_changes = matches!(
+                self.scenario,
+                Scenario::StoreDrills | Scenario::OutagesInChanges
+            );
+            let flow_use = if shows_changes && index % 2 == 1 {
                 FlowUse::OneRequest
             } else {
                 FlowUse::ManyRequests
@@ -227,6 +231,7 @@
                 let duration = entry.span * ZONE_OUT_DURATION_FACTOR;
                 self.take_zone_out(zone, duration).await;
             }
+            Fault::Change => self.change_after(entry).await,
             Fault::Silence => {
                 self.align_watches().await;
                 self.checker.record_store_disruption();
--- a/buckthornlink-soak/src/main.rs
+++ b/buckthornlink-soak/src/main.rs
@@ -94,7 +94,8 @@
     /// Runs rolls of several agents and balancers at once only.
     #[arg(long)]
     rolls: bool,
-    /// Runs outages of one or several instances only; with `=links`, of links that are cut in one direction as well.
+    /// Runs outages of one or several instances only; with `=links`, of links that are cut in one direction as well; with
+    /// `=changes`, beside changes of the configuration and of zones.
     #[arg(long, num_args = 0..=1, require_equals = true, default_missing_value = "processes")]
     outages: Option<Outages>,
     /// Runs a loss of all programs during a release or a scale-in, with or without all backend servers.
@@ -118,6 +119,8 @@
     Processes,
     /// Processes, or their links in one direction.
     Links,
+    /// Processes, while operators change the configuration and take zones out of service.
+    Changes,
 }
 
 impl ScenarioOptions {
@@ -125,6 +128,7 @@
         match (self.outages, self.planned_work) {
             (Some(Outages::Processes), _) => Scenario::Outages,
             (Some(Outages::Links), _) => Scenario::Cuts,
+            (Some(Outages::Changes), _) => Scenario::OutagesInChanges,
             (_, Some(PlannedWork::Alone)) => Scenario::PlannedWork,
             (_, Some(PlannedWork::ForeignHeartbeats)) => Scenario::ForeignHeartbeats,
             _ if self.store_drills => Scenario::StoreDrills,
--- a/buckthornlink-soak/src/plan.rs
+++ b/buckthornlink-soak/src/plan.rs
@@ -49,6 +49,8 @@
     Outages,
     /// The same with links of instances that are cut in one direction.
     Cuts,
+    /// Outages beside changes of the configuration and of zones, which begin at the same time.
+    OutagesInChanges,
     /// Planned work, beside heartbeats that agents get from other writers and backend servers that take seconds to exit.
     ForeignHeartbeats,
     /// A loss of all programs, with or without all backend servers, during a release or a scale-in.
@@ -122,6 +124,8 @@
     Move,
     /// A zone is taken out of service and returned to service later.
     ZoneOut,
+    /// The callers' route moves, or a zone goes out of service, within a second, and for long enough to be overdue.
+    Change,
     /// All connections to the store fall silent for good, while new ones work; the route moves or a
     /// zone goes out of service within a second.
     Silence,
@@ -290,6 +294,10 @@
             .collect(),
         Scenario::Outages => draw_outages(&OUTAGES, duration, shape, &mut rng),
         Scenario::Cuts => draw_outages(&CUTS, duration, shape, &mut rng),
+        Scenario::OutagesInChanges => {
+            let outages = draw_outages(&OUTAGES, duration, shape, &mut rng);
+            add_changes(outages, &mut rng)
+        }
         Scenario::Losses => losses::draw_loss(duration, shape, &mut rng),
         Scenario::ForeignHeartbeats => {
             let kinds = [Fault::ForeignHeartbeat];
@@ -337,6 +345,22 @@
     entries
 }
 
+/// Adds a change of the operators' records to each group of outages.
+fn add_changes(mut entries: Vec<Entry>, rng: &mut SmallRng) -> Vec<Entry> {
+    let mut times: Vec<Duration> = entries.iter().map(|e| e.at).collect();
+    times.sort_unstable();
+    times.dedup();
+    for at in times {
+        entries.push(Entry {
+            at,
+            span: Duration::from_millis(rng.random_range(FAULT_DURATION_MS)),
+            fault: Fault::Change,
+            target: rng.random_range(0..usize::from(u8::MAX)),
+        });
+    }
+    entries
+}
+
 /// Draws the instances of an outage: one, two, half or all but one of them.
 fn draw_group(instances: usize, rng: &mut SmallRng) -> Vec<usize> {
     let sizes = [1, 2, instances / 2, instances - 1];
--- a/buckthornlink-soak/src/seeds.rs
+++ b/buckthornlink-soak/src/seeds.rs
@@ -14,6 +14,8 @@
 const OUTAGES_MARK: &str = "outages";
 /// First word of a line whose seed is played with cuts.
 const CUTS_MARK: &str = "cuts";
+/// First word of a line whose seed is played with outages beside changes.
+const CHANGES_MARK: &str = "changes";
 /// First word of a line whose seed is played with foreign heartbeats.
 const FOREIGN_MARK: &str = "foreign";
 /// First word of a line whose seed is played with losses.
@@ -45,6 +47,7 @@
         Scenario::Outages => line.strip_prefix(OUTAGES_MARK),
         Scenario::Cuts => line.strip_prefix(CUTS_MARK),
         Scenario::Losses => line.strip_prefix(LOSSES_MARK),
+        Scenario::OutagesInChanges => line.strip_prefix(CHANGES_MARK),
         Scenario::ForeignHeartbeats => line.strip_prefix(FOREIGN_MARK),
     });
     lines.filter_map(parse_line).collect()
--- a/buckthornlink-soak/tests/unit/plan.rs
+++ b/buckthornlink-soak/tests/unit/plan.rs
@@ -102,3 +102,16 @@
     }
     assert_eq!(kinds.len(), 4, "{kinds:?}");
 }
+
+/// Guards against outages during which nothing changes, so that no instance can be behind.
+#[test]
+fn each_group_of_outages_meets_a_change() {
+    for seed in 0..20 {
+        let entries = generate(Scenario::OutagesInChanges, seed, DURATION, &shape());
+        let (changes, outages): (Vec<Entry>, Vec<Entry>) =
+            entries.into_iter().partition(|e| e.fault == Fault::Change);
+        let is_met = |at: Duration| changes.iter().any(|change| change.at == at);
+        let groups = outages.iter().filter(|e| e.fault != Fault::Crash);
+        assert!(groups.map(|e| e.at).all(is_met), "seed {seed}");
+    }
+}
--- a/buckthornlink-soak/tests/unit/seeds.rs
+++ b/buckthornlink-soak/tests/unit/seeds.rs
@@ -38,6 +38,7 @@
         Scenario::Cuts,
         Scenario::ForeignHeartbeats,
         Scenario::Losses,
+        Scenario::OutagesInChanges,
     ] {
         for seed in recorded(scenario) {
             assert_eq!(seed.is_known_red, listed(&seed), "{seed:?}");
