fix(datagram): deny no flows of a backend server that the agent's earlier process knew

Cause: an agent denies flows that it has not seen once it has seen all, and took one number of one heartbeat for proof that no earlier process can have admitted any: a start time by a clock that was ahead, or a sequence number of 1 at most, from a count that begins at 0 or in a heartbeat that was held up.

Change: an instance that meets a later boot of an agent, whose earlier process knew its backend server, sends that process's fact once. By it, or by what the store has saved, the agent knows that its predecessor knew the boot.

Why it works: what others remember depends neither on the clock nor on the count, and a boot that began since is greater than the one they remember.

--- a/buckthornlink-core/src/datagram/agent.rs
+++ b/buckthornlink-core/src/datagram/agent.rs
@@ -87,7 +87,7 @@
         Self {
             gossip: Gossip::new(setup, now),
             table: Arc::default(),
-            backend: Backend::new(setup.boot, setup.heartbeat_interval, now),
+            backend: Backend::new(setup, now),
             outcomes: Outcomes::default(),
             admission: Admission::default(),
             flows: Flows::default(),
@@ -181,6 +181,7 @@
     /// active searches.
     fn receive_status(&mut self, status: &Status, now: Millis, out: &mut Vec<Effect>) {
         self.gossip.receive_status(status, now, out);
+        self.record_earlier_backend(self.gossip.earlier_backend(), now, out);
         let changes = self.gossip.member_changes();
         let is_due = now.since(self.last_resume) >= RESUME_INTERVAL;
         if changes > self.resumed_changes && is_due {
--- a/buckthornlink-core/src/datagram/agent/local_backend.rs
+++ b/buckthornlink-core/src/datagram/agent/local_backend.rs
@@ -4,6 +4,7 @@
 
 use super::Agent;
 use crate::datagram::{BackendHeartbeat, Connection, Effect, Evidence, Heard, Reason, ServiceTag};
+use crate::id::BootId;
 use crate::time::Millis;
 
 impl Agent {
@@ -48,6 +49,20 @@
         }
     }
 
+    /// Takes note of the boot of the backend server that an earlier process of this agent knew last: that one may have admitted
+    /// flows of it.
+    pub(super) fn record_earlier_backend(
+        &mut self,
+        boot: BootId,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.backend.record_earlier_boot(boot) {
+            self.holds_earlier = true;
+            self.update_own_fact(now, out);
+        }
+    }
+
     /// Keeps the flows that have not ended for the boot that is known from now on, and has their home agents told of it. If
     /// the end of the boot before `is_observed`, the flows recorded there have ended but for those.
     fn keep_other_flows(&mut self, is_observed: bool) {
--- a/buckthornlink-core/src/datagram/agent/saved_flows.rs
+++ b/buckthornlink-core/src/datagram/agent/saved_flows.rs
@@ -74,6 +74,8 @@
         let is_before_boot = digest.saved_at > now;
         if is_before_boot {
             self.backend.record_machine_boot();
+        } else {
+            self.record_earlier_backend(digest.backend, now, out);
         }
         self.saved_flows.loaded = Some(LoadedFlows {
             is_before_boot,
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -6,7 +6,7 @@
 mod liveness;
 mod signs;
 
-use super::{Evidence, Phase, ServiceTag};
+use super::{Evidence, Phase, ServiceTag, Setup};
 use crate::id::BootId;
 use crate::time::Millis;
 use admissions::Admissions;
@@ -87,6 +87,8 @@
     start: Start,
     /// When this process started, by the clock that its backend server uses as well.
     process_start: BootId,
+    /// Boot that an earlier process of the agent knew last; zero if none is known of.
+    earlier_boot: BootId,
     /// Whether it answered a packet before its first heartbeat, and so held flows then.
     has_served: bool,
     /// Up to when the boot is known to have run.
@@ -97,13 +99,12 @@
 }
 
 impl Backend {
-    /// A backend server of which a process that starts now, with this boot id, knows nothing. Its heartbeats are due at
-    /// `interval`.
+    /// A backend server of which a process that starts now, by these settings, knows nothing.
     #[must_use]
-    pub fn new(process_start: BootId, interval: Millis, now: Millis) -> Self {
+    pub fn new(setup: &Setup, now: Millis) -> Self {
         Self {
-            process_start,
-            interval,
+            process_start: setup.boot,
+            interval: setup.heartbeat_interval,
             admissions: Admissions::new(now),
             signs: Signs::new(now),
             ..Self::default()
@@ -321,8 +322,22 @@
 
     /// Whether this process has seen every flow since the start of the backend server.
     #[must_use]
-    pub const fn is_tracked(&self) -> bool {
-        !matches!(self.start, Start::Unseen)
+    pub fn is_tracked(&self) -> bool {
+        self.start != Start::Unseen && !self.has_predecessor()
+    }
+
+    /// Whether an earlier process knew the same boot or a later one, and may have admitted flows, whatever the clock and the
+    /// sequence number say.
+    fn has_predecessor(&self) -> bool {
+        self.earlier_boot != BootId::default() && self.earlier_boot >= self.boot
+    }
+
+    /// Records the boot that an earlier process of the agent knew last. Returns whether flows may be open that this process did
+    /// not see, though it took the start of the backend server for seen.
+    pub fn record_earlier_boot(&mut self, boot: BootId) -> bool {
+        let was_tracked = self.is_tracked();
+        self.earlier_boot = boot.max(self.earlier_boot);
+        was_tracked && !self.is_tracked()
     }
 
     /// Whether the known boot is sure to hold, or to have held, a flow that opened at this time. Otherwise the flow may be one of
@@ -401,10 +416,11 @@
             None if is_same => self.boot,
             None => BootId(self.boot.0 + 1),
         };
+        let is_unknown = self.state == BackendState::Unknown;
         if boot < self.boot {
             return None;
         }
-        let is_current = boot == self.boot && self.state != BackendState::Unknown;
+        let is_current = boot == self.boot && !is_unknown;
         let is_stale = heartbeat.seq <= self.seq;
         (!is_current || !is_stale).then_some(boot)
     }
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -79,6 +79,10 @@
     last_exchange: Millis,
     last_contact: Option<Millis>,
     started_at: Millis,
+    /// Boot id of the process at its start.
+    first_boot: BootId,
+    /// Boot of the backend server that an earlier process at this address knew last.
+    earlier_backend: BootId,
     /// When the process started, or last returned from an absence.
     present_since: Millis,
     last_tick: Millis,
@@ -131,6 +135,8 @@
             last_exchange: now,
             last_contact: None,
             started_at: now,
+            first_boot: setup.boot,
+            earlier_backend: BootId::default(),
             present_since: now,
             last_tick: now,
             catch_up: None,
@@ -168,6 +174,13 @@
         &self.zones
     }
 
+    /// Boot of the backend server that an earlier process at this address knew last, as others remember it; zero if they
+    /// remember none.
+    #[must_use]
+    pub const fn earlier_backend(&self) -> BootId {
+        self.earlier_backend
+    }
+
     /// Version of the configuration in force.
     #[must_use]
     pub const fn version(&self) -> Version {
@@ -239,7 +252,7 @@
         }
         self.record_catch_up(status);
         self.max_known = self.max_known.max(status.known);
-        self.tell_later_boot(&status.from, now, effects);
+        self.tell_other_boot(&status.from, now, effects);
         self.merge_fact(status.from, now, effects);
         for &fact in &status.facts {
             self.merge_fact(fact, now, effects);
@@ -331,17 +344,21 @@
     }
 
     /// Raises the own boot id above a greater one that others know, as after the wall clock was set
-    /// back.
+    /// back. Takes note of what an earlier process at this address knew of its backend server.
     fn refute(&mut self, fact: &Fact) {
+        if fact.boot != self.own.boot && fact.boot != self.first_boot {
+            self.earlier_backend = self.earlier_backend.max(fact.backend);
+        }
         if fact.boot > self.own.boot {
             self.own.boot = BootId(fact.boot.0 + 1);
         }
     }
 
-    /// Tells an instance of a later boot of it that is known here. Its facts are ignored until it raises its own.
-    fn tell_later_boot(&self, fact: &Fact, now: Millis, effects: &mut Vec<Effect>) {
-        if let Some(later) = self.membership.later_boot(fact) {
-            let message = self.status(vec![later], Vec::new(), false, now);
+    /// Tells an instance of another boot of it that is known here: a later one, as its facts are ignored until it
+    /// raises its own, and an earlier one that knew its backend server.
+    fn tell_other_boot(&self, fact: &Fact, now: Millis, effects: &mut Vec<Effect>) {
+        if let Some(other) = self.membership.other_boot(fact) {
+            let message = self.status(vec![other], Vec::new(), false, now);
             effects.push(Effect::Send {
                 to: fact.ip,
                 message,
--- a/buckthornlink-core/src/datagram/membership.rs
+++ b/buckthornlink-core/src/datagram/membership.rs
@@ -14,7 +14,7 @@
 use std::net::Ipv4Addr;
 
 use super::{Fact, Flow, MemberHeartbeat, ServiceTag};
-use crate::id::stable_hash;
+use crate::id::{BootId, stable_hash};
 use crate::time::Millis;
 use forgotten::Forgotten;
 pub use member::Member;
@@ -102,12 +102,14 @@
         self.members.get_mut(&ip)
     }
 
-    /// The last fact about the same instance, if it comes from a later boot, which may be forgotten.
+    /// The last fact about the same instance, which may be forgotten, if it comes from a later boot, or from an earlier one
+    /// that knew its backend server.
     #[must_use]
-    pub fn later_boot(&self, fact: &Fact) -> Option<Fact> {
+    pub fn other_boot(&self, fact: &Fact) -> Option<Fact> {
         let known = self.members.get(&fact.ip).map(|m| &m.fact);
         let last = known.or_else(|| self.forgotten.get(fact.ip)).copied();
-        last.filter(|last| last.boot > fact.boot)
+        let knew_backend = |f: &Fact| f.boot < fact.boot && f.backend != BootId::default();
+        last.filter(|last| last.boot > fact.boot || knew_backend(last))
     }
 
     /// All instances in the order of their addresses.
