fix(datagram): believe no single heartbeat of another service in a process that has just started

Cause: the first heartbeat that a restarted agent heard was believed, of any configured service and from however early a start: here the one of a crashed backend server that had the address before, held up for 10 s.

Change: until one is believed, a heartbeat of another service than that of the settings, or of an earlier start than the one the agent's earlier process knew, is that of a contender, which is believed after three in order.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -6,7 +6,7 @@
 mod liveness;
 mod signs;
 
-use super::{Evidence, Phase, ServiceTag, Setup};
+use super::{Evidence, Phase, Role, ServiceTag, Setup};
 use crate::id::BootId;
 use crate::time::Millis;
 use admissions::Admissions;
@@ -87,6 +87,8 @@
     start: Start,
     /// When this process started, by the clock that its backend server uses as well.
     process_start: BootId,
+    /// Service that the settings of this process name.
+    expected_service: Option<ServiceTag>,
     /// Boot that an earlier process of the agent knew last; zero if none is known of.
     earlier_boot: BootId,
     /// Whether it answered a packet before its first heartbeat, and so held flows then.
@@ -105,6 +107,10 @@
         Self {
             process_start: setup.boot,
             interval: setup.heartbeat_interval,
+            expected_service: match setup.role {
+                Role::Agent(service) => Some(service),
+                Role::Balancer => None,
+            },
             admissions: Admissions::new(now),
             signs: Signs::new(now),
             ..Self::default()
@@ -117,6 +123,7 @@
             Some(boot) if boot > self.boot && self.is_in_place() => {
                 self.hear_contender(heartbeat, now)
             }
+            Some(_) if !self.is_expected(heartbeat) => self.hear_contender(heartbeat, now),
             Some(boot) => self.apply_heartbeat(heartbeat, boot, now),
             None => self.hear_contender(heartbeat, now),
         }
@@ -129,6 +136,13 @@
         !self.is_over() && (is_draining || self.is_connected())
     }
 
+    /// Whether a heartbeat may be the first one that is believed. One of another service than that of the settings may have
+    /// been held up since another backend server had the address.
+    fn is_expected(&self, heartbeat: &BackendHeartbeat) -> bool {
+        let expected = self.expected_service;
+        self.state != BackendState::Unknown || expected.is_none_or(|s| s == heartbeat.service)
+    }
+
     /// Whether the connection to the boot that is known is still open, so that its process lives.
     fn is_connected(&self) -> bool {
         self.state != BackendState::Unknown && self.signs.is_connected()
@@ -417,7 +431,7 @@
             None => BootId(self.boot.0 + 1),
         };
         let is_unknown = self.state == BackendState::Unknown;
-        if boot < self.boot {
+        if boot < self.boot || is_unknown && boot < self.earlier_boot {
             return None;
         }
         let is_current = boot == self.boot && !is_unknown;
--- a/buckthornlink-core/tests/datagram_predecessor.rs
+++ b/buckthornlink-core/tests/datagram_predecessor.rs
@@ -2,13 +2,15 @@
 
 mod datagram;
 
+use std::sync::Arc;
+
 use buckthornlink_core::datagram::{
     BackendHeartbeat, Balancer, Effect, Event, Fact, Load, Message, Mode, Phase, Reducer, Role,
-    Status, StoreView,
+    ServiceTag, Status, StoreView,
 };
 use buckthornlink_core::{BootId, Millis};
 
-use datagram::{AgentDriver, BALANCER, OWN, data, fact, heartbeat, setup, status};
+use datagram::{AgentDriver, BALANCER, OWN, data, fact, heartbeat, service, setup, status, table};
 
 /// Time of day at which the process of the agent starts.
 const START: u64 = 50_000;
@@ -53,6 +55,21 @@
     agent.reduce(Event::Message { from, message })
 }
 
+/// The service of another backend server, which is configured as well.
+fn other_service() -> ServiceTag {
+    ServiceTag::of("ledger")
+}
+
+/// An agent that has just started, in a configuration with both services.
+fn agent_of_two_services() -> AgentDriver {
+    let mut agent = AgentDriver::started_at_time(BootId(START));
+    let mut table = table(2);
+    let limits = table.services[&service()];
+    table.services.insert(other_service(), limits);
+    agent.reduce(Event::Table(Arc::new(table)));
+    agent
+}
+
 /// Whether the agent denies a flow that it has not seen.
 fn denies(agent: &mut AgentDriver) -> bool {
     let effects = agent.packet_from_peer(data(1), Mode::Search);
@@ -124,3 +141,50 @@
     };
     assert_eq!(effects.iter().filter(reminds).count(), 1, "{effects:?}");
 }
+
+/// Guards against requests that run at the service of a backend server that is gone, since its heartbeat was held
+/// up and is the first one that a restarted agent hears beside a backend server of another service.
+#[test]
+fn a_held_up_heartbeat_of_another_service_opens_no_flows() {
+    let late = BackendHeartbeat {
+        id: "i-gone".to_owned(),
+        service: other_service(),
+        ..heartbeat_of(BEFORE, 9)
+    };
+    let mut agent = agent_of_two_services();
+    agent.heartbeat(late);
+    assert_eq!(agent.phase(), Phase::Starting);
+    agent.run(Millis(200));
+    agent.heartbeat(heartbeat_of(BEFORE + 500, 4));
+    assert_eq!(agent.phase(), Phase::Ready);
+}
+
+/// Guards against the same of a backend server of the same service.
+#[test]
+fn a_held_up_heartbeat_from_before_the_earlier_process_opens_no_flows() {
+    let late = BackendHeartbeat {
+        id: "i-gone".to_owned(),
+        ..heartbeat_of(BEFORE, 9)
+    };
+    let mut agent = AgentDriver::started_at_time(BootId(START));
+    remind(&mut agent, BEFORE + 500);
+    agent.heartbeat(late);
+    assert_eq!(agent.phase(), Phase::Starting);
+    agent.run(Millis(200));
+    agent.heartbeat(heartbeat_of(BEFORE + 500, 4));
+    assert_eq!(agent.phase(), Phase::Ready);
+}
+
+/// Guards against a backend server that is hidden for good, as the settings of its agent name another service.
+#[test]
+fn a_backend_server_of_another_service_is_believed_after_some_heartbeats() {
+    let mut agent = agent_of_two_services();
+    for seq in 4..7 {
+        agent.heartbeat(BackendHeartbeat {
+            service: other_service(),
+            ..heartbeat_of(BEFORE, seq)
+        });
+        agent.run(Millis(1_200));
+    }
+    assert_eq!(agent.phase(), Phase::Ready);
+}
