fix(datagram): end no cold start by a heartbeat that waited for a paused agent

Cause: a backend server counts as cold from the return of its zone to its next heartbeat; the paused agent took one that was sent before the return for that.

Change: a heartbeat that arrives within a second after a pause of 0.4 s or more does not end that state.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -184,7 +184,7 @@
         self.doubt = None;
         self.slots = heartbeat.slots;
         self.cold_until = now + heartbeat.cold;
-        self.has_returned = false;
+        self.has_returned &= self.signs.may_have_waited(now);
         self.state = if heartbeat.draining || self.state == BackendState::Draining {
             BackendState::Draining
         } else {
--- a/buckthornlink-core/src/datagram/backend/signs.rs
+++ b/buckthornlink-core/src/datagram/backend/signs.rs
@@ -24,6 +24,9 @@
 /// was paused; ticks are due twice as often.
 const MAX_CHECK_GAP: Millis = Millis(400);
 
+/// Time within which a process that was paused handles the heartbeats that waited for it.
+const DRAIN_TIME: Millis = Millis(1_000);
+
 /// What a backend server that lives does, and whose absence beside refused connections shows its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Duty {
@@ -65,6 +68,8 @@
     /// Since when silence has shown the end.
     inferred_since: Option<Millis>,
     last_check: Millis,
+    /// When this process went on after it was last paused.
+    resumed_at: Option<Millis>,
 }
 
 impl Signs {
@@ -132,6 +137,12 @@
         self.delivery_refused = Some(now);
     }
 
+    /// Whether a heartbeat that arrives now may have waited while this process was paused.
+    pub(super) fn may_have_waited(&self, now: Millis) -> bool {
+        let resumed = self.resumed_at;
+        resumed.is_some_and(|at| now.since(at) < DRAIN_TIME)
+    }
+
     /// Whether connections are refused.
     pub(super) const fn is_refused(&self) -> bool {
         matches!(self.connection, Some(Connection::Refused))
@@ -179,6 +190,7 @@
         let gap = now.since(self.last_check);
         self.last_check = now;
         if gap > MAX_CHECK_GAP {
+            self.resumed_at = Some(now);
             self.last_sign = now.min(self.last_sign + gap);
             self.unanswered_since = self.unanswered_since.map(|at| now.min(at + gap));
             self.inferred_since = None;
--- a/buckthornlink-core/tests/datagram_cold.rs
+++ b/buckthornlink-core/tests/datagram_cold.rs
@@ -149,6 +149,20 @@
     Event::Zone(ZoneRecord { zone, seq, out })
 }
 
+/// Offers many flows at once; returns how many the backend server got.
+fn offer_at_once(agent: &mut AgentDriver) -> usize {
+    let mut delivered = 0;
+    for port in 1..100 {
+        let effects = agent.packet_from_peer(opening(port), Mode::Placed);
+        delivered += effects
+            .iter()
+            .filter(|e| matches!(e, Effect::Deliver(_)))
+            .count();
+        agent.packet_from_backend(syn_ack(port, 500));
+    }
+    delivered
+}
+
 /// Guards against a backend server that gets more than its rate, as it became cold shortly before its zone returned to service and has
 /// yet to say so.
 #[test]
@@ -159,17 +173,29 @@
     agent.heartbeat(heartbeat(2));
     agent.run(Millis(600));
     agent.reduce(zone_record(2, false));
-    let mut delivered = 0;
-    for port in 1..100 {
-        let effects = agent.packet_from_peer(opening(port), Mode::Placed);
-        delivered += effects
-            .iter()
-            .filter(|e| matches!(e, Effect::Deliver(_)))
-            .count();
-        agent.packet_from_backend(syn_ack(port, 500));
-    }
-    assert_eq!(delivered, LIMIT);
+    assert_eq!(offer_at_once(&mut agent), LIMIT);
     agent.heartbeat(heartbeat(3));
     let effects = agent.packet_from_peer(opening(100), Mode::Placed);
     assert!(matches!(effects[..], [Effect::Deliver(_)]), "{effects:?}");
 }
+
+/// Guards against the same beside an agent that was paused meanwhile: the first heartbeat that it hears of then was sent
+/// before the return.
+#[test]
+fn a_heartbeat_that_waited_for_a_paused_agent_ends_no_cold_start() {
+    for pause in [500, 3_000] {
+        let mut agent = AgentDriver::ready();
+        agent.run(Millis(1_200));
+        agent.reduce(zone_record(1, true));
+        agent.heartbeat(heartbeat(2));
+        agent.run(Millis(600));
+        agent.advance(Millis(pause));
+        agent.reduce(zone_record(2, false));
+        agent.heartbeat(heartbeat(3));
+        assert_eq!(offer_at_once(&mut agent), LIMIT, "{pause} ms");
+        agent.run(HEARTBEAT_INTERVAL);
+        agent.heartbeat(heartbeat(4));
+        let effects = agent.packet_from_peer(opening(100), Mode::Placed);
+        assert!(matches!(effects[..], [Effect::Deliver(_)]), "{effects:?}");
+    }
+}
