fix(datagram): take a backend server that was away for a moment for cold until it is heard

Cause: the agent saw its idle connection closed, one attempt refused and the next accepted; a single refusal was not reported, so this was the same as a connection that a living backend server closes.

Change: an accepted connection after a single refusal is reported as such, and the backend server counts as cold until its next heartbeat.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -81,8 +81,9 @@
     contender: Option<Contender>,
     last_heartbeat: Millis,
     cold_until: Millis,
-    /// Whether the zone has returned to service since the last heartbeat, so that the backend server may have become cold.
-    has_returned: bool,
+    /// Whether the backend server may have become cold since the last heartbeat: its zone has returned to service, or it
+    /// has refused a connection, as while it starts.
+    may_be_cold: bool,
     slots: u16,
     start: Start,
     /// When this process started, by the clock that its backend server uses as well.
@@ -184,7 +185,7 @@
         self.doubt = None;
         self.slots = heartbeat.slots;
         self.cold_until = now + heartbeat.cold;
-        self.has_returned &= self.signs.may_have_waited(now);
+        self.may_be_cold &= self.signs.may_have_waited(now);
         self.state = if heartbeat.draining || self.state == BackendState::Draining {
             BackendState::Draining
         } else {
@@ -249,13 +250,14 @@
         let was_connected = self.signs.is_connected();
         self.signs.record_connection(connection, now);
         match connection {
-            Connection::Accepted => self.liveness.record_accepted(now),
+            Connection::Accepted | Connection::AcceptedAgain => self.liveness.record_accepted(now),
             Connection::Closed if was_connected => self.liveness.record_closed(now),
             Connection::Closed | Connection::Refused => {}
         }
         if connection == Connection::Refused {
             self.doubt.get_or_insert(Doubt::Unheard);
         }
+        self.may_be_cold |= connection == Connection::AcceptedAgain;
     }
 
     /// Records that a packet to the backend server was refused.
@@ -382,7 +384,7 @@
     fn ready_phase(&self, now: Millis) -> Phase {
         let other = self.contender.as_ref();
         let limited = other.and_then(|c| c.phase(self.last_heartbeat, self.service, now));
-        let own = if now < self.cold_until || self.has_returned {
+        let own = if now < self.cold_until || self.may_be_cold {
             Phase::Cold
         } else {
             Phase::Ready
@@ -392,7 +394,7 @@
 
     /// Records that the zone has returned to service. While it got no flows, the backend server may have become cold.
     pub const fn record_zone_return(&mut self) {
-        self.has_returned = true;
+        self.may_be_cold = true;
     }
 
     /// Records that this process was paused at `since` and runs again.
--- a/buckthornlink-core/src/datagram/backend/signs.rs
+++ b/buckthornlink-core/src/datagram/backend/signs.rs
@@ -43,12 +43,22 @@
 pub enum Connection {
     /// The backend server accepted it.
     Accepted,
+    /// The same, after it had refused one, which was not reported.
+    AcceptedAgain,
     /// The backend server closed it.
     Closed,
     /// Nothing accepts connections at the backend server's address.
     Refused,
 }
 
+impl Connection {
+    /// Whether the backend server listens.
+    #[must_use]
+    pub const fn is_accepted(self) -> bool {
+        matches!(self, Self::Accepted | Self::AcceptedAgain)
+    }
+}
+
 /// Signs of life and of the end of one backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Signs {
@@ -93,14 +103,18 @@
     /// Records a heartbeat, whose sender holds the connection if there is one.
     pub(super) fn record_heartbeat(&mut self, now: Millis) {
         self.record_life(now);
-        if self.connection == Some(Connection::Accepted) {
+        if self.is_accepted() {
             self.is_broken = false;
         }
     }
 
     /// Whether the connection to the sender of the last heartbeat is still open, so that its process lives.
     pub(super) fn is_connected(&self) -> bool {
-        self.connection == Some(Connection::Accepted) && !self.is_broken
+        self.is_accepted() && !self.is_broken
+    }
+
+    fn is_accepted(&self) -> bool {
+        self.connection.is_some_and(Connection::is_accepted)
     }
 
     /// Records that the backend server announced its end, up to which it may be silent.
@@ -110,14 +124,15 @@
 
     /// Records that another boot has begun, whose port nothing is known about.
     pub(super) fn begin_boot(&mut self) {
-        self.connection = self.connection.filter(|c| *c == Connection::Accepted);
+        self.connection = self.connection.filter(|c| c.is_accepted());
     }
 
     pub(super) const fn record_connection(&mut self, connection: Connection, now: Millis) {
+        let is_accepted = connection.is_accepted();
         self.connection = Some(connection);
-        self.is_broken |= !matches!(connection, Connection::Accepted);
+        self.is_broken |= !is_accepted;
         match connection {
-            Connection::Accepted => self.record_life(now),
+            Connection::Accepted | Connection::AcceptedAgain => self.record_life(now),
             Connection::Closed => self.last_sign = now,
             Connection::Refused => {}
         }
@@ -125,7 +140,7 @@
 
     /// Records that a packet that calls for an answer was delivered, which is no copy of an earlier one.
     pub(super) fn record_delivery(&mut self, now: Millis) {
-        let is_lost = self.connection.is_some_and(|c| c != Connection::Accepted);
+        let is_lost = self.connection.is_some_and(|c| !c.is_accepted());
         if is_lost {
             self.unanswered_since.get_or_insert(now);
             self.unanswered = MIN_UNANSWERED.min(self.unanswered + 1);
--- a/buckthornlink-core/tests/datagram_cold.rs
+++ b/buckthornlink-core/tests/datagram_cold.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use buckthornlink_core::datagram::{BackendHeartbeat, Effect, Event, FlowDigest, Mode, SavedFlow};
+use buckthornlink_core::datagram::{
+    BackendHeartbeat, Connection, Effect, Event, FlowDigest, Mode, SavedFlow,
+};
 use buckthornlink_core::member::{ZoneRecord, ZoneSeq};
 use buckthornlink_core::{BootId, Millis, ZoneTag};
 
@@ -199,3 +201,35 @@
         assert!(matches!(effects[..], [Effect::Deliver(_)]), "{effects:?}");
     }
 }
+
+/// Guards against a backend server that crashes, listens again at once, is cold, and is taken for the one before until its first
+/// heartbeat.
+#[test]
+fn a_backend_server_that_was_away_for_a_moment_is_cold_until_it_is_heard() {
+    let mut agent = AgentDriver::ready();
+    agent.reduce(Event::BackendConnection(Connection::Accepted));
+    agent.run(Millis(1_200));
+    agent.heartbeat(heartbeat(2));
+    agent.reduce(Event::BackendConnection(Connection::Closed));
+    agent.run(Millis(200));
+    agent.reduce(Event::BackendConnection(Connection::AcceptedAgain));
+    assert_eq!(offer_at_once(&mut agent), LIMIT);
+    agent.run(Millis(600));
+    agent.heartbeat(heartbeat(3));
+    let effects = agent.packet_from_peer(opening(100), Mode::Placed);
+    assert!(matches!(effects[..], [Effect::Deliver(_)]), "{effects:?}");
+}
+
+/// Guards against callers that are held back wherever connections are reset.
+#[test]
+fn a_backend_server_that_closes_a_connection_and_listens_on_is_not_cold() {
+    let mut agent = AgentDriver::ready();
+    for connection in [
+        Connection::Accepted,
+        Connection::Closed,
+        Connection::Accepted,
+    ] {
+        agent.reduce(Event::BackendConnection(connection));
+    }
+    assert_eq!(offer_at_once(&mut agent), 99);
+}
--- a/buckthornlink-datagram/src/backend_monitor.rs
+++ b/buckthornlink-datagram/src/backend_monitor.rs
@@ -41,8 +41,12 @@
     loop {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => {
+                let connection = match refusals {
+                    1..ABSENT_REFUSALS => Connection::AcceptedAgain,
+                    _ => Connection::Accepted,
+                };
                 refusals = 0;
-                report(&handle, Connection::Accepted);
+                report(&handle, connection);
                 if timeout(lifetime, wait_closed(stream)).await.is_ok() {
                     report(&handle, Connection::Closed);
                 }
--- a/buckthornlink-datagram/tests/unit/backend_monitor.rs
+++ b/buckthornlink-datagram/tests/unit/backend_monitor.rs
@@ -3,12 +3,14 @@
 
 use buckthornlink_core::datagram::{Connection, Event};
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::monitor;
 use crate::{Input, ReducerHandle};
 
 const LIFETIME: Duration = Duration::from_millis(100);
+/// Time in which one connection is refused.
+const CLOSED_TIME: Duration = Duration::from_millis(150);
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(2);
 
 /// What the monitor reports next.
@@ -70,3 +72,26 @@
     assert_eq!(next_connection(&inputs).await, Connection::Closed);
     assert_eq!(next_connection(&inputs).await, Connection::Accepted);
 }
+
+/// Guards against an agent that takes a backend server which was away for a moment for one that has run all the time.
+#[tokio::test]
+async fn a_port_that_was_closed_for_a_moment_is_reported() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
+        unreachable!("the address is of version 4")
+    };
+    let (sender, inputs) = flume::unbounded();
+    tokio::spawn(monitor(
+        addr,
+        MAX_DETECTION_TIME,
+        ReducerHandle::new(sender),
+    ));
+    let connection = listener.accept().await.unwrap();
+    drop(listener);
+    drop(connection);
+    assert_eq!(next_connection(&inputs).await, Connection::Accepted);
+    assert_eq!(next_connection(&inputs).await, Connection::Closed);
+    sleep(CLOSED_TIME).await;
+    let _listener = TcpListener::bind(addr).await.unwrap();
+    assert_eq!(next_connection(&inputs).await, Connection::AcceptedAgain);
+}
