--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -5,6 +5,7 @@
 mod heartbeat;
 mod liveness;
 mod signs;
+mod start;
 
 use super::{Evidence, Phase, Role, ServiceTag, Setup};
 use crate::id::BootId;
@@ -15,20 +16,13 @@
 use liveness::Liveness;
 pub use signs::Connection;
 use signs::{Duty, Signs};
+use start::Start;
 
 /// Time without a heartbeat after which a backend server counts as silent, in tenths of the
 /// heartbeat interval.
 const SILENCE_TIMEOUT_TENTHS: u64 = 16;
 /// Time for which packets that the backend server sent before its end may still arrive.
 pub(super) const LATE_PACKET_TIME: Millis = Millis(100);
-/// Sequence number of the heartbeat with which a backend server starts. A process that hears a later one
-/// first may have a predecessor that admitted flows.
-const FIRST_SEQ: u64 = 1;
-
-/// Maximum time from the start of a backend server to that of this process at which no earlier process can have admitted a
-/// flow: it would have had to hear a heartbeat, open the flow and end, and this one to start.
-const JOINT_START_TIME: Millis = Millis(100);
-
 /// State of a backend server by its heartbeats, apart from silence, cold start and its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackendState {
@@ -51,18 +45,6 @@
     Unheard,
 }
 
-/// Whether an earlier process may have admitted flows of the current boot.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Start {
-    /// It may have: the boot began before this process.
-    #[default]
-    Unseen,
-    /// It may not have: the boot began while this process ran.
-    Seen,
-    /// It may not have: the boot and this process started together, within [`JOINT_START_TIME`].
-    Joint,
-}
-
 /// The local backend server, as its heartbeats describe it, and the flows that it was given. Those count
 /// for the boot after as well: a backend server that restarts within a second is the same to its callers.
 #[derive(Clone, Debug, Default)]
@@ -459,20 +441,12 @@
         self.apply_heartbeat(heartbeat, boot, now)
     }
 
-    /// Whether the boot whose first heartbeat heard here is this one began together with this process, or after its start.
-    fn began_with_process(&self, heartbeat: &BackendHeartbeat) -> bool {
-        let began = heartbeat.born.filter(|_| heartbeat.is_start());
-        began.is_some_and(|born| born + JOINT_START_TIME.0 >= self.process_start.0)
-    }
-
     fn start_boot(&mut self, heartbeat: &BackendHeartbeat, boot: BootId) {
         let is_first = self.boot == BootId::default();
-        self.start = match self.began_with_process(heartbeat) {
-            _ if self.has_served => Start::Unseen,
-            true if is_first => Start::Joint,
-            true => Start::Seen,
-            false if heartbeat.seq <= FIRST_SEQ => Start::Seen,
-            false => Start::Unseen,
+        self.start = if self.has_served {
+            Start::Unseen
+        } else {
+            Start::infer(heartbeat, self.process_start, is_first)
         };
         self.has_served = false;
         self.id.clone_from(&heartbeat.id);
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -3,6 +3,7 @@
 mod catch_up;
 mod discovery;
 mod exchange;
+mod facts;
 mod publication;
 mod store_access;
 mod store_age;
@@ -14,14 +15,12 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use super::{
-    Decision, Effect, Fact, Load, MemberHeartbeat, Membership, Merge, Message, Phase, Reason, Role,
-    Status,
-};
+use super::{Decision, Effect, Fact, Load, Membership, Message, Phase, Reason, Role, Status};
 use crate::id::{BootId, Version, ZoneTag};
 use crate::member::ZoneTable;
 use crate::time::Millis;
 use catch_up::CatchUp;
+use facts::QueuedFact;
 use publication::Publication;
 pub use publication::ZoneMembers;
 use store_access::StoreAccess;
@@ -34,8 +33,6 @@
 const URGENT_FANOUT: usize = 5;
 /// Instances that each periodic exchange is sent to.
 const EXCHANGE_FANOUT: usize = 1;
-/// Times that a changed fact is sent before it leaves the queue.
-const FACT_SENDS: u8 = 8;
 /// Time after the start during which contacts are asked sooner, more often and in greater number.
 const STARTUP_PERIOD: Millis = Millis(6_000);
 
@@ -91,13 +88,6 @@
     rng: Pcg64Mcg,
 }
 
-/// One changed fact and how often it is still to be sent.
-#[derive(Clone, Copy, Debug)]
-struct QueuedFact {
-    ip: Ipv4Addr,
-    sends_left: u8,
-}
-
 impl Gossip {
     /// Creates the state of an instance that knows only itself.
     #[must_use]
@@ -322,58 +312,6 @@
         self.own.seq += 1;
     }
 
-    fn merge_fact(&mut self, fact: Fact, now: Millis, effects: &mut Vec<Effect>) {
-        if fact.ip == self.own.ip {
-            self.refute(&fact);
-            return;
-        }
-        let is_change = match self.membership.merge(fact, now) {
-            Merge::Stale => return,
-            Merge::New => {
-                self.last_new_member = now;
-                true
-            }
-            Merge::Replaced(old) => old.urgent_fields() != fact.urgent_fields(),
-        };
-        if is_change {
-            self.member_changes += 1;
-            self.queue_fact(fact.ip);
-            let decision = self.member_decision(Reason::MemberChanged, &fact, now);
-            effects.push(decision);
-        }
-    }
-
-    /// Raises the own boot id above a greater one that others know, as after the wall clock was set
-    /// back. Takes note of what an earlier process at this address knew of its backend server.
-    fn refute(&mut self, fact: &Fact) {
-        if fact.boot != self.own.boot && fact.boot != self.first_boot {
-            self.earlier_backend = self.earlier_backend.max(fact.backend);
-        }
-        if fact.boot > self.own.boot {
-            self.own.boot = BootId(fact.boot.0 + 1);
-        }
-    }
-
-    /// Tells an instance of another boot of it that is known here: a later one, as its facts are ignored until it
-    /// raises its own, and an earlier one that knew its backend server.
-    fn tell_other_boot(&self, fact: &Fact, now: Millis, effects: &mut Vec<Effect>) {
-        if let Some(other) = self.membership.other_boot(fact) {
-            let message = self.status(vec![other], Vec::new(), false, now);
-            effects.push(Effect::Send {
-                to: fact.ip,
-                message,
-            });
-        }
-    }
-
-    fn queue_fact(&mut self, ip: Ipv4Addr) {
-        self.fact_queue.retain(|q| q.ip != ip);
-        self.fact_queue.push_front(QueuedFact {
-            ip,
-            sends_left: FACT_SENDS,
-        });
-    }
-
     fn fetch(&mut self, from: Ipv4Addr, version: Version, now: Millis, effects: &mut Vec<Effect>) {
         let is_pending = self
             .last_fetch
@@ -383,30 +321,4 @@
             effects.push(Effect::Fetch { from, version });
         }
     }
-
-    /// Merges a heartbeat; adds its instance as a contact if that or its boot is unknown.
-    fn merge_heartbeat(&mut self, heartbeat: &MemberHeartbeat, now: Millis) {
-        let ip = Ipv4Addr::from_bits(heartbeat.ip);
-        if ip != self.own.ip && !self.membership.record_heartbeat(heartbeat, now) {
-            self.insert_contacts([ip]);
-        }
-    }
-
-    fn member_decision(&self, reason: Reason, fact: &Fact, now: Millis) -> Effect {
-        let last_heard = self.membership.get(fact.ip).map_or(now, |m| m.last_heard);
-        self.aged_member_decision(reason, fact, now.since(last_heard))
-    }
-
-    fn aged_member_decision(&self, reason: Reason, fact: &Fact, age: Millis) -> Effect {
-        Effect::Log(Decision {
-            reason,
-            flow: None,
-            peer: Some(fact.ip),
-            version: self.version,
-            age,
-            phase: Some(fact.phase),
-            evidence: None,
-            trial: None,
-        })
-    }
 }
--- a/buckthornlink-core/tests/datagram_predecessor.rs
+++ b/buckthornlink-core/tests/datagram_predecessor.rs
@@ -70,6 +70,15 @@
     agent
 }
 
+/// Whether a heartbeat that was held up is passed over, and the next one of the backend server that lives is not.
+fn assert_passed_over(agent: &mut AgentDriver, late: BackendHeartbeat) {
+    agent.heartbeat(late);
+    assert_eq!(agent.phase(), Phase::Starting);
+    agent.run(Millis(200));
+    agent.heartbeat(heartbeat_of(BEFORE + 500, 4));
+    assert_eq!(agent.phase(), Phase::Ready);
+}
+
 /// Whether the agent denies a flow that it has not seen.
 fn denies(agent: &mut AgentDriver) -> bool {
     let effects = agent.packet_from_peer(data(1), Mode::Search);
@@ -152,11 +161,7 @@
         ..heartbeat_of(BEFORE, 9)
     };
     let mut agent = agent_of_two_services();
-    agent.heartbeat(late);
-    assert_eq!(agent.phase(), Phase::Starting);
-    agent.run(Millis(200));
-    agent.heartbeat(heartbeat_of(BEFORE + 500, 4));
-    assert_eq!(agent.phase(), Phase::Ready);
+    assert_passed_over(&mut agent, late);
 }
 
 /// Guards against the same of a backend server of the same service.
@@ -168,11 +173,7 @@
     };
     let mut agent = AgentDriver::started_at_time(BootId(START));
     remind(&mut agent, BEFORE + 500);
-    agent.heartbeat(late);
-    assert_eq!(agent.phase(), Phase::Starting);
-    agent.run(Millis(200));
-    agent.heartbeat(heartbeat_of(BEFORE + 500, 4));
-    assert_eq!(agent.phase(), Phase::Ready);
+    assert_passed_over(&mut agent, late);
 }
 
 /// Guards against a backend server that is hidden for good, as the settings of its agent name another service.
--- a/buckthornlink-datagram/tests/unit/backend_monitor.rs
+++ b/buckthornlink-datagram/tests/unit/backend_monitor.rs
@@ -1,4 +1,4 @@
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use buckthornlink_core::datagram::{Connection, Event};
@@ -13,6 +13,15 @@
 const CLOSED_TIME: Duration = Duration::from_millis(150);
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(2);
 
+/// A port on which something listens.
+async fn listen() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
+        unreachable!("the address is of version 4")
+    };
+    (listener, addr)
+}
+
 /// What the monitor reports next.
 async fn next_connection(inputs: &flume::Receiver<Input>) -> Connection {
     let input = timeout(MAX_DETECTION_TIME, inputs.recv_async()).await;
@@ -25,10 +34,7 @@
 /// Guards against a monitor that waits forever for the end of a connection that has fallen silent.
 #[tokio::test]
 async fn an_absent_backend_server_is_noticed_behind_a_silent_connection() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
-        unreachable!("the address is of version 4")
-    };
+    let (listener, addr) = listen().await;
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(addr, LIFETIME, ReducerHandle::new(sender)));
     let silent_connection = listener.accept().await.unwrap();
@@ -42,10 +48,7 @@
 /// because the refusals are reported only once.
 #[tokio::test]
 async fn refused_connections_are_reported_again() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
-        unreachable!("the address is of version 4")
-    };
+    let (listener, addr) = listen().await;
     drop(listener);
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(addr, LIFETIME, ReducerHandle::new(sender)));
@@ -57,10 +60,7 @@
 /// Guards against an agent that does not know that the process which it was connected to is another one now.
 #[tokio::test]
 async fn a_connection_that_the_backend_server_closes_is_reported() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
-        unreachable!("the address is of version 4")
-    };
+    let (listener, addr) = listen().await;
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(
         addr,
@@ -76,10 +76,7 @@
 /// Guards against an agent that takes a backend server which was away for a moment for one that has run all the time.
 #[tokio::test]
 async fn a_port_that_was_closed_for_a_moment_is_reported() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
-        unreachable!("the address is of version 4")
-    };
+    let (listener, addr) = listen().await;
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(
         addr,
