fix(soak): count a request as sent and as served in the same second

Cause: a caller reads the clock, then waits up to 20 ms for its next tick, and sends. The request counted as served in the second of that reading, but as sent in the second of the sending. One that is sent right after the begin of the last seconds counts as sent there and as served before, and of 18 requests a single one is too many.

Change: both take the same time. The check asks as much as before.

Evidence: a_request_counts_in_the_second_in_which_it_was_sent failed before (one violation) and passes.

--- a/buckthornlink-soak/src/callers.rs
+++ b/buckthornlink-soak/src/callers.rs
@@ -170,7 +170,7 @@
             match event {
                 CallerEvent::RequestSent => {
                     sent_at = now;
-                    checker.record_sent();
+                    checker.record_sent(sent_at);
                 }
                 CallerEvent::RequestAnswered => {
                     checker.record_served(sent_at);
--- a/buckthornlink-soak/src/invariants.rs
+++ b/buckthornlink-soak/src/invariants.rs
@@ -200,9 +200,8 @@
     }
 
     /// Records that a request was sent for the first time.
-    pub fn record_sent(&self) {
-        let second = self.now().0 / 1_000;
-        *self.lock().sent.entry(second).or_default() += 1;
+    pub fn record_sent(&self, sent_at: Millis) {
+        *self.lock().sent.entry(sent_at.0 / 1_000).or_default() += 1;
     }
 
     /// Records that a request first sent at `sent_at` was answered.
--- a/buckthornlink-soak/tests/unit/invariants.rs
+++ b/buckthornlink-soak/tests/unit/invariants.rs
@@ -158,10 +158,10 @@
 fn unserved_requests_at_the_end_are_a_violation() {
     let mut checker = open_flow_checker();
     advance(&mut checker, 10);
+    let sent_at = checker.now();
     for _ in 0..20 {
-        checker.record_sent();
+        checker.record_sent(sent_at);
     }
-    let sent_at = checker.now();
     for _ in 0..18 {
         checker.record_served(sent_at);
     }
@@ -173,6 +173,22 @@
     assert_eq!(checker.finish().violations.len(), 0);
 }
 
+/// Guards against a request that counts as sent in the window and as served before it, since its caller recorded both at
+/// other moments: with few requests, a single one fails the run.
+#[test]
+fn a_request_counts_in_the_second_in_which_it_was_sent() {
+    let mut checker = open_flow_checker();
+    advance(&mut checker, 10);
+    let sent_at = checker.now();
+    advance(&mut checker, 1);
+    for at in std::iter::repeat_n(checker.now(), 17).chain([sent_at]) {
+        checker.record_sent(at);
+        checker.record_served(at);
+    }
+    advance(&mut checker, 6);
+    assert_eq!(checker.finish().violations.len(), 0);
+}
+
 /// A packet of the flow that a balancer took from its caller.
 fn taken_by(balancer: Ipv4Addr) -> Packet {
     Packet {
