fix(datagram): let no instance that leaves join the watchers of the store

Seen by reading: a process in its grace period gets no news of the store, as others turn away from it, and would read and watch the store 2 s later, in a roll of all one after the other.

Change: an instance that leaves does not join. It admits no new flows that an old configuration could misdirect.

Test: an_instance_that_leaves_does_not_call_the_store; without the change the same instance joins after 2.0 to 2.5 s (an_instance_that_hears_of_nobody_calls_the_store_in_time).

--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -146,10 +146,11 @@
         effects.push(self.decision(reason, now));
     }
 
-    /// Whether the knowledge of the store is too old and the time has come that is drawn for joining.
+    /// Whether the knowledge of the store is too old and the time has come that is drawn for joining. An instance that
+    /// leaves admits no new flows, which an old configuration could misdirect.
     fn is_join_due(&mut self, now: Millis) -> bool {
         let age = self.store_age(now);
-        if age < MAX_STORE_AGE {
+        if age < MAX_STORE_AGE || self.own.phase.is_leaving() {
             self.store_access.joins_at = None;
             return false;
         }
--- a/buckthornlink-core/tests/datagram_store.rs
+++ b/buckthornlink-core/tests/datagram_store.rs
@@ -116,3 +116,17 @@
         "{busiest} in a second: {calls:?}"
     );
 }
+
+/// Guards against calls to the store by instances that are about to end, in a roll of all.
+#[test]
+fn an_instance_that_leaves_does_not_call_the_store() {
+    let mut balancer = isolated(1, 200);
+    let start = Millis(1_000);
+    balancer.reduce(Event::Leave, start, &mut Vec::new());
+    let mut effects = Vec::new();
+    for step in 0..30 {
+        let now = Millis(start.0 + step * TICK_INTERVAL.0);
+        balancer.reduce(Event::Tick, now, &mut effects);
+    }
+    assert!(!effects.contains(&Effect::Watch(true)), "{effects:?}");
+}
