test(soak): name the requests that are not served at the end

What was missing to trace it: the violation told the seconds only. It names the callers and times now.

--- a/buckthornlink-soak/src/callers.rs
+++ b/buckthornlink-soak/src/callers.rs
@@ -170,10 +170,10 @@
             match event {
                 CallerEvent::RequestSent => {
                     sent_at = now;
-                    checker.record_sent(sent_at);
+                    checker.record_sent(sent_at, ip);
                 }
                 CallerEvent::RequestAnswered => {
-                    checker.record_served(sent_at);
+                    checker.record_served(sent_at, ip);
                     if profile.flow_use == FlowUse::OneRequest {
                         caller.abandon_flow();
                     }
--- a/buckthornlink-soak/src/invariants.rs
+++ b/buckthornlink-soak/src/invariants.rs
@@ -2,7 +2,7 @@
 
 mod dead_flows;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -66,6 +66,8 @@
     targets: HashMap<SocketAddrV4, (Millis, String)>,
     sent: BTreeMap<u64, u64>,
     served: BTreeMap<u64, u64>,
+    /// Requests without an answer: when they were sent, and by which caller.
+    unanswered: BTreeSet<(Millis, Ipv4Addr)>,
     violations: Vec<String>,
 }
 
@@ -200,13 +202,17 @@
     }
 
     /// Records that a request was sent for the first time.
-    pub fn record_sent(&self, sent_at: Millis) {
-        *self.lock().sent.entry(sent_at.0 / 1_000).or_default() += 1;
+    pub fn record_sent(&self, sent_at: Millis, caller: Ipv4Addr) {
+        let mut state = self.lock();
+        *state.sent.entry(sent_at.0 / 1_000).or_default() += 1;
+        state.unanswered.insert((sent_at, caller));
     }
 
     /// Records that a request first sent at `sent_at` was answered.
-    pub fn record_served(&self, sent_at: Millis) {
-        *self.lock().served.entry(sent_at.0 / 1_000).or_default() += 1;
+    pub fn record_served(&self, sent_at: Millis, caller: Ipv4Addr) {
+        let mut state = self.lock();
+        *state.served.entry(sent_at.0 / 1_000).or_default() += 1;
+        state.unanswered.remove(&(sent_at, caller));
     }
 
     /// Checks an opening packet of a new flow that a backend server accepted.
@@ -306,11 +312,8 @@
         let sum = |counts: &BTreeMap<u64, u64>| counts.range(from..last).map(|(_, n)| n).sum();
         let (sent, served): (u64, u64) = (sum(&state.sent), sum(&state.served));
         if sent == 0 || served * 100 < sent * MIN_SERVED_PERCENT {
-            let unserved: Vec<u64> = (from..last)
-                .map(|second| state.count_unserved(second))
-                .collect();
-            let description =
-                format!("{served} of {sent} served at the end, by second {unserved:?} not");
+            let unanswered = state.unanswered_between(from, last);
+            let description = format!("{served} of {sent} served at the end, not: {unanswered}");
             state.record_violation(now, description);
         }
         Summary {
@@ -413,10 +416,12 @@
         self.balancers.iter().all(|ip| self.is_stable(*ip, now))
     }
 
-    /// Number of requests sent in a second of the run that were not served.
-    fn count_unserved(&self, second: u64) -> u64 {
-        let count = |counts: &BTreeMap<u64, u64>| counts.get(&second).copied().unwrap_or(0);
-        count(&self.sent).saturating_sub(count(&self.served))
+    /// Requests without an answer that were sent in these seconds of the run.
+    fn unanswered_between(&self, from: u64, last: u64) -> String {
+        let is_inside = |(at, _): &&(Millis, Ipv4Addr)| (from..last).contains(&(at.0 / 1_000));
+        let requests = self.unanswered.iter().filter(is_inside);
+        let requests = requests.map(|(at, caller)| format!("{caller} at {} ms", at.0));
+        requests.collect::<Vec<_>>().join(", ")
     }
 
     /// Whether an instance has not been disrupted within the grace period.
--- a/buckthornlink-soak/tests/unit/invariants.rs
+++ b/buckthornlink-soak/tests/unit/invariants.rs
@@ -65,6 +65,9 @@
 }
 
 /// Guards against a check that excuses the reset of a flow whose backend server lives, as an instance was away.
+/// A caller.
+const CALLER: Ipv4Addr = Ipv4Addr::new(127, 40, 9, 0);
+
 #[test]
 fn a_reset_of_a_live_flow_is_a_violation_whatever_was_disrupted() {
     let mut checker = open_flow_checker();
@@ -160,15 +163,15 @@
     advance(&mut checker, 10);
     let sent_at = checker.now();
     for _ in 0..20 {
-        checker.record_sent(sent_at);
+        checker.record_sent(sent_at, CALLER);
     }
     for _ in 0..18 {
-        checker.record_served(sent_at);
+        checker.record_served(sent_at, CALLER);
     }
     advance(&mut checker, 4);
     assert_eq!(checker.finish().violations.len(), 1);
     for _ in 0..2 {
-        checker.record_served(sent_at);
+        checker.record_served(sent_at, CALLER);
     }
     assert_eq!(checker.finish().violations.len(), 0);
 }
@@ -182,8 +185,8 @@
     let sent_at = checker.now();
     advance(&mut checker, 1);
     for at in std::iter::repeat_n(checker.now(), 17).chain([sent_at]) {
-        checker.record_sent(at);
-        checker.record_served(at);
+        checker.record_sent(at, CALLER);
+        checker.record_served(at, CALLER);
     }
     advance(&mut checker, 6);
     assert_eq!(checker.finish().violations.len(), 0);
