--- a/buckthornlink-soak/tests/unit/invariants.rs
+++ b/buckthornlink-soak/tests/unit/invariants.rs
@@ -7,6 +7,8 @@
 
 use super::{BackendBoot, InvariantChecker};
 
+/// A caller.
+const CALLER: Ipv4Addr = Ipv4Addr::new(127, 40, 9, 0);
 const BALANCER: Ipv4Addr = Ipv4Addr::new(127, 40, 1, 10);
 const OWNER: BackendBoot = BackendBoot {
     ip: Ipv4Addr::new(127, 40, 2, 10),
@@ -65,9 +67,6 @@
 }
 
 /// Guards against a check that excuses the reset of a flow whose backend server lives, as an instance was away.
-/// A caller.
-const CALLER: Ipv4Addr = Ipv4Addr::new(127, 40, 9, 0);
-
 #[test]
 fn a_reset_of_a_live_flow_is_a_violation_whatever_was_disrupted() {
     let mut checker = open_flow_checker();
