--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -23,6 +23,7 @@
 const SILENCE_TIMEOUT_TENTHS: u64 = 16;
 /// Time for which packets that the backend server sent before its end may still arrive.
 pub(super) const LATE_PACKET_TIME: Millis = Millis(100);
+
 /// State of a backend server by its heartbeats, apart from silence, cold start and its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackendState {
--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -40,12 +40,16 @@
 const _: () =
     assert!(MAX_STORE_AGE.0 + JOIN_WINDOW.0 + TICK_INTERVAL.0 + READ_TIME.0 <= MIN_APPLY_TIME.0);
 
-/// Delay between two attempts of an instance whose calls fail, for each known instance; at first,
-/// and at most. All instances together make as many calls in an outage whatever their number.
-const RETRY_DELAY_PER_MEMBER: Millis = Millis(5);
+/// Mean delay before an instance calls the store again after a call that failed, which doubles with each
+/// further failure.
 const MIN_RETRY_DELAY: Millis = Millis(300);
+/// Its maximum.
+const MAX_RETRY_DELAY: Millis = Millis(2_000);
+/// The same for each known instance, if that is more: in an outage, all of them together make no more
+/// calls than this allows, whatever their number.
+const MIN_RETRY_DELAY_PER_MEMBER: Millis = Millis(5);
+/// The maximum for each known instance.
 const MAX_RETRY_DELAY_PER_MEMBER: Millis = Millis(10);
-const MIN_MAX_RETRY_DELAY: Millis = Millis(2_000);
 
 /// This instance's own access to the store.
 #[derive(Clone, Debug)]
@@ -185,11 +189,10 @@
     /// Exponential delay with jitter, longer in a larger fleet.
     fn draw_retry_delay(&mut self) -> Millis {
         let members = self.membership.len() as u64;
-        let min = MIN_RETRY_DELAY.0.max(RETRY_DELAY_PER_MEMBER.0 * members);
-        let max = MIN_MAX_RETRY_DELAY
-            .0
-            .max(MAX_RETRY_DELAY_PER_MEMBER.0 * members);
-        let delay = (min << self.store_access.failures.min(8)).min(max);
+        let for_all = |per_member: Millis| Millis(per_member.0 * members);
+        let min = MIN_RETRY_DELAY.max(for_all(MIN_RETRY_DELAY_PER_MEMBER));
+        let max = MAX_RETRY_DELAY.max(for_all(MAX_RETRY_DELAY_PER_MEMBER));
+        let delay = (min.0 << self.store_access.failures.min(8)).min(max.0);
         Millis(delay / 2 + self.store_access.rng.next_u64() % delay)
     }
 
