test(datagram): give each test of the monitor a loopback address of its own

Cause: the tests listen on a free port of 127.0.0.1, close it and expect a refusal, so that any other process that gets the port in between breaks them. Which one it was is not known: 240 plays of the file, 16 at a time, passed, and a connection of the port to itself did not come up in 120,000 attempts.

Change: each test uses an address in 127.62.0.0/24. What it asks is the same.

--- a/buckthornlink-datagram/tests/unit/backend_monitor.rs
+++ b/buckthornlink-datagram/tests/unit/backend_monitor.rs
@@ -13,9 +13,11 @@
 const CLOSED_TIME: Duration = Duration::from_millis(150);
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(2);
 
-/// A port on which something listens.
-async fn listen() -> (TcpListener, SocketAddrV4) {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+/// A port on which something listens, at a loopback address that nothing else uses: the port may be closed later, and
+/// must then refuse.
+async fn listen(host: u8) -> (TcpListener, SocketAddrV4) {
+    let ip = Ipv4Addr::new(127, 62, 0, host);
+    let listener = TcpListener::bind((ip, 0)).await.unwrap();
     let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
         unreachable!("the address is of version 4")
     };
@@ -34,7 +36,7 @@
 /// Guards against a monitor that waits forever for the end of a connection that has fallen silent.
 #[tokio::test]
 async fn an_absent_backend_server_is_noticed_behind_a_silent_connection() {
-    let (listener, addr) = listen().await;
+    let (listener, addr) = listen(1).await;
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(addr, LIFETIME, ReducerHandle::new(sender)));
     let silent_connection = listener.accept().await.unwrap();
@@ -48,7 +50,7 @@
 /// because the refusals are reported only once.
 #[tokio::test]
 async fn refused_connections_are_reported_again() {
-    let (listener, addr) = listen().await;
+    let (listener, addr) = listen(2).await;
     drop(listener);
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(addr, LIFETIME, ReducerHandle::new(sender)));
@@ -60,7 +62,7 @@
 /// Guards against an agent that does not know that the process which it was connected to is another one now.
 #[tokio::test]
 async fn a_connection_that_the_backend_server_closes_is_reported() {
-    let (listener, addr) = listen().await;
+    let (listener, addr) = listen(3).await;
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(
         addr,
@@ -76,7 +78,7 @@
 /// Guards against an agent that takes a backend server which was away for a moment for one that has run all the time.
 #[tokio::test]
 async fn a_port_that_was_closed_for_a_moment_is_reported() {
-    let (listener, addr) = listen().await;
+    let (listener, addr) = listen(4).await;
     let (sender, inputs) = flume::unbounded();
     tokio::spawn(monitor(
         addr,
