fix(datagram): count the age of the store's answers from when they were given

Seen by reading: an answer that was on its way for a second counted as given when it arrived, and others took the age over. So one process with a slow link to the store made all others believe that they miss nothing.

Cause: the age began at the arrival of an answer.

Change: a read counts from its call; an answer to a watch that takes longer than the store may wait for changes is as old as the rest.

Tests: the_age_of_an_answer_counts_from_when_it_was_given, an_answer_to_a_watch_that_comes_late_is_old; neither could be asked before, as no answer had an age. Not covered: an answer with changes that the network holds up.

--- a/buckthornlink-core/src/datagram/balancer.rs
+++ b/buckthornlink-core/src/datagram/balancer.rs
@@ -262,7 +262,8 @@
             Event::Contacts(ips) => self.gossip.add_contacts(ips, now, out),
             Event::RegisteredAgents(ips) => self.gossip.set_registered_agents(ips, now, out),
             Event::Published(members) => self.gossip.confirm_publication(members, now),
-            Event::StoreReachable(answers) => self.gossip.set_store_reachable(answers, now, out),
+            Event::StoreAnswered(age) => self.gossip.record_store_answer(age, now, out),
+            Event::StoreFailed => self.gossip.record_store_failure(now, out),
             Event::BackendHeartbeat(_)
             | Event::BackendConnection(_)
             | Event::DeliveryRefused
--- a/buckthornlink-core/src/datagram/event.rs
+++ b/buckthornlink-core/src/datagram/event.rs
@@ -45,8 +45,10 @@
         /// See [`FlowDigest::has_tried`].
         has_tried: bool,
     },
-    /// The store answered this process, or a call to it failed.
-    StoreReachable(bool),
+    /// The store answered this process. All that it told has been reported; the answer is at most this old.
+    StoreAnswered(Millis),
+    /// A call to the store failed.
+    StoreFailed,
     /// The backend server sent a heartbeat.
     BackendHeartbeat(BackendHeartbeat),
     /// The idle connection to the backend server was accepted, closed or refused; a refusal is reported
--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -76,20 +76,21 @@
 }
 
 impl Gossip {
-    /// Records that the store answered this process, or that a call to it failed. A change of
-    /// whether it reaches the store is sent to others at once if the instance watches the store.
-    pub fn set_store_reachable(
-        &mut self,
-        is_reachable: bool,
-        now: Millis,
-        effects: &mut Vec<Effect>,
-    ) {
-        if is_reachable {
-            self.store_access.failures = 0;
-            self.record_store_answer(now, effects);
-        } else {
-            self.postpone_joining(now, effects);
-        }
+    /// Records that the store answered this process, at most `age` ago.
+    pub fn record_store_answer(&mut self, age: Millis, now: Millis, effects: &mut Vec<Effect>) {
+        self.store_access.failures = 0;
+        self.insert_own_answer(age, now, effects);
+        self.set_store_reachable(true, now, effects);
+    }
+
+    /// Records that a call to the store failed.
+    pub fn record_store_failure(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        self.postpone_joining(now, effects);
+        self.set_store_reachable(false, now, effects);
+    }
+
+    /// A change of whether this process reaches the store is sent to others at once if it watches the store.
+    fn set_store_reachable(&mut self, is_reachable: bool, now: Millis, effects: &mut Vec<Effect>) {
         let fact = Fact {
             store: is_reachable && self.store_access.is_watcher,
             ..self.own
@@ -103,11 +104,7 @@
     pub(super) fn check_store_answers(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         let has_answered = self.has_store_answered(self.own.ip, MAX_ANSWER_AGE, now);
         if self.own.store && !has_answered {
-            let fact = Fact {
-                store: false,
-                ..self.own
-            };
-            self.set_own(fact, now, effects);
+            self.set_store_reachable(false, now, effects);
         }
     }
 
--- a/buckthornlink-core/src/datagram/gossip/store_age.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_age.rs
@@ -162,10 +162,15 @@
         self.forward_store_view(old_age, now, effects);
     }
 
-    /// Records an answer of the store to this process.
-    pub(super) fn record_store_answer(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+    /// Records an answer of the store to this process, which is at most `age` old.
+    pub(super) fn insert_own_answer(
+        &mut self,
+        age: Millis,
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
         let old_age = self.store_age(now);
-        let at = now - self.store_answers.max_delay(now);
+        let at = now - (age + self.store_answers.max_delay(now));
         self.store_answers.insert(self.own.ip, at, now);
         self.forward_store_view(old_age, now, effects);
     }
--- a/buckthornlink-core/tests/datagram/burst.rs
+++ b/buckthornlink-core/tests/datagram/burst.rs
@@ -184,7 +184,7 @@
         self.reduce(ip, Event::Table(Arc::new(table)), None);
         self.reduce(ip, Event::Contacts(contacts), None);
         self.reduce(ip, Event::RegisteredAgents(agents), None);
-        self.reduce(ip, Event::StoreReachable(true), None);
+        self.reduce(ip, Event::StoreAnswered(Millis(0)), None);
     }
 
     /// Callers send urgent requests and requests on open flows, at these rates per second.
--- a/buckthornlink-core/tests/datagram/store_fleet.rs
+++ b/buckthornlink-core/tests/datagram/store_fleet.rs
@@ -4,9 +4,9 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use buckthornlink_core::datagram::{Agent, Balancer, Effect, Event, Message, Reducer, Role};
+use buckthornlink_core::datagram::{Agent, Balancer, Effect, Event, Message, Reducer, Role, Setup};
 use buckthornlink_core::member::{ZoneRecord, ZoneSeq, ZoneSnapshot};
-use buckthornlink_core::{Millis, ZoneTag};
+use buckthornlink_core::{BootId, Millis, ZoneTag};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -133,13 +133,25 @@
         fleet
     }
 
+    /// Starts another process at the address of one that was killed.
+    pub fn restart(&mut self, ip: Ipv4Addr) {
+        let role = self.instances[&ip].reducer.gossip().own().role;
+        self.add(ip, role == Role::Balancer);
+        let contacts = (0..CONTACTS).map(|i| address(i * BALANCER_SHARE));
+        self.reduce(ip, Event::Contacts(contacts.collect()));
+        self.call_store(ip, StoreState::default(), Millis(0));
+    }
+
     fn add(&mut self, ip: Ipv4Addr, is_balancer: bool) {
         let role = if is_balancer {
             Role::Balancer
         } else {
             Role::Agent(service())
         };
-        let setup = setup(ip, role);
+        let setup = Setup {
+            boot: BootId(self.now.0),
+            ..setup(ip, role)
+        };
         let reducer: Box<dyn Reducer> = if is_balancer {
             Box::new(Balancer::new(&setup, self.now))
         } else {
@@ -203,10 +215,10 @@
         }
     }
 
-    /// The operators change the configuration and take a zone out of service.
+    /// The operators change the configuration, and take a zone out of service or back.
     pub fn change_records(&mut self) {
         self.store.version += 1;
-        self.store.zone_out = true;
+        self.store.zone_out = !self.store.zone_out;
         self.changed_at = self.now;
         self.answer_watches();
     }
@@ -345,7 +357,7 @@
         }
         instance.abandon_call();
         let Some(state) = answer else {
-            self.reduce(ip, Event::StoreReachable(false));
+            self.reduce(ip, Event::StoreFailed);
             if self.is_watching(ip) {
                 self.call_store(ip, StoreState::default(), RETRY_DELAY);
             }
@@ -361,7 +373,7 @@
         let record = ZoneRecord { zone, seq, out };
         let zones_out = state.zone_out.then_some(record).into_iter().collect();
         self.reduce(ip, Event::Zones(ZoneSnapshot { zones_out, seq }));
-        self.reduce(ip, Event::StoreReachable(true));
+        self.reduce(ip, Event::StoreAnswered(Millis(0)));
         if self.is_watching(ip) {
             self.call_store(ip, state, Millis(0));
         }
--- a/buckthornlink-core/tests/datagram/world.rs
+++ b/buckthornlink-core/tests/datagram/world.rs
@@ -247,7 +247,7 @@
         self.reduce(ip, Event::Table(Arc::new(table(1))), None);
         self.reduce(ip, Event::Contacts(contacts), None);
         self.reduce(ip, Event::RegisteredAgents(agents), None);
-        self.reduce(ip, Event::StoreReachable(true), None);
+        self.reduce(ip, Event::StoreAnswered(Millis(0)), None);
     }
 
     /// Asks the process of an agent to terminate, and starts another one after its downtime.
--- a/buckthornlink-core/tests/datagram_store.rs
+++ b/buckthornlink-core/tests/datagram_store.rs
@@ -30,7 +30,7 @@
     let start = Millis(1_000);
     let mut balancer = Balancer::new(&setup(OWN, Role::Balancer), start);
     balancer.reduce(Event::Tick, start, &mut Vec::new());
-    balancer.reduce(Event::StoreReachable(true), start, &mut Vec::new());
+    balancer.reduce(Event::StoreAnswered(Millis(0)), start, &mut Vec::new());
     tick_until(&mut balancer, start, start + Millis(2_000));
     assert!(balancer.gossip().own().store);
     tick_until(&mut balancer, start + Millis(2_000), start + CONTACT_TIME);
@@ -130,3 +130,15 @@
     }
     assert!(!effects.contains(&Effect::Watch(true)), "{effects:?}");
 }
+
+/// Guards against an age that counts from the arrival of an answer which was on its way for long.
+#[test]
+fn the_age_of_an_answer_counts_from_when_it_was_given() {
+    let start = Millis(1_000);
+    let mut balancer = Balancer::new(&setup(OWN, Role::Balancer), start);
+    tick_until(&mut balancer, start, start + Millis(1_400));
+    let now = start + Millis(1_400);
+    balancer.reduce(Event::StoreAnswered(Millis(800)), now, &mut Vec::new());
+    let age = balancer.gossip().store_age(now);
+    assert!((Millis(800)..Millis(900)).contains(&age), "{age:?}");
+}
--- a/buckthornlink-datagram/src/store_sync.rs
+++ b/buckthornlink-datagram/src/store_sync.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::Event;
 use buckthornlink_core::member::{ZoneRecord, ZoneSeq, ZoneSnapshot};
 use buckthornlink_node::backoff::{Backoff, jittered};
@@ -88,6 +89,11 @@
     Duration::from_secs(1) + span.mul_f64(share)
 }
 
+/// Age of an answer to a watch that took `elapsed`, of which the store may have waited for changes for `max_wait`.
+fn max_answer_age(elapsed: Duration, max_wait: Option<Duration>) -> Duration {
+    max_wait.map_or(Duration::ZERO, |wait| elapsed.saturating_sub(wait))
+}
+
 /// Waits until `watching` changes from true to false; forever if its sender is dropped.
 async fn watching_stopped(watching: &mut watch::Receiver<bool>) {
     wait_for_state(watching, true).await;
@@ -141,6 +147,7 @@
         };
         loop {
             self.metrics.count_store_call(StoreCall::WatchRecords);
+            let start = Instant::now();
             match watch.next().await {
                 Ok(changes) => {
                     for change in &changes {
@@ -149,7 +156,8 @@
                 }
                 Err(err) => return err,
             }
-            self.report_answer().await;
+            let age = max_answer_age(start.elapsed(), watch.max_wait());
+            self.report_answer(age).await;
         }
     }
 
@@ -175,7 +183,7 @@
             let position = result?;
             self.has_read = true;
             backoff.reset();
-            self.report_answer().await;
+            self.report_answer(start.elapsed()).await;
             if is_watching {
                 return Ok(position);
             }
@@ -263,16 +271,18 @@
             self.is_unreachable = true;
             log::warn!(target: LOG_TARGET, err:% = err, age_ms = self.age_ms(); "store is lost");
         }
-        self.handle.deliver(Event::StoreReachable(false)).await;
+        self.handle.deliver(Event::StoreFailed).await;
     }
 
-    async fn report_answer(&mut self) {
+    /// Reports that the store answered, at most `age` ago: a read shows what it holds since the call, or later.
+    async fn report_answer(&mut self, age: Duration) {
         if self.is_unreachable {
             self.is_unreachable = false;
             log::info!(target: LOG_TARGET, age_ms = self.age_ms(); "store is regained");
         }
         self.last_answer = Instant::now();
-        self.handle.deliver(Event::StoreReachable(true)).await;
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        self.handle.deliver(Event::StoreAnswered(Millis(age))).await;
     }
 
     fn age_ms(&self) -> u64 {
--- a/buckthornlink-datagram/tests/unit/store_sync.rs
+++ b/buckthornlink-datagram/tests/unit/store_sync.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::first_read_delay;
+use super::{first_read_delay, max_answer_age};
 
 /// Reads a second that the store takes at the target size.
 const STORE_READ_RATE: usize = 2_000;
@@ -31,3 +31,12 @@
     );
     assert!(reads.len() < 30, "{} s", reads.len());
 }
+
+/// Guards against an answer without changes that was held up on its way and counts as given when it arrives.
+#[test]
+fn an_answer_to_a_watch_that_comes_late_is_old() {
+    let wait = Duration::from_millis(1_500);
+    let age = |elapsed| max_answer_age(Duration::from_millis(elapsed), Some(wait));
+    assert_eq!(age(2_300), Duration::from_millis(800));
+    assert_eq!(age(20), Duration::ZERO);
+}
--- a/buckthornlink-fakes/src/datagram/simulation.rs
+++ b/buckthornlink-fakes/src/datagram/simulation.rs
@@ -207,7 +207,7 @@
         let saved = self.saved_flows.get(&ip).cloned().unwrap_or_default();
         self.dispatch(ip, Event::SavedFlows(saved));
         self.send_zone_records(ip);
-        self.dispatch(ip, Event::StoreReachable(true));
+        self.dispatch(ip, Event::StoreAnswered(Millis(0)));
     }
 
     fn send_zone_records(&mut self, ip: Ipv4Addr) {
@@ -396,8 +396,12 @@
     /// The store answers the watch of a process without a change, or the watch fails.
     fn answer_watch(&mut self, ip: Ipv4Addr) {
         if let Some(instance) = self.instances.get(&ip).filter(|i| i.is_watching) {
-            let is_answered = instance.has_store;
-            self.dispatch(ip, Event::StoreReachable(is_answered));
+            let outcome = if instance.has_store {
+                Event::StoreAnswered(Millis(0))
+            } else {
+                Event::StoreFailed
+            };
+            self.dispatch(ip, outcome);
         }
     }
 
--- a/buckthornlink-fakes/src/datagram/simulation/faults.rs
+++ b/buckthornlink-fakes/src/datagram/simulation/faults.rs
@@ -195,7 +195,7 @@
             }
         }
         for ip in lost {
-            self.dispatch(ip, Event::StoreReachable(false));
+            self.dispatch(ip, Event::StoreFailed);
         }
         self.outage_ends.push(self.now + OUTAGE_PERIOD);
     }
--- a/buckthornlink-platform/src/store.rs
+++ b/buckthornlink-platform/src/store.rs
@@ -125,6 +125,12 @@
     ///
     /// Returns an error once the watch has failed; open a new one then.
     fn next(&mut self) -> impl Future<Output = Result<Vec<Change>, StoreError>> + Send;
+
+    /// Time for which the store delays an answer without changes, if it is known: an answer that takes longer has been
+    /// on its way for the rest.
+    fn max_wait(&self) -> Option<Duration> {
+        None
+    }
 }
 
 /// The operations of a key-value store that the system needs.
