fix(datagram): handle control messages before packets

Seen by reading: the event loop looked at the control socket last, so that on a busy instance messages could wait for as long as packets kept coming, while its ticks were on time. The age that such a message tells was then taken for the present one.

Test: control_messages_go_before_packets; the order was not a function of its own before, and a test could not ask for it.

--- a/buckthornlink-datagram/src/event_loop.rs
+++ b/buckthornlink-datagram/src/event_loop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Interval, MissedTickBehavior, interval};
 
 use buckthornlink_core::Millis;
 use buckthornlink_core::datagram::{
@@ -81,6 +81,36 @@
     relay: u16,
 }
 
+/// What the event loop handles next.
+#[derive(Debug)]
+enum Ready {
+    Tick,
+    /// An input of another task, or none if all of them have ended.
+    Input(Option<Input>),
+    Messages,
+    Packets(Source),
+}
+
+/// Waits until something is to be handled. Control messages go before packets: how old they are is not known, so
+/// they must not wait while packets keep coming.
+async fn wait_ready(
+    ticks: &mut Interval,
+    inputs: &flume::Receiver<Input>,
+    sockets: &Sockets,
+) -> Ready {
+    tokio::select! {
+        biased;
+        _ = ticks.tick() => Ready::Tick,
+        input = inputs.recv_async() => Ready::Input(input.ok()),
+        () = wait_readable(Some(&sockets.link)) => Ready::Messages,
+        () = wait_readable(sockets.fabric.as_ref()) => Ready::Packets(Source::Fabric),
+        () = wait_readable(sockets.backend.as_ref()) => Ready::Packets(Source::Backend),
+        () = wait_readable(Some(&sockets.relay)) => {
+            Ready::Packets(Source::Peer(Ipv4Addr::UNSPECIFIED))
+        }
+    }
+}
+
 /// Progress of a requested termination.
 #[derive(Clone, Copy, Debug)]
 struct Shutdown {
@@ -138,25 +168,16 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut stopping_since: Option<Millis> = None;
         loop {
-            tokio::select! {
-                biased;
-                _ = ticks.tick() => self.tick(),
-                input = inputs.recv_async() => match input {
-                    Ok(Input::Event(event)) => self.reduce_input(event),
-                    Ok(Input::Stop) => {
-                        stopping_since.get_or_insert_with(clock::now);
-                        self.reduce(Event::Leave, 0);
-                    }
-                    Err(_) => return,
-                },
-                () = wait_readable(self.sockets.fabric.as_ref()) =>
-                    self.receive_packets(Source::Fabric),
-                () = wait_readable(self.sockets.backend.as_ref()) =>
-                    self.receive_packets(Source::Backend),
-                () = wait_readable(Some(&self.sockets.relay)) => {
-                    self.receive_packets(Source::Peer(Ipv4Addr::UNSPECIFIED));
+            match wait_ready(&mut ticks, &inputs, &self.sockets).await {
+                Ready::Tick => self.tick(),
+                Ready::Input(Some(Input::Event(event))) => self.reduce_input(event),
+                Ready::Input(Some(Input::Stop)) => {
+                    stopping_since.get_or_insert_with(clock::now);
+                    self.reduce(Event::Leave, 0);
                 }
-                () = wait_readable(Some(&self.sockets.link)) => self.receive_messages(),
+                Ready::Input(None) => return,
+                Ready::Messages => self.receive_messages(),
+                Ready::Packets(source) => self.receive_packets(source),
             }
             self.publish_state();
             if stopping_since.is_some_and(|since| self.can_stop(since)) {
--- a/buckthornlink-datagram/tests/unit/event_loop.rs
+++ b/buckthornlink-datagram/tests/unit/event_loop.rs
@@ -1,4 +1,11 @@
-use super::Shutdown;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::time::interval;
+
+use super::{Ready, Shutdown, wait_ready};
+use crate::sockets::Sockets;
 use buckthornlink_core::Millis;
 
 const GRACE_PERIOD: Millis = Millis(4_500);
@@ -28,3 +35,33 @@
 fn a_process_waits_until_the_fabric_has_turned_away() {
     assert!(!may_end(1_000, 0));
 }
+
+/// Guards against control messages that wait while packets keep coming, and are taken for young when they are handled.
+#[tokio::test]
+async fn control_messages_go_before_packets() {
+    let bind = || UdpSocket::bind((Ipv4Addr::new(127, 62, 1, 1), 0));
+    let sockets = Sockets {
+        fabric: Some(bind().await.unwrap()),
+        relay: bind().await.unwrap(),
+        link: bind().await.unwrap(),
+        backend: Some(bind().await.unwrap()),
+        delivery: None,
+    };
+    let sender = bind().await.unwrap();
+    let receivers = [
+        sockets.fabric.as_ref().unwrap(),
+        sockets.backend.as_ref().unwrap(),
+        &sockets.relay,
+        &sockets.link,
+    ];
+    for receiver in receivers {
+        let to = receiver.local_addr().unwrap();
+        sender.send_to(b"datagram", to).await.unwrap();
+        receiver.readable().await.unwrap();
+    }
+    let (_open, inputs) = flume::unbounded();
+    let mut ticks = interval(Duration::from_mins(1));
+    ticks.tick().await;
+    let ready = wait_ready(&mut ticks, &inputs, &sockets).await;
+    assert!(matches!(ready, Ready::Messages), "{ready:?}");
+}
