fix(datagram): hide no backend server whose heartbeats do not tell its start time

The platform's adapter requires it; the reducer does not.

Test: a_backend_server_without_a_start_time_is_believed_at_once failed before (Starting).

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -123,8 +123,9 @@
     /// Whether a heartbeat may be the first one that is believed. One of another service than that of the settings may have
     /// been held up since another backend server had the address.
     fn is_expected(&self, heartbeat: &BackendHeartbeat) -> bool {
-        let expected = self.expected_service;
-        self.state != BackendState::Unknown || expected.is_none_or(|s| s == heartbeat.service)
+        let is_expected = |service| service == heartbeat.service;
+        let is_first = self.state == BackendState::Unknown && heartbeat.born.is_some();
+        !is_first || self.expected_service.is_none_or(is_expected)
     }
 
     /// Whether the connection to the boot that is known is still open, so that its process lives.
@@ -416,7 +417,8 @@
             None => BootId(self.boot.0 + 1),
         };
         let is_unknown = self.state == BackendState::Unknown;
-        if boot < self.boot || is_unknown && boot < self.earlier_boot {
+        let is_earlier = is_unknown && heartbeat.born.is_some() && boot < self.earlier_boot;
+        if boot < self.boot || is_earlier {
             return None;
         }
         let is_current = boot == self.boot && !is_unknown;
--- a/buckthornlink-core/tests/datagram_predecessor.rs
+++ b/buckthornlink-core/tests/datagram_predecessor.rs
@@ -189,3 +189,15 @@
     }
     assert_eq!(agent.phase(), Phase::Ready);
 }
+
+/// Guards against a backend server that is hidden for good, as its heartbeats do not tell when it started.
+#[test]
+fn a_backend_server_without_a_start_time_is_believed_at_once() {
+    let mut agent = AgentDriver::started_at_time(BootId(START));
+    remind(&mut agent, BEFORE);
+    agent.heartbeat(BackendHeartbeat {
+        born: None,
+        ..heartbeat(4)
+    });
+    assert_eq!(agent.phase(), Phase::Ready);
+}
