fix(datagram): take a backend server for cold whose connection closed during a pause

Seen by reading: a backend server that restarts while its agent is paused refuses nothing that the agent sees, so that it got the full rate until its first heartbeat.

--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -241,7 +241,13 @@
         if connection == Connection::Refused {
             self.doubt.get_or_insert(Doubt::Unheard);
         }
-        self.may_be_cold |= connection == Connection::AcceptedAgain;
+        // A close that is seen after a pause may have been followed by the start of another boot meanwhile.
+        let may_have_restarted = match connection {
+            Connection::AcceptedAgain => true,
+            Connection::Closed => self.signs.may_have_waited(now),
+            Connection::Accepted | Connection::Refused => false,
+        };
+        self.may_be_cold |= may_have_restarted;
     }
 
     /// Records that a packet to the backend server was refused.
--- a/buckthornlink-core/tests/datagram_cold.rs
+++ b/buckthornlink-core/tests/datagram_cold.rs
@@ -233,3 +233,17 @@
     }
     assert_eq!(offer_at_once(&mut agent), 99);
 }
+
+/// Guards against a backend server that restarts while its agent is paused: the agent sees a connection closed and the next one
+/// accepted.
+#[test]
+fn a_connection_that_closed_during_a_pause_leaves_a_backend_server_cold_until_it_is_heard() {
+    let mut agent = AgentDriver::ready();
+    agent.reduce(Event::BackendConnection(Connection::Accepted));
+    agent.run(Millis(1_200));
+    agent.heartbeat(heartbeat(2));
+    agent.advance(Millis(600));
+    agent.reduce(Event::BackendConnection(Connection::Closed));
+    agent.reduce(Event::BackendConnection(Connection::Accepted));
+    assert_eq!(offer_at_once(&mut agent), LIMIT);
+}
