feat(datagram): log that an agent was told of its earlier process

`predecessor_known` was missing: nothing told why a restarted agent denies no flows. It counts in decisions_total like all decisions.

--- a/buckthornlink-core/src/datagram/agent/local_backend.rs
+++ b/buckthornlink-core/src/datagram/agent/local_backend.rs
@@ -34,7 +34,7 @@
         }
         match heard {
             Heard::Stale | Heard::Contender | Heard::Current => {}
-            Heard::First => self.holds_earlier = !self.backend.is_tracked(),
+            Heard::First => self.begin_first_boot(now, out),
             Heard::Successor(proven_until) => {
                 self.end_flows(Evidence::Replaced, proven_until, now);
                 self.keep_other_flows(true);
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Begins with the first boot that this process hears of, which an earlier one may have known.
+    fn begin_first_boot(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.holds_earlier = !self.backend.is_tracked();
+        if self.backend.has_predecessor() {
+            let age = self.backend.age(now);
+            out.push(self.decision(Reason::PredecessorKnown, None, age));
+        }
+    }
+
     /// Takes note of the boot of the backend server that an earlier process of this agent knew last: that one may have admitted
     /// flows of it.
     pub(super) fn record_earlier_backend(
@@ -59,6 +68,8 @@
     ) {
         if self.backend.record_earlier_boot(boot) {
             self.holds_earlier = true;
+            let age = self.backend.age(now);
+            out.push(self.decision(Reason::PredecessorKnown, None, age));
             self.update_own_fact(now, out);
         }
     }
--- a/buckthornlink-core/src/datagram/backend.rs
+++ b/buckthornlink-core/src/datagram/backend.rs
@@ -334,7 +334,8 @@
 
     /// Whether an earlier process knew the same boot or a later one, and may have admitted flows, whatever the clock and the
     /// sequence number say.
-    fn has_predecessor(&self) -> bool {
+    #[must_use]
+    pub fn has_predecessor(&self) -> bool {
         self.earlier_boot != BootId::default() && self.earlier_boot >= self.boot
     }
 
--- a/buckthornlink-core/src/datagram/decision.rs
+++ b/buckthornlink-core/src/datagram/decision.rs
@@ -129,6 +129,9 @@
     WatchStarted,
     /// The instance stopped watching the store, as enough others do.
     WatchStopped,
+    /// Another instance, or the store, tells that an earlier process of this agent knew the boot of the backend server, so
+    /// that flows may be open which this process did not see; the age is that of the last heartbeat.
+    PredecessorKnown,
     /// The phase that this agent reports changed: its backend server's phase did, or it is leaving.
     BackendChanged,
     /// The backend server left a request of this flow unanswered for far longer than others, so it gets no new
@@ -150,7 +153,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 46] = [
+    pub const ALL: [Self; 47] = [
         Self::Placed,
         Self::PlacedAgain,
         Self::HandedOn,
@@ -190,6 +193,7 @@
         Self::HeartbeatIgnored,
         Self::WatchStarted,
         Self::WatchStopped,
+        Self::PredecessorKnown,
         Self::BackendChanged,
         Self::BackendHanging,
         Self::BackendAnswers,
@@ -247,6 +251,7 @@
             Self::HeartbeatIgnored => "heartbeat_ignored",
             Self::WatchStarted => "watch_started",
             Self::WatchStopped => "watch_stopped",
+            Self::PredecessorKnown => "predecessor_known",
             Self::BackendChanged => "backend_changed",
             Self::BackendHanging => "backend_hanging",
             Self::BackendAnswers => "backend_answers",
