--- a/buckthornlink-core/tests/datagram_watchers.rs
+++ b/buckthornlink-core/tests/datagram_watchers.rs
@@ -42,6 +42,13 @@
     assert!(late.is_empty(), "{context}: {count} of {left}: {late:?}");
 }
 
+/// Asks each instance that is left whether what it knows is as young as it believes.
+fn assert_true_ages(fleet: &StoreFleet, context: &str) {
+    let has_false_age = |ip: &Ipv4Addr| fleet.has_false_age(*ip, UNNOTICED_PAUSE);
+    let found: Vec<Ipv4Addr> = fleet.left().into_iter().filter(has_false_age).collect();
+    assert!(found.is_empty(), "{context}: {found:?}");
+}
+
 /// Removes `count` random instances of those that are left, in random ways; at least one stays.
 fn lose_random(fleet: &mut StoreFleet, count: usize) {
     for _ in 0..count {
@@ -148,14 +155,40 @@
             while fleet.now < end {
                 disturb(&mut fleet);
                 fleet.step();
-                let has_false_age = |ip: &Ipv4Addr| fleet.has_false_age(*ip, UNNOTICED_PAUSE);
-                let found: Vec<Ipv4Addr> = fleet.left().into_iter().filter(has_false_age).collect();
-                assert!(found.is_empty(), "size {size}, seed {seed}: {found:?}");
+                assert_true_ages(&fleet, &format!("size {size}, seed {seed}"));
             }
         }
     }
 }
 
+/// Guards against instances that go on to hold a zone for out of service, and do not ask: those that tell them how young their
+/// knowledge is have started since the zone's return, and know no record of it.
+#[test]
+fn each_instance_left_knows_the_return_of_a_zone_in_time() {
+    for (size, seeds) in FLEETS {
+        for seed in 0..seeds {
+            let mut fleet = StoreFleet::start(size, seed);
+            fleet.change_records();
+            fleet.run(SETTLE_TIME);
+            let watchers = fleet.watchers();
+            for &ip in &watchers {
+                fleet.lose(ip, Loss::Killed);
+            }
+            fleet.run(CHANGE_AFTER);
+            fleet.change_records();
+            for &ip in &watchers {
+                fleet.restart(ip);
+            }
+            let end = fleet.now + APPLY_TIME;
+            while fleet.now < end {
+                fleet.step();
+                assert_true_ages(&fleet, &format!("size {size}, seed {seed}"));
+            }
+            assert_all_current(&fleet, &format!("size {size}, seed {seed}"));
+        }
+    }
+}
+
 /// Now and then pauses a few instances, resumes all that are paused, changes the records, or takes the store
 /// away and brings it back.
 fn disturb(fleet: &mut StoreFleet) {
