--- a/buckthornlink-soak/tests/unit/plan.rs
+++ b/buckthornlink-soak/tests/unit/plan.rs
@@ -75,7 +75,7 @@
 fn outages_take_one_or_most_instances_away_for_up_to_ten_seconds() {
     let entries = (0..50).flat_map(|seed| generate(Scenario::Outages, seed, DURATION, &shape()));
     let entries: Vec<Entry> = entries.collect();
-    for fault in OUTAGES.into_iter().chain([Fault::Crash]) {
+    for fault in outages::PROCESSES.into_iter().chain([Fault::Crash]) {
         assert!(entries.iter().any(|e| e.fault == fault), "{fault:?}");
     }
     let sizes = entries.chunk_by(|a, b| a.at == b.at || b.fault == Fault::Crash);
