--- a/buckthornlink-core/tests/datagram_watchers.rs
+++ b/buckthornlink-core/tests/datagram_watchers.rs
@@ -22,7 +22,7 @@
 /// Calls to the store by two watchers in a second, at most.
 const CALM_CALLS: usize = 2;
 /// Instances that join the watchers after a loss, at most.
-const MAX_JOINS: usize = 16;
+const MAX_JOINS: usize = 8;
 /// Calls to the store in a second of its outage by all instances, after one call of each.
 const OUTAGE_CALLS: usize = 200;
 /// Time for which the store has to be stable before the limit holds again.
