--- a/buckthornlink-soak/src/plan/outages.rs
+++ b/buckthornlink-soak/src/plan/outages.rs
@@ -11,7 +11,7 @@
 
 /// Kinds of outages, drawn uniformly: a process is killed, paused, or asked to terminate.
 pub(super) const PROCESSES: [Fault; 3] = [Fault::Kill, Fault::Pause, Fault::RestartLater];
-/// Kinds of outages of [`Scenario::Cuts`], drawn uniformly.
+/// Kinds of outages of [`Scenario::Cuts`](super::Scenario::Cuts), drawn uniformly.
 pub(super) const LINKS: [Fault; 3] = [Fault::Mute, Fault::Deafen, Fault::Kill];
 /// Duration of an outage, in milliseconds.
 const OUTAGE_MS: std::ops::Range<u64> = 500..10_000;
