refactor(core): move the age of the store's answers and the timer of joining out of the datagram path

Change: `store::StoreAnswers` (how old is what is known) and `store::JoinTimer` (when to join those that watch) are generic over the instance's name and over the limits; the gossip of the datagram path uses them with the limits it had.

--- a/buckthornlink-core/src/datagram.rs
+++ b/buckthornlink-core/src/datagram.rs
@@ -57,7 +57,7 @@
 pub use gossip::{Gossip, Setup, ZoneMembers};
 pub use membership::{Member, Membership, Merge, ServiceLoad};
 pub(crate) use membership::{addresses, sort_by_preference};
-pub use message::{MemberHeartbeat, Message, OwnerRecord, Status, StoreAnswer, StoreView};
+pub use message::{MemberHeartbeat, Message, OwnerRecord, Status, StoreView};
 pub use outlier::Outcomes;
 pub use packet::{Flags, Mode, Packet, RelayTag};
 pub use table::{Route, ServiceLimits, Table, Target};
--- a/buckthornlink-core/src/datagram/gossip.rs
+++ b/buckthornlink-core/src/datagram/gossip.rs
@@ -18,13 +18,13 @@
 use super::{Decision, Effect, Fact, Load, Membership, Message, Phase, Reason, Role, Status};
 use crate::id::{BootId, Version, ZoneTag};
 use crate::member::ZoneTable;
+use crate::store::StoreAnswers;
 use crate::time::Millis;
 use catch_up::CatchUp;
 use facts::QueuedFact;
 use publication::Publication;
 pub use publication::ZoneMembers;
 use store_access::StoreAccess;
-use store_age::StoreAnswers;
 use zone_sync::ZoneSync;
 
 /// Interval of gossip exchanges.
@@ -66,7 +66,7 @@
     contacts: Vec<Ipv4Addr>,
     registered: Option<Vec<Ipv4Addr>>,
     store_access: StoreAccess,
-    store_answers: StoreAnswers,
+    store_answers: StoreAnswers<Ipv4Addr>,
     publication: Publication,
     fact_queue: VecDeque<QueuedFact>,
     member_changes: u64,
--- a/buckthornlink-core/src/datagram/gossip/store_access.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_access.rs
@@ -6,12 +6,10 @@
 
 use std::net::Ipv4Addr;
 
-use rand_core::{RngCore, SeedableRng};
-use rand_pcg::Pcg64Mcg;
-
 use super::Gossip;
 use crate::datagram::{Effect, Fact, Member, Reason, Role};
 use crate::id::stable_hash;
+use crate::store::{JoinLimits, JoinTimer};
 use crate::time::Millis;
 
 /// Balancers of each zone that watch the store.
@@ -29,8 +27,7 @@
 const MAX_STORE_AGE: Millis = Millis(2_000);
 /// Time over which instances spread their joining; longer in a large fleet.
 const JOIN_WINDOW: Millis = Millis(300);
-/// Instances that join in a second at most, which they do at the end of the window if nobody gets an
-/// answer.
+/// Instances that join in a second at most.
 const MAX_JOIN_RATE: u64 = 1_600;
 /// Interval of ticks, at which an instance notices that it is to join.
 const TICK_INTERVAL: Millis = Millis(200);
@@ -40,27 +37,19 @@
 const _: () =
     assert!(MAX_STORE_AGE.0 + JOIN_WINDOW.0 + TICK_INTERVAL.0 + READ_TIME.0 <= MIN_APPLY_TIME.0);
 
-/// Mean delay before an instance calls the store again after a call that failed, which doubles with each
-/// further failure.
-const MIN_RETRY_DELAY: Millis = Millis(300);
-/// Its maximum.
-const MAX_RETRY_DELAY: Millis = Millis(2_000);
-/// The same for each known instance, if that is more: in an outage, all of them together make no more
-/// calls than this allows, whatever their number.
-const MIN_RETRY_DELAY_PER_MEMBER: Millis = Millis(5);
-/// The maximum for each known instance.
-const MAX_RETRY_DELAY_PER_MEMBER: Millis = Millis(10);
+/// When an instance joins the watchers.
+const JOIN_LIMITS: JoinLimits = JoinLimits {
+    max_age: MAX_STORE_AGE,
+    window: JOIN_WINDOW,
+    max_rate: MAX_JOIN_RATE,
+};
 
 /// This instance's own access to the store.
 #[derive(Clone, Debug)]
 pub(super) struct StoreAccess {
     is_watcher: bool,
-    /// When it is going to join the watchers.
-    joins_at: Option<Millis>,
-    /// Calls to the store that have failed since the last answer.
-    failures: u32,
-    /// Draws the times of calls, and the instances that news of the store are sent to.
-    pub(super) rng: Pcg64Mcg,
+    /// Draws the times at which it joins the watchers, and the instances that news of the store are sent to.
+    pub(super) timer: JoinTimer,
 }
 
 impl StoreAccess {
@@ -68,9 +57,7 @@
     pub(super) fn new(seed: u64) -> Self {
         Self {
             is_watcher: false,
-            joins_at: None,
-            failures: 0,
-            rng: Pcg64Mcg::seed_from_u64(seed.wrapping_add(1)),
+            timer: JoinTimer::new(JOIN_LIMITS, seed.wrapping_add(1)),
         }
     }
 }
@@ -78,7 +65,7 @@
 impl Gossip {
     /// Records that the store answered this process, at most `age` ago.
     pub fn record_store_answer(&mut self, age: Millis, now: Millis, effects: &mut Vec<Effect>) {
-        self.store_access.failures = 0;
+        self.store_access.timer.record_answer();
         self.insert_own_answer(age, now, effects);
         self.set_store_reachable(true, now, effects);
     }
@@ -136,7 +123,7 @@
             return;
         }
         self.store_access.is_watcher = is_watcher;
-        self.store_access.joins_at = None;
+        self.store_access.timer.cancel();
         self.own.store &= is_watcher;
         effects.push(Effect::Watch(is_watcher));
         let reason = if is_watcher {
@@ -150,25 +137,13 @@
     /// Whether the knowledge of the store is too old and the time has come that is drawn for joining. An instance that
     /// leaves admits no new flows, which an old configuration could misdirect.
     fn is_join_due(&mut self, now: Millis) -> bool {
-        let age = self.store_age(now);
-        if age < MAX_STORE_AGE || self.own.phase.is_leaving() {
-            self.store_access.joins_at = None;
+        if self.own.phase.is_leaving() {
+            self.store_access.timer.cancel();
             return false;
         }
-        let joins_at = match self.store_access.joins_at {
-            Some(at) => at,
-            None => now - age + MAX_STORE_AGE + self.draw_join_delay(),
-        };
-        self.store_access.joins_at = Some(joins_at);
-        now >= joins_at
-    }
-
-    /// A random delay within the window. Few instances have a short one, so that few have joined when
-    /// the first answer arrives, however many there are.
-    fn draw_join_delay(&mut self) -> Millis {
-        let members = self.membership.len() as u64;
-        let window = JOIN_WINDOW.0.max(2 * 1_000 * members / MAX_JOIN_RATE);
-        Millis((self.store_access.rng.next_u64() % (window * window)).isqrt())
+        let age = self.store_age(now);
+        let members = self.membership.len();
+        self.store_access.timer.is_due(age, members, now)
     }
 
     /// Stops watching after a call to the store has failed, and joins again later, unless this instance
@@ -177,20 +152,9 @@
         if !self.store_access.is_watcher || self.is_first_in_zone() {
             return;
         }
-        let delay = self.draw_retry_delay();
-        self.store_access.failures = self.store_access.failures.saturating_add(1);
         self.set_watching(false, now, effects);
-        self.store_access.joins_at = Some(now + delay);
-    }
-
-    /// Exponential delay with jitter, longer in a larger fleet.
-    fn draw_retry_delay(&mut self) -> Millis {
-        let members = self.membership.len() as u64;
-        let for_all = |per_member: Millis| Millis(per_member.0 * members);
-        let min = MIN_RETRY_DELAY.max(for_all(MIN_RETRY_DELAY_PER_MEMBER));
-        let max = MAX_RETRY_DELAY.max(for_all(MAX_RETRY_DELAY_PER_MEMBER));
-        let delay = (min.0 << self.store_access.failures.min(8)).min(max.0);
-        Millis(delay / 2 + self.store_access.rng.next_u64() % delay)
+        let members = self.membership.len();
+        self.store_access.timer.record_failure(members, now);
     }
 
     /// Whether the store lately answered enough watchers that go before this one. Those that joined count
--- a/buckthornlink-core/src/datagram/message.rs
+++ b/buckthornlink-core/src/datagram/message.rs
@@ -9,7 +9,7 @@
 use super::{Fact, Flow, SavedFlow};
 use crate::id::{BootId, Version};
 use crate::member::ZoneRecord;
-use crate::time::Millis;
+use crate::store::StoreAnswer;
 
 /// A control message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,16 +70,7 @@
     /// Zone records.
     pub zones: Vec<ZoneRecord>,
     /// The latest answers of the store that this rests on: no change before any of them is missing.
-    pub answers: Vec<StoreAnswer>,
-}
-
-/// An answer of the store to one instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreAnswer {
-    /// The instance.
-    pub instance: Ipv4Addr,
-    /// Time since the answer when the message was sent.
-    pub age: Millis,
+    pub answers: Vec<StoreAnswer<Ipv4Addr>>,
 }
 
 /// Heartbeat of an instance, without the rest of its fact.
--- a/buckthornlink-core/src/lib.rs
+++ b/buckthornlink-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`config`] parses and validates the configuration that operators write.
 //! * [`member`] merges the facts that each instance publishes about itself.
 //! * [`balancer`] places new flows on agents and gossips facts to other balancers.
+//! * [`store`] tells how old the knowledge of the operators' records is, and who reads them.
 //! * [`retry`] limits retries of calls to dependencies.
 //! * [`datagram`] balances flows whose datagrams carry no routable id.
 //! * [`agent`] decides which request runs on its backend server, and when.
@@ -33,6 +34,7 @@
 pub mod member;
 pub mod message;
 pub mod retry;
+pub mod store;
 pub mod time;
 pub mod verdict;
 
