--- a/buckthornlink-core/src/datagram/gossip/exchange.rs
+++ b/buckthornlink-core/src/datagram/gossip/exchange.rs
@@ -2,11 +2,9 @@
 
 use std::net::Ipv4Addr;
 
-use rand_core::RngCore;
-use rand_pcg::Pcg64Mcg;
-
 use super::Gossip;
 use crate::datagram::{Effect, Fact, Member, MemberHeartbeat, Message, Status};
+use crate::sample::keep_random;
 use crate::time::Millis;
 
 /// Maximum number of facts in one message, which fits a datagram together with the heartbeats.
@@ -163,13 +161,3 @@
         }
     }
 }
-
-/// Keeps `count` random items, in random order.
-pub(super) fn keep_random(ips: &mut Vec<Ipv4Addr>, count: usize, rng: &mut Pcg64Mcg) {
-    for i in 0..count.min(ips.len()) {
-        let rest = (ips.len() - i) as u64;
-        let offset = usize::try_from(rng.next_u64() % rest).unwrap_or(0);
-        ips.swap(i, i + offset);
-    }
-    ips.truncate(count);
-}
--- a/buckthornlink-core/src/datagram/gossip/store_age.rs
+++ b/buckthornlink-core/src/datagram/gossip/store_age.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 
 use super::Gossip;
-use super::exchange::keep_random;
 use crate::datagram::{Effect, Message, StoreView};
+use crate::sample::keep_random;
 use crate::store::StoreAnswer;
 use crate::time::Millis;
 
--- a/buckthornlink-core/src/lib.rs
+++ b/buckthornlink-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod member;
 pub mod message;
 pub mod retry;
+mod sample;
 pub mod store;
 pub mod time;
 pub mod verdict;
