--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -7,11 +7,13 @@
 //! * [`Policy`] ranks the candidates for an opener.
 //! * `gossip` exchanges facts with other balancers within a byte budget.
 //! * `observe` handles heartbeats and detects agents that no longer send them.
+//! * `store_access` tells how old the knowledge of the store is, and who watches it.
 
 mod budget;
 mod gossip;
 mod observe;
 mod opener;
+mod store_access;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -29,6 +31,7 @@
 use crate::message::Message;
 use crate::time::Millis;
 use gossip::GossipQueue;
+use store_access::StoreAccess;
 
 /// Interval of [`Event::Tick`].
 pub const TICK_INTERVAL: Millis = Millis(100);
@@ -98,6 +101,10 @@
     Drain,
     /// [`TICK_INTERVAL`] has passed.
     Tick,
+    /// The store answered this process, and all that it then held has been reported; time since then.
+    StoreAnswered(Millis),
+    /// A call to the store failed.
+    StoreFailed,
 }
 
 /// Action that [`Balancer::reduce`] returns for the process to perform.
@@ -172,7 +179,7 @@
     budget: ByteBudget,
     rng: Pcg64Mcg,
     next_turn: u64,
-    watching: bool,
+    store_access: StoreAccess,
     last_hello: Option<Millis>,
     last_tick: Option<Millis>,
     contacts_requested: BTreeMap<ServicePort, Millis>,
@@ -203,7 +210,7 @@
             budget: ByteBudget::new(setup.control_bytes),
             rng: Pcg64Mcg::seed_from_u64(setup.seed),
             next_turn: 0,
-            watching: false,
+            store_access: StoreAccess::new(setup.seed),
             last_hello: None,
             last_tick: None,
             contacts_requested: BTreeMap::new(),
@@ -221,6 +228,8 @@
             Event::Zone(record) => self.merge_zone(record, now),
             Event::Drain => self.drain(now),
             Event::Tick => self.tick(now),
+            Event::StoreAnswered(age) => self.record_store_answer(age, now),
+            Event::StoreFailed => self.record_store_failure(now),
         }
     }
 
@@ -284,7 +293,7 @@
         self.notice_absence(now);
         self.mark_silent_agents(now);
         self.send_due_gossip(now, &mut effects);
-        self.choose_watchers(&mut effects);
+        self.check_store_age(now, &mut effects);
         effects
     }
 
--- a/buckthornlink-core/src/balancer/gossip.rs
+++ b/buckthornlink-core/src/balancer/gossip.rs
@@ -10,9 +10,9 @@
 use rand_core::RngCore;
 
 use super::{Balancer, Effect};
-use crate::id::stable_hash;
 use crate::member::{Fact, MemberKey, ZoneRecord};
 use crate::message::{Exchange, MAX_FACTS, Message};
+use crate::sample::keep_random;
 use crate::time::Millis;
 
 /// Interval between two exchanges.
@@ -31,8 +31,6 @@
 const HELLO_INTERVAL: Millis = Millis(100);
 /// Interval between hellos once peers are known; lets groups that do not know each other merge.
 const HELLO_INTERVAL_JOINED: Millis = Millis(15_000);
-/// Number of balancers in each zone that watch the store.
-const WATCHERS_PER_ZONE: usize = 2;
 
 /// Changed facts that are still to be sent, and the time of the last exchange or push.
 #[derive(Clone, Debug, Default)]
@@ -97,6 +95,7 @@
                 self.fetch_newer_config(ack.from.addr, ack.version, &mut effects);
             }
             Message::Exchange(exchange) => self.respond_to_exchange(&exchange, now, &mut effects),
+            Message::Store(view) => self.receive_store_view(from, &view, now, &mut effects),
         }
         effects
     }
@@ -143,36 +142,17 @@
     /// Returns up to `count` random balancers that are not gone, except this one.
     pub(super) fn pick_balancers(&mut self, count: usize) -> Vec<Fact> {
         let mut facts: Vec<Fact> = self.live_balancers().copied().collect();
-        for i in 0..count.min(facts.len()) {
-            let rest = (facts.len() - i) as u64;
-            let offset = usize::try_from(self.rng.next_u64() % rest).unwrap_or(0);
-            facts.swap(i, i + offset);
-        }
-        facts.truncate(count);
+        keep_random(&mut facts, count, &mut self.rng);
         facts
     }
 
-    /// Starts watching the store if this balancer is among the first [`WATCHERS_PER_ZONE`] of its
-    /// zone by [`watcher_rank`], and stops when it no longer is.
-    pub(super) fn choose_watchers(&mut self, effects: &mut Vec<Effect>) {
-        let own = watcher_rank(&self.own);
-        let zone = self.own.zone;
-        let peers = self.live_balancers().filter(|f| f.zone == zone);
-        let ahead = peers.filter(|f| watcher_rank(f) < own).count();
-        let is_watcher = ahead < WATCHERS_PER_ZONE;
-        if is_watcher != self.watching {
-            self.watching = is_watcher;
-            effects.push(Effect::Watch(is_watcher));
-        }
-    }
-
     /// Sends a message and charges its size to the budget.
     pub(super) fn send(&mut self, to: SocketAddrV4, message: Message, effects: &mut Vec<Effect>) {
         self.budget.spend(message.size());
         effects.push(Effect::Send { to, message });
     }
 
-    fn live_balancers(&self) -> impl Iterator<Item = &Fact> {
+    pub(super) fn live_balancers(&self) -> impl Iterator<Item = &Fact> {
         let keys = self.members.balancers().iter();
         let facts = keys.filter_map(|&key| Some(&self.members.get(key)?.fact));
         facts.filter(|f| f.addr != self.own.addr && !f.phase.is_gone())
@@ -252,13 +232,18 @@
         }
     }
 
-    fn merge_zones(&mut self, records: &[ZoneRecord], now: Millis, effects: &mut Vec<Effect>) {
+    pub(super) fn merge_zones(
+        &mut self,
+        records: &[ZoneRecord],
+        now: Millis,
+        effects: &mut Vec<Effect>,
+    ) {
         for &record in records {
             effects.extend(self.merge_zone(record, now));
         }
     }
 
-    fn fetch_newer_config(
+    pub(super) fn fetch_newer_config(
         &self,
         from: SocketAddrV4,
         version: crate::Version,
@@ -307,11 +292,3 @@
         }
     }
 }
-
-fn watcher_rank(fact: &Fact) -> u64 {
-    let mut bytes = [0; 14];
-    bytes[..4].copy_from_slice(&fact.addr.ip().octets());
-    bytes[4..6].copy_from_slice(&fact.addr.port().to_be_bytes());
-    bytes[6..].copy_from_slice(&fact.boot.0.to_be_bytes());
-    stable_hash(&bytes)
-}
--- a/buckthornlink-core/src/balancer/observe.rs
+++ b/buckthornlink-core/src/balancer/observe.rs
@@ -95,6 +95,7 @@
     pub(super) fn notice_absence(&mut self, now: Millis) {
         let absence = self.last_tick.map_or(Millis(0), |at| now.since(at));
         self.last_tick = Some(now);
+        self.store_access.record_tick_gap(absence, now);
         if absence >= AWAY_TIME {
             self.members.exclude_absence(absence, now);
         }
--- a/buckthornlink-core/src/message.rs
+++ b/buckthornlink-core/src/message.rs
@@ -3,10 +3,13 @@
 //! Each message fits into one datagram. Larger data, such as a configuration, is fetched over HTTP
 //! from the instance that announced it.
 
+use std::net::SocketAddrV4;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::Version;
 use crate::member::{Digest, Fact, Load, ZoneRecord};
+use crate::store::StoreAnswer;
 use crate::time::Millis;
 
 /// Maximum number of facts in one message.
@@ -20,6 +23,7 @@
 const FACT_BYTES: usize = 50;
 const ZONE_BYTES: usize = 11;
 const DIGEST_BYTES: usize = 80;
+const ANSWER_BYTES: usize = 20;
 
 /// A control message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +36,8 @@
     Ack(Ack),
     /// Anti-entropy exchange between two balancers.
     Exchange(Exchange),
+    /// What a balancer knows of the store.
+    Store(StoreView),
 }
 
 /// Periodic report of an agent.
@@ -81,6 +87,19 @@
     pub ask: bool,
 }
 
+/// What the sender knows of the operators' records, and how old that is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreView {
+    /// Version of the configuration that the sender uses.
+    pub version: Version,
+    /// All zone records that the sender knows.
+    pub zones: Vec<ZoneRecord>,
+    /// The latest answers of the store that this rests on: no change before any of them is missing.
+    pub answers: Vec<StoreAnswer<SocketAddrV4>>,
+    /// Whether the sender expects to be told what the receiver knows.
+    pub ask: bool,
+}
+
 impl Message {
     /// Returns an upper bound for the bytes that the message takes on the network.
     ///
@@ -98,6 +117,7 @@
                 let digest = exchange.digest.map_or(0, |_| DIGEST_BYTES);
                 facts * FACT_BYTES + exchange.zones.len() * ZONE_BYTES + digest
             }
+            Self::Store(view) => view.answers.len() * ANSWER_BYTES + view.zones.len() * ZONE_BYTES,
         };
         DATAGRAM_OVERHEAD_BYTES + MESSAGE_BASE_BYTES + lists
     }
--- a/buckthornlink-fakes/tests/store_sync.rs
+++ b/buckthornlink-fakes/tests/store_sync.rs
@@ -1,7 +1,7 @@
 //! Processes that follow the operators' records while the store or the connections to it fail.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use buckthornlink_core::Version;
 use buckthornlink_fakes::{FakeStore, Preset};
@@ -21,26 +21,27 @@
 struct Follower {
     store: FakeStore,
     catalog: Catalog<EtcdStore>,
-    versions: flume::Receiver<Version>,
-    _sync: StoreSync,
+    updates: flume::Receiver<Update>,
+    sync: StoreSync,
 }
 
 impl Follower {
     async fn start() -> Self {
+        Self::with_capacity(1_000).await
+    }
+
+    /// A process whose queue has room for `capacity` updates.
+    async fn with_capacity(capacity: usize) -> Self {
         let addr = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
         let store = FakeStore::spawn(addr).await.unwrap();
-        let (sender, versions) = flume::unbounded();
-        let sync = StoreSync::spawn(EtcdStore::new(store.url()), move |update| {
-            if let Update::Config { version, .. } = update {
-                let _ = sender.send(version);
-            }
-        });
+        let (sender, updates) = flume::bounded(capacity);
+        let sync = StoreSync::spawn(EtcdStore::new(store.url()), sender);
         sync.set_watching(true);
         Self {
             catalog: Catalog::new(EtcdStore::new(store.url())),
             store,
-            versions,
-            _sync: sync,
+            updates,
+            sync,
         }
     }
 
@@ -54,7 +55,20 @@
     }
 
     async fn reads(&self, version: Version) -> bool {
-        let read = async { while self.versions.recv_async().await != Ok(version) {} };
+        let is_read = |u: &Update| matches!(u, Update::Config { version: v, .. } if *v == version);
+        self.reports(is_read).await
+    }
+
+    /// Whether an update is reported in time that is as described.
+    async fn reports(&self, is_as_described: impl Fn(&Update) -> bool) -> bool {
+        let read = async {
+            loop {
+                let update = self.updates.recv_async().await;
+                if update.is_ok_and(|u| is_as_described(&u)) {
+                    return;
+                }
+            }
+        };
         timeout(READ_TIME, read).await.is_ok()
     }
 }
@@ -118,3 +132,57 @@
     follower.store.restore(copy);
     assert!(follower.apply("e3").await > lost);
 }
+
+/// Guards against knowledge that counts as young since events arrive, though they were held up, and against
+/// knowledge that grows old on a calm day.
+#[tokio::test]
+async fn only_answers_to_questions_tell_how_old_the_knowledge_is() {
+    let follower = Follower::start().await;
+    let version = follower.apply("e1").await;
+    assert!(follower.reads(version).await);
+    sleep(STARTUP_TIME).await;
+    let asked_at = Instant::now();
+    let is_later = |u: &Update| matches!(u, Update::Answered(at) if *at >= asked_at);
+    assert!(follower.reports(is_later).await);
+    follower.store.silence_watches();
+    let silenced_at = Instant::now();
+    follower.apply("e2").await;
+    let has_failed = |u: &Update| *u == Update::Failed;
+    let is_confirmed = |u: &Update| matches!(u, Update::Answered(at) if *at >= silenced_at);
+    let is_either = |u: &Update| has_failed(u) || is_confirmed(u);
+    let first = timeout(READ_TIME, async {
+        loop {
+            let update = follower.updates.recv_async().await.unwrap();
+            if is_either(&update) {
+                return update;
+            }
+        }
+    });
+    assert_eq!(first.await.unwrap(), Update::Failed);
+}
+
+/// Guards against a busy process that takes an answer for knowledge of records that it has dropped.
+#[tokio::test]
+async fn records_wait_for_room_in_the_queue() {
+    let follower = Follower::with_capacity(1).await;
+    sleep(STARTUP_TIME).await;
+    let version = follower.apply("e1").await;
+    sleep(STARTUP_TIME).await;
+    assert!(follower.reads(version).await);
+}
+
+/// Guards against a process that reads the store at once after it was told to stop watching it, as do all
+/// others in an outage.
+#[tokio::test]
+async fn a_process_that_stops_watching_makes_no_call() {
+    let follower = Follower::start().await;
+    let version = follower.apply("e1").await;
+    assert!(follower.reads(version).await);
+    follower.sync.set_watching(false);
+    sleep(STARTUP_TIME).await;
+    let is_any = |_: &Update| true;
+    while follower.updates.try_recv().is_ok() {}
+    assert!(!follower.reports(is_any).await);
+    follower.sync.set_watching(true);
+    assert!(follower.reads(version).await);
+}
--- a/buckthornlink-node/src/clock.rs
+++ b/buckthornlink-node/src/clock.rs
@@ -29,11 +29,23 @@
     /// ```
     #[must_use]
     pub fn now(&self) -> Millis {
-        let millis = self.start.elapsed().as_millis();
-        Millis(u64::try_from(millis).unwrap_or(u64::MAX))
+        millis_since(self.start)
     }
 }
 
+/// Returns the time since a moment.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// assert!(buckthornlink_node::clock::millis_since(Instant::now()).0 < 1_000);
+/// ```
+#[must_use]
+pub fn millis_since(moment: Instant) -> Millis {
+    let millis = moment.elapsed().as_millis();
+    Millis(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
 /// Returns a boot id for a process that starts now: milliseconds since the Unix epoch.
 ///
 /// ```
--- a/buckthornlink-node/src/store_sync.rs
+++ b/buckthornlink-node/src/store_sync.rs
@@ -1,10 +1,10 @@
 //! Reads the operators' records from the store, and registers processes there.
 //!
 //! A watching process reads the records once, then watches for changes. Any other process polls
-//! at a long interval. Both report every record that they read; the reducer ignores records that
-//! are not newer than its own.
+//! at a long interval. Both report every record that they read, and then the time of the store's answer;
+//! the reducer ignores records that are not newer than its own.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use tokio::sync::watch;
@@ -31,6 +31,8 @@
 /// Limits of the mean delay between attempts while calls to the store fail.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Maximum for a process that watches, which others rely on.
+const MAX_WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time to live of the lease on a process's entry in the store.
 const ENTRY_TTL: Duration = Duration::from_mins(1);
 /// Mean interval between renewals of that lease.
@@ -48,6 +50,10 @@
     },
     /// A zone record.
     Zone(ZoneRecord),
+    /// The store held no other records than those reported so far at this moment.
+    Answered(Instant),
+    /// A call to the store failed.
+    Failed,
 }
 
 /// Handle of a task that watches or polls the store. Dropping it stops the task.
@@ -58,12 +64,20 @@
 }
 
 impl StoreSync {
-    /// Starts the task, which polls at first and calls `on_update` with each record it reads.
-    pub fn spawn<S: Store>(store: S, on_update: impl Fn(Update) + Send + Sync + 'static) -> Self {
+    /// Starts the task, which polls at first and sends all that it reads to `updates`. It waits for room
+    /// there, so that no record is missing when an answer is reported.
+    pub fn spawn<S: Store, T>(store: S, updates: flume::Sender<T>) -> Self
+    where
+        T: From<Update> + Send + 'static,
+    {
         let (watching_sender, watching) = watch::channel(false);
-        let task = tokio::spawn(sync(Catalog::new(store), watching, on_update));
+        let sync = RecordSync {
+            catalog: Catalog::new(store),
+            updates,
+            backoff: Backoff::new(MIN_RETRY_DELAY, MAX_WATCH_RETRY_DELAY),
+        };
         Self {
-            task,
+            task: tokio::spawn(sync.run(watching)),
             watching_sender,
         }
     }
@@ -132,110 +146,141 @@
     }
 }
 
-async fn sync<S: Store>(
+/// Reads the records, and reports them.
+struct RecordSync<S, T> {
     catalog: Catalog<S>,
-    mut watching: watch::Receiver<bool>,
-    on_update: impl Fn(Update) + Send + Sync,
-) {
-    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-    loop {
-        let result = if *watching.borrow_and_update() {
+    updates: flume::Sender<T>,
+    backoff: Backoff,
+}
+
+impl<S: Store, T: From<Update> + Send> RecordSync<S, T> {
+    /// Watches or polls until the handle is dropped. A process that is told to watch reads the records at
+    /// once; one that is told to stop reads them at the next poll.
+    async fn run(mut self, mut watching: watch::Receiver<bool>) {
+        let mut pause = Duration::ZERO;
+        loop {
+            let is_watching = *watching.borrow_and_update();
             tokio::select! {
-                result = watch_store(&catalog, &on_update, &mut backoff) => result,
-                changed = watching.changed() => if changed.is_ok() { Ok(()) } else { return },
+                next = self.attempt(is_watching, pause) => pause = next,
+                changed = watching.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let is_watching = *watching.borrow();
+                    pause = if is_watching { Duration::ZERO } else { jittered(POLL_INTERVAL) };
+                }
             }
+        }
+    }
+
+    /// Waits, then polls once, or watches until that ends; returns the time until the next attempt.
+    async fn attempt(&mut self, is_watching: bool, pause: Duration) -> Duration {
+        sleep(pause).await;
+        let result = if is_watching {
+            self.watch_store().await
         } else {
-            let result = read_all(&catalog, &on_update).await.map(drop);
-            if result.is_ok() {
-                backoff.reset();
-                let pause = jittered(POLL_INTERVAL);
-                let _ = timeout(pause, watching.changed()).await;
-            }
-            result
+            self.read_all().await.map(drop)
         };
-        if let Err(err) = result {
+        if let Err(err) = &result {
             log::debug!(
                 target: LOG_TARGET,
                 err:% = err;
                 "cannot read records from the store; retrying"
             );
-            sleep(jittered(backoff.next_delay())).await;
+            self.report(Update::Failed).await;
+        }
+        match result {
+            _ if !is_watching => jittered(POLL_INTERVAL),
+            Ok(()) => Duration::ZERO,
+            Err(_) => jittered(self.backoff.next_delay()),
         }
     }
-}
 
-/// Reads all records, then reports changes until the watch fails or about [`WATCH_LIFETIME`] is
-/// over.
-async fn watch_store<S: Store>(
-    catalog: &Catalog<S>,
-    on_update: &impl Fn(Update),
-    backoff: &mut Backoff,
-) -> Result<(), StoreError> {
-    let position = read_all(catalog, on_update).await?;
-    let mut watch = catalog.store().watch(ROOT_PREFIX, position).await?;
-    backoff.reset();
-    let report_all = async {
+    /// Reads all records, then reports changes until the watch fails or about [`WATCH_LIFETIME`] is
+    /// over.
+    async fn watch_store(&mut self) -> Result<(), StoreError> {
+        let position = self.read_all().await?;
+        let mut watch = self.catalog.store().watch(ROOT_PREFIX, position).await?;
+        self.backoff.reset();
+        timeout(jittered(WATCH_LIFETIME), self.report_changes(&mut watch))
+            .await
+            .unwrap_or(Ok(()))
+    }
+
+    /// Reports changes, and each answer that tells that none is missing, until the watch fails.
+    async fn report_changes(&self, watch: &mut S::Watch) -> Result<(), StoreError> {
+        let mut confirmed_at = None;
         loop {
             for change in watch.next().await? {
-                report_change(&change, on_update);
+                self.report_change(&change).await;
+            }
+            if watch.confirmed_at() > confirmed_at {
+                confirmed_at = watch.confirmed_at();
+                self.report_answer(confirmed_at).await;
             }
         }
-    };
-    timeout(jittered(WATCH_LIFETIME), report_all)
-        .await
-        .unwrap_or(Ok(()))
-}
+    }
 
-async fn read_all<S: Store>(
-    catalog: &Catalog<S>,
-    on_update: &impl Fn(Update),
-) -> Result<Position, StoreError> {
-    let (zones, position) = catalog.zones().await?;
-    for zone in &zones {
-        on_update(Update::Zone(zone.to_record()));
+    async fn read_all(&self) -> Result<Position, StoreError> {
+        let start = Instant::now();
+        let (zones, position) = self.catalog.zones().await?;
+        for zone in &zones {
+            self.report(Update::Zone(zone.to_record())).await;
+        }
+        if let Some(current) = self.catalog.config().await? {
+            self.report_config(&current.record).await;
+        }
+        self.report_answer(Some(start)).await;
+        Ok(position)
     }
-    if let Some(current) = catalog.config().await? {
-        report_config(&current.record, on_update);
+
+    async fn report_change(&self, change: &Change) {
+        let Change::Put(entry) = change else {
+            return;
+        };
+        if entry.key == CONFIG_KEY {
+            match serde_json::from_slice::<ConfigRecord>(&entry.value) {
+                Ok(record) => self.report_config(&record).await,
+                Err(err) => log::error!(
+                    target: LOG_TARGET,
+                    err:% = err;
+                    "ignoring a malformed configuration in the store"
+                ),
+            }
+        } else if entry.key.starts_with(ZONES_PREFIX) {
+            match serde_json::from_slice::<ZoneEntry>(&entry.value) {
+                Ok(zone) => self.report(Update::Zone(zone.to_record())).await,
+                Err(err) => log::error!(
+                    target: LOG_TARGET,
+                    err:% = err;
+                    "ignoring a malformed zone record in the store"
+                ),
+            }
+        }
     }
-    Ok(position)
-}
 
-fn report_change(change: &Change, on_update: &impl Fn(Update)) {
-    let Change::Put(entry) = change else {
-        return;
-    };
-    if entry.key == CONFIG_KEY {
-        match serde_json::from_slice::<ConfigRecord>(&entry.value) {
-            Ok(record) => report_config(&record, on_update),
+    async fn report_config(&self, record: &ConfigRecord) {
+        match Config::parse(&record.text) {
+            Ok(config) => {
+                let version = record.version;
+                self.report(Update::Config { version, config }).await;
+            }
             Err(err) => log::error!(
                 target: LOG_TARGET,
                 err:% = err;
-                "ignoring a malformed configuration in the store"
+                "ignoring an invalid configuration in the store"
             ),
         }
-    } else if entry.key.starts_with(ZONES_PREFIX) {
-        match serde_json::from_slice::<ZoneEntry>(&entry.value) {
-            Ok(zone) => on_update(Update::Zone(zone.to_record())),
-            Err(err) => log::error!(
-                target: LOG_TARGET,
-                err:% = err;
-                "ignoring a malformed zone record in the store"
-            ),
+    }
+
+    async fn report_answer(&self, at: Option<Instant>) {
+        if let Some(at) = at {
+            self.report(Update::Answered(at)).await;
         }
     }
-}
 
-fn report_config(record: &ConfigRecord, on_update: &impl Fn(Update)) {
-    match Config::parse(&record.text) {
-        Ok(config) => on_update(Update::Config {
-            version: record.version,
-            config,
-        }),
-        Err(err) => log::error!(
-            target: LOG_TARGET,
-            err:% = err;
-            "ignoring an invalid configuration in the store"
-        ),
+    async fn report(&self, update: Update) {
+        let _ = self.updates.send_async(update.into()).await;
     }
 }
 
--- a/buckthornlink-platform/src/etcd/watch.rs
+++ b/buckthornlink-platform/src/etcd/watch.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream without events looks the same as one whose connection has fallen silent. So the watch asks
 //! the store at intervals for its latest write, and fails if the stream does not deliver it, or if the
-//! store's revision has gone back because an older copy was restored.
+//! store's revision has gone back because an older copy was restored. Only these answers tell how much is
+//! known: events may have been held up on their way.
 
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use super::json::{Streamed, WatchResponse};
 use crate::store::{Change, Revision, StoreError, Watch};
 
-/// Interval between questions for the latest write, after the last event or answer.
+/// Interval between questions for the latest write.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time within which the stream delivers an event that the store has confirmed.
 const DELIVERY_TIME: Duration = Duration::from_millis(500);
@@ -30,6 +31,7 @@
     /// Revision up to which all events have been delivered.
     delivered: Revision,
     next_check: Instant,
+    confirmed_at: Option<Instant>,
 }
 
 impl EtcdWatch {
@@ -47,6 +49,7 @@
             buffer: BytesMut::new(),
             delivered,
             next_check: Instant::now() + CHECK_INTERVAL,
+            confirmed_at: None,
         }
     }
 
@@ -65,6 +68,8 @@
     /// Asks the store for its latest write. If the stream has not delivered it, waits for it; returns
     /// the changes that arrive meanwhile.
     async fn check(&mut self) -> Result<Vec<Change>, StoreError> {
+        let start = Instant::now();
+        self.next_check = start + CHECK_INTERVAL;
         let (latest, store) = self.store.latest_write(&self.prefix).await?;
         if store < self.delivered {
             return Err(StoreError::Restored);
@@ -80,6 +85,7 @@
         timeout(DELIVERY_TIME, deliver)
             .await
             .unwrap_or_else(|_| Err(silent()))?;
+        self.confirmed_at = Some(start);
         Ok(changes)
     }
 
@@ -107,11 +113,13 @@
             received = self.receive() => Some(received),
             () = sleep_until(next_check) => None,
         };
-        let changes = match received {
+        match received {
             Some(received) => received,
             None => self.check().await,
-        };
-        self.next_check = Instant::now() + CHECK_INTERVAL;
-        changes
+        }
+    }
+
+    fn confirmed_at(&self) -> Option<std::time::Instant> {
+        self.confirmed_at.map(Instant::into_std)
     }
 }
--- a/buckthornlink-platform/src/store.rs
+++ b/buckthornlink-platform/src/store.rs
@@ -1,7 +1,7 @@
 //! Interface to a key-value store.
 
 use std::future::Future;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use buckthornlink_core::Verdict;
 
@@ -131,6 +131,11 @@
     fn max_wait(&self) -> Option<Duration> {
         None
     }
+
+    /// Moment as of which the store is known to have had no changes but those returned so far, if the watch knows it.
+    fn confirmed_at(&self) -> Option<Instant> {
+        None
+    }
 }
 
 /// The operations of a key-value store that the system needs.
--- a/buckthornlink-wire/tests/hostile.rs
+++ b/buckthornlink-wire/tests/hostile.rs
@@ -4,7 +4,8 @@
 
 use buckthornlink_core::balancer::Candidate;
 use buckthornlink_core::member::{Digest, Fact, Load, Phase, Role, ZoneRecord};
-use buckthornlink_core::message::{Ack, Exchange, Heartbeat, MAX_FACTS, Message};
+use buckthornlink_core::message::{Ack, Exchange, Heartbeat, MAX_FACTS, Message, StoreView};
+use buckthornlink_core::store::StoreAnswer;
 use buckthornlink_core::{BootId, Millis, ServicePort, Version, ZoneTag};
 use buckthornlink_wire::{
     CID_BYTES, CidCodec, DecodeError, FlowLocation, Header, KeyRing, MAX_HEADER_BYTES,
@@ -174,6 +175,10 @@
         pressure: 255,
     };
     let version = Version(1 << 31);
+    let answer = StoreAnswer {
+        instance: fact().addr,
+        age: Millis(1 << 31),
+    };
     let messages = [
         Message::Hello(fact()),
         Message::Heartbeat(Heartbeat {
@@ -194,10 +199,16 @@
             from: fact(),
             version,
             digest: Some(Digest::default()),
-            zones,
+            zones: zones.clone(),
             facts: vec![fact(); MAX_FACTS],
             ask: true,
         }),
+        Message::Store(StoreView {
+            version,
+            zones,
+            answers: vec![answer; 2],
+            ask: true,
+        }),
     ];
     for message in messages {
         let payload = control::encode(&message).unwrap();
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -27,7 +27,7 @@
 use buckthornlink_node::config_transfer::{self, ConfigHistory, ConfigSource, VersionedConfig};
 use buckthornlink_node::metrics::{HttpServer, metrics_router};
 use buckthornlink_node::settings::key_ring;
-use buckthornlink_node::store_sync::{Registration, StoreSync, Update};
+use buckthornlink_node::store_sync::{Registration, StoreSync};
 use buckthornlink_node::trace::{Recorder, TraceRole};
 use buckthornlink_platform::{BALANCERS_PREFIX, BalancerEntry, EtcdStore};
 
@@ -42,8 +42,8 @@
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of system-selected ports tried to find one that is free for both UDP and TCP.
 const MAX_BIND_ATTEMPTS: u32 = 16;
-/// Maximum number of jobs waiting for the reducer; further openers, control messages, load reports
-/// and store updates are dropped, and other jobs wait.
+/// Maximum number of jobs waiting for the reducer; further openers, control messages and load reports
+/// are dropped, and other jobs wait.
 const JOB_QUEUE_CAPACITY: usize = 4_096;
 
 /// A running balancer. Dropping it stops it at once.
@@ -93,7 +93,7 @@
             .await
             .with_context(|| format!("cannot bind the HTTP server to {}", settings.http))?;
         let store = EtcdStore::new(&settings.store.url);
-        let store_sync = spawn_store_sync(store.clone(), jobs.clone());
+        let store_sync = StoreSync::spawn(store.clone(), jobs.clone());
         let registration = Registration::spawn(
             store,
             format!("{BALANCERS_PREFIX}{link}"),
@@ -201,20 +201,6 @@
         .with_context(|| format!("cannot open trace file {}", path.display()))
 }
 
-fn spawn_store_sync(store: EtcdStore, jobs: flume::Sender<Job>) -> StoreSync {
-    StoreSync::spawn(store, move |update| {
-        let event = match update {
-            Update::Config { version, config } => Event::Config { version, config },
-            Update::Zone(record) => Event::Zone(record),
-        };
-        if jobs.try_send(Job::event(event)).is_err() {
-            log::warn!(
-                "reducer queue is full; a store update is delayed until the store is read again"
-            );
-        }
-    })
-}
-
 /// Binds the link's UDP and TCP sockets to the same port. If `addr` has port 0, the system selects
 /// a port that is free for UDP; if it is taken for TCP, other ports are tried.
 async fn bind_link(addr: SocketAddrV4) -> std::io::Result<(UdpSocket, TcpListener)> {
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -15,10 +15,10 @@
 use buckthornlink_core::member::Fact;
 use buckthornlink_core::message::Message;
 use buckthornlink_core::{FlowKey, ServicePort, Version};
-use buckthornlink_node::clock::Clock;
+use buckthornlink_node::clock::{Clock, millis_since};
 use buckthornlink_node::config_transfer::{self, VersionedConfig};
 use buckthornlink_node::event_loop;
-use buckthornlink_node::store_sync::StoreSync;
+use buckthornlink_node::store_sync::{StoreSync, Update};
 use buckthornlink_node::trace::Recorder;
 use buckthornlink_wire::{Header, IP_UDP_HEADER_BYTES, control};
 
@@ -32,6 +32,8 @@
 pub(super) enum Job {
     /// An event without a datagram.
     Event(Box<Event>),
+    /// What was read from the store.
+    Store(Box<Update>),
     /// An opener: a datagram for the reducer to place.
     Opener(Opener),
     /// A peer's request for agents of a service.
@@ -58,6 +60,22 @@
     }
 }
 
+impl From<Update> for Job {
+    fn from(update: Update) -> Self {
+        Self::Store(Box::new(update))
+    }
+}
+
+/// The event for what was read from the store, which is handled now.
+fn store_event(update: Update) -> Event {
+    match update {
+        Update::Config { version, config } => Event::Config { version, config },
+        Update::Zone(record) => Event::Zone(record),
+        Update::Answered(at) => Event::StoreAnswered(millis_since(at)),
+        Update::Failed => Event::StoreFailed,
+    }
+}
+
 impl Opener {
     const fn event(&self) -> Event {
         Event::Opener {
@@ -138,6 +156,7 @@
                 }
                 event => self.reduce(event, None),
             },
+            Job::Store(update) => self.reduce(store_event(*update), None),
             Job::Opener(opener) => self.place_opener(opener),
             Job::Contacts(service, reply) => drop(reply.send(self.state.contacts(service))),
             Job::Status(reply) => drop(reply.send(Status::new(&self.state, self.clock.now()))),
@@ -187,10 +206,16 @@
             Effect::Fetch { from, version } => self.fetch_config(from, version),
             Effect::FetchContacts { service, from } => self.fetch_contacts(service, from),
             Effect::Publish(snapshot) => self.publish(snapshot),
-            Effect::Watch(watching) => self.store_sync.set_watching(watching),
+            Effect::Watch(watching) => self.set_watching(watching),
         }
     }
 
+    fn set_watching(&self, watching: bool) {
+        let age_ms = self.state.store_age(self.clock.now()).0;
+        log::info!(watching, age_ms; "reads of the store change");
+        self.store_sync.set_watching(watching);
+    }
+
     /// Counts an opener that cannot be placed as dropped, unless agents of its service are being
     /// fetched.
     fn drop_opener(&self, opener: Option<&Opener>) {
@@ -337,6 +362,10 @@
         metrics.version.set(version);
         let members = i64::try_from(self.state.members().len()).unwrap_or(i64::MAX);
         metrics.members.set(members);
+        let age = self.state.store_age(self.clock.now());
+        metrics
+            .store_age
+            .set(i64::try_from(age.0).unwrap_or(i64::MAX));
         let out = self.state.zones().iter().filter(|z| z.out).count();
         metrics
             .zones_out
