fix(balancer): ask a balancer before it is taken for silent

Cause: a balancer was marked silent 30 s after its last message. But exchanges go to random balancers, one a second: of 25, each balancer hears a certain one within 30 s in about 7 of 10 cases only. The mark was refuted, and meanwhile another balancer took itself for one of the first of its zone and read the store. Beyond 60 or so, more than half were always unheard, so that the rule against that suspended the marks.

Change: a balancer that was not heard for 15 s is asked what it knows of the store, which it answers. It is marked silent after 30 s only if it has left three questions unanswered, besides the old conditions; the rule of more than half counts those that do not answer. The question costs at most one new message a second, whatever the number of balancers. One that joined the watchers leaves once the store answered one that goes before it: watchers in step fill the two answers of a message, so that a third one never heard of two others.

A lost balancer is still noticed within 40 s at each size.

--- a/buckthornlink-core/src/balancer.rs
+++ b/buckthornlink-core/src/balancer.rs
@@ -8,12 +8,14 @@
 //! * `gossip` exchanges facts with other balancers within a byte budget.
 //! * `observe` handles heartbeats and detects agents that no longer send them.
 //! * `store_access` tells how old the knowledge of the store is, and who watches it.
+//! * `unheard` asks balancers that were not heard for long, and detects silent ones.
 
 mod budget;
 mod gossip;
 mod observe;
 mod opener;
 mod store_access;
+mod unheard;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -32,6 +34,7 @@
 use crate::time::Millis;
 use gossip::GossipQueue;
 use store_access::StoreAccess;
+use unheard::UnansweredAsks;
 
 /// Interval of [`Event::Tick`].
 pub const TICK_INTERVAL: Millis = Millis(100);
@@ -176,6 +179,7 @@
     zones: ZoneTable,
     members: Members,
     gossip: GossipQueue,
+    unanswered_asks: UnansweredAsks,
     budget: ByteBudget,
     rng: Pcg64Mcg,
     next_turn: u64,
@@ -207,6 +211,7 @@
             zones: ZoneTable::default(),
             members,
             gossip: GossipQueue::default(),
+            unanswered_asks: UnansweredAsks::default(),
             budget: ByteBudget::new(setup.control_bytes),
             rng: Pcg64Mcg::seed_from_u64(setup.seed),
             next_turn: 0,
--- a/buckthornlink-core/src/balancer/gossip.rs
+++ b/buckthornlink-core/src/balancer/gossip.rs
@@ -10,7 +10,7 @@
 use rand_core::RngCore;
 
 use super::{Balancer, Effect};
-use crate::member::{Fact, MemberKey, ZoneRecord};
+use crate::member::{Fact, ZoneRecord};
 use crate::message::{Exchange, MAX_FACTS, Message};
 use crate::sample::keep_random;
 use crate::time::Millis;
@@ -25,8 +25,6 @@
 /// Bytes allowed for one fact of a response; a response may use half of the available budget. An
 /// encoded fact is seldom as long as the upper bound that is charged for it.
 const FACT_BUDGET_BYTES: usize = 40;
-/// Time without a datagram from a peer after which the peer is marked silent.
-const PEER_TIMEOUT: Millis = Millis(30_000);
 /// Interval between hellos while no peer is known.
 const HELLO_INTERVAL: Millis = Millis(100);
 /// Interval between hellos once peers are known; lets groups that do not know each other merge.
@@ -130,7 +128,7 @@
             return;
         }
         self.gossip.last_exchange = now;
-        self.mark_silent_peers(now);
+        self.check_unheard_peers(now, effects);
         let Some(peer) = self.pick_balancers(1).pop() else {
             return;
         };
@@ -268,27 +266,4 @@
         let hello = Message::Hello(self.own);
         self.send(self.setup.entry, hello, effects);
     }
-
-    /// Marks balancers silent that have not been heard for [`PEER_TIMEOUT`], unless they are more
-    /// than half of all.
-    fn mark_silent_peers(&mut self, now: Millis) {
-        let is_missing = |key: &&MemberKey| {
-            let member = self.members.get(**key);
-            member.is_some_and(|m| {
-                m.fact.addr != self.own.addr
-                    && !m.fact.phase.is_gone()
-                    && m.last_heard.is_some_and(|at| now.since(at) > PEER_TIMEOUT)
-            })
-        };
-        let peers = self.members.balancers();
-        let missing: Vec<_> = peers.iter().filter(is_missing).copied().collect();
-        if missing.len() * 2 > peers.len() {
-            return;
-        }
-        for key in missing {
-            if let Some(member) = self.members.get(key) {
-                self.merge_fact(member.fact.silenced());
-            }
-        }
-    }
 }
--- a/buckthornlink-core/src/balancer/store_access.rs
+++ b/buckthornlink-core/src/balancer/store_access.rs
@@ -16,8 +16,6 @@
 
 /// Number of balancers in each zone that watch the store.
 const WATCHERS_PER_ZONE: usize = 2;
-/// A balancer that joined the watchers leaves once the store answers this many that go before it.
-const MIN_WATCHERS: usize = 2;
 
 /// Time in which a balancer must know an edit: 6 s, less the time in which its agents hear of it.
 const MAX_KNOWN_TIME: Millis = Millis(3_600);
@@ -162,14 +160,14 @@
         let is_watcher = if self.is_first_in_zone() {
             true
         } else if self.store_access.is_watcher {
-            !self.has_enough_watchers(now)
+            !self.has_watcher_ahead(now)
         } else {
             self.is_join_due(now)
         };
         self.set_watching(is_watcher, effects);
     }
 
-    fn store_view(&self, ask: bool, now: Millis) -> Message {
+    pub(super) fn store_view(&self, ask: bool, now: Millis) -> Message {
         Message::Store(StoreView {
             version: self.version,
             zones: self.zones.iter().copied().collect(),
@@ -226,17 +224,17 @@
         ahead < WATCHERS_PER_ZONE
     }
 
-    /// Whether the store lately answered enough balancers that go before this one. Those that joined
-    /// count for the ones behind them only, so that they do not all leave for each other.
-    fn has_enough_watchers(&self, now: Millis) -> bool {
+    /// Whether the store lately answered a balancer that goes before this one. Those that joined count for
+    /// the ones behind them only, so that they do not all leave for each other.
+    fn has_watcher_ahead(&self, now: Millis) -> bool {
         let own = watcher_rank(&self.own);
-        let is_ahead = |addr: &SocketAddrV4| {
-            let member = self.members.at(*addr);
+        let is_ahead = |addr: SocketAddrV4| {
+            let member = self.members.at(addr);
             member.is_some_and(|m| watcher_rank(&m.fact) < own)
         };
         let answers = &self.store_access.answers;
-        let answered = answers.answered_within(JOIN_LIMITS.max_age, now);
-        answered.filter(is_ahead).count() >= MIN_WATCHERS
+        let mut answered = answers.answered_within(JOIN_LIMITS.max_age, now);
+        answered.any(is_ahead)
     }
 }
 
--- a/buckthornlink-core/tests/balancer_watchers.rs
+++ b/buckthornlink-core/tests/balancer_watchers.rs
@@ -16,6 +16,10 @@
 /// Time in which balancers that joined the watchers leave again.
 const SETTLE_TIME: Millis = Millis(10_000);
 const CALM_TIME: Millis = Millis(60_000);
+/// Interval at which a watcher calls the store on a calm day.
+const CHECK_INTERVAL: Millis = Millis(2_000);
+/// Time after which some balancer has noticed that one was lost.
+const SILENCE_TIME: Millis = Millis(40_000);
 /// Longest time between two answers to the watchers, and until an answer has reached all.
 const MAX_CALM_AGE: Millis = Millis(2_450);
 /// Balancers that join the watchers after a loss, at most.
@@ -199,8 +203,11 @@
 /// Guards against balancers that join the watchers on a calm day, and against more calls to the store by the
 /// watchers than their checks.
 #[test]
-fn on_a_calm_day_no_balancer_finds_its_knowledge_too_old() {
+fn on_a_calm_day_two_balancers_of_each_zone_call_the_store() {
     for_each_fleet(|fleet, context| {
+        let watchers = fleet.watchers().len();
+        let limit = 2 * usize::from(fleet.zones);
+        assert!(watchers <= limit, "{context}: {watchers} watch");
         let mut max_age = Millis(0);
         let end = fleet.now + CALM_TIME;
         while fleet.now < end {
@@ -209,6 +216,36 @@
             max_age = ages.max().unwrap().max(max_age);
         }
         assert!(max_age <= MAX_CALM_AGE, "{context}: {max_age:?}");
+        assert_eq!(fleet.joins, [], "{context}");
+        let checks = CALM_TIME.0.div_ceil(CHECK_INTERVAL.0);
+        let limit = watchers * usize::try_from(checks).unwrap();
+        assert!(fleet.calls <= limit, "{context}: {} calls", fleet.calls);
+    });
+}
+
+/// Guards against living balancers that are taken for silent since exchanges with random ones reach each of many
+/// too seldom, and whose refutations fill the exchanges.
+#[test]
+fn no_living_balancer_is_taken_for_silent() {
+    for_each_fleet(|fleet, context| {
+        fleet.run(CALM_TIME);
+        for addr in fleet.left() {
+            assert!(!fleet.is_held_for_silent(addr), "{context}: {addr}");
+        }
+    });
+}
+
+/// Guards against a lost balancer that nobody takes for silent, since each balancer hears only some of many
+/// within the timeout.
+#[test]
+fn a_lost_balancer_is_taken_for_silent_whatever_the_number_of_balancers() {
+    for_each_fleet(|fleet, context| {
+        let left = fleet.left();
+        if left.len() > 2 {
+            fleet.lose(left[0], Loss::Killed);
+            fleet.run(SILENCE_TIME);
+            assert!(fleet.is_held_for_silent(left[0]), "{context}");
+        }
     });
 }
 
--- a/buckthornlink-core/tests/balancers/mod.rs
+++ b/buckthornlink-core/tests/balancers/mod.rs
@@ -5,7 +5,7 @@
 
 use buckthornlink_core::balancer::{Balancer, Effect, Event, Policy, Setup, TICK_INTERVAL};
 use buckthornlink_core::config::Config;
-use buckthornlink_core::member::{ZoneRecord, ZoneSeq};
+use buckthornlink_core::member::{Phase, ZoneRecord, ZoneSeq};
 use buckthornlink_core::message::Message;
 use buckthornlink_core::{BootId, Millis, Version, ZoneTag};
 use rand_core::{RngCore, SeedableRng};
@@ -149,6 +149,13 @@
         self.having(|i| i.loss == Some(Loss::Paused))
     }
 
+    /// Whether some balancer that is not lost holds `addr` for silent.
+    pub fn is_held_for_silent(&self, addr: SocketAddrV4) -> bool {
+        let left = self.left().into_iter().map(|a| &self.instances[&a].state);
+        let mut views = left.filter_map(|state| state.members().at(addr));
+        views.any(|member| member.fact.phase == Phase::Silent)
+    }
+
     /// Balancers that are not lost and watch the store.
     pub fn watchers(&self) -> Vec<SocketAddrV4> {
         self.having(|i| i.loss.is_none() && i.is_watching)
@@ -293,17 +300,14 @@
     }
 
     fn handle_answer(&mut self, addr: SocketAddrV4, asked_at: Millis, answer: Option<u64>) {
-        let delay = match answer {
-            Some(edit) => {
-                self.report(addr, edit);
-                let age = self.now.since(asked_at);
-                self.reduce(addr, Event::StoreAnswered(age));
-                CHECK_INTERVAL
-            }
-            None => {
-                self.reduce(addr, Event::StoreFailed);
-                RETRY_DELAY
-            }
+        let delay = if let Some(edit) = answer {
+            self.report(addr, edit);
+            let age = self.now.since(asked_at);
+            self.reduce(addr, Event::StoreAnswered(age));
+            CHECK_INTERVAL
+        } else {
+            self.reduce(addr, Event::StoreFailed);
+            RETRY_DELAY
         };
         let Some(instance) = self.instances.get_mut(&addr) else {
             return;
@@ -390,7 +394,7 @@
             epoch: 1,
             number: edit,
         },
-        out: edit % 2 == 0,
+        out: edit.is_multiple_of(2),
     }
 }
 
