test(balancer): lose all balancers that watch the store, with real sockets

Cause: the age of what a balancer knows was tested with reducers in virtual time only; the task that reads the store, its queue and the fetch of the configuration were left out.

`buckthornlink_store_watched` tells which ones watch, for operators too.

--- a/buckthornlink-fakes/src/fleet.rs
+++ b/buckthornlink-fakes/src/fleet.rs
@@ -163,6 +163,17 @@
         }
     }
 
+    /// Kills all balancers that are as described, at once. The fabric stops forwarding to them as well.
+    pub fn kill_balancers(&mut self, is_chosen: impl Fn(&Balancer) -> bool) {
+        let all = std::mem::take(&mut self.balancers);
+        let (killed, left) = all.into_iter().partition(|(_, b)| is_chosen(b));
+        self.balancers = left;
+        for (balancer_ip, _) in &killed {
+            self.fabric.remove_balancer(*balancer_ip);
+        }
+        drop::<Vec<_>>(killed);
+    }
+
     /// Starts callers of the first service.
     ///
     /// # Errors
--- a/buckthornlink/src/balancer.rs
+++ b/buckthornlink/src/balancer.rs
@@ -145,6 +145,12 @@
         self.shared.metrics.control_bytes.get()
     }
 
+    /// Whether this balancer watches the store.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.shared.metrics.store_watched.get() == 1
+    }
+
     /// Announces the shutdown to the peers, keeps forwarding for a fixed time so that the network
     /// fabric can stop delivering datagrams, and stops.
     pub async fn shut_down(self) {
--- a/buckthornlink/src/balancer/executor.rs
+++ b/buckthornlink/src/balancer/executor.rs
@@ -213,6 +213,7 @@
     fn set_watching(&self, watching: bool) {
         let age_ms = self.state.store_age(self.clock.now()).0;
         log::info!(watching, age_ms; "reads of the store change");
+        self.shared.metrics.store_watched.set(watching.into());
         self.store_sync.set_watching(watching);
     }
 
--- a/buckthornlink/src/balancer/metrics.rs
+++ b/buckthornlink/src/balancer/metrics.rs
@@ -43,6 +43,7 @@
     pub(super) members: IntGauge,
     pub(super) zones_out: IntGauge,
     pub(super) store_age: IntGauge,
+    pub(super) store_watched: IntGauge,
     pub(super) opener_seconds: Histogram,
     datagram_sizes: HistogramVec,
     openers: IntCounterVec,
@@ -89,6 +90,10 @@
                 "buckthornlink_store_age_ms",
                 "Milliseconds since when a change in the store may have been missed",
             )?,
+            store_watched: IntGauge::new(
+                "buckthornlink_store_watched",
+                "1 if this balancer watches the store",
+            )?,
             opener_seconds: Histogram::with_opts(seconds.buckets(LATENCY_BUCKETS.to_vec()))?,
             datagram_sizes: HistogramVec::new(sizes.buckets(SIZE_BUCKETS.to_vec()), labels)?,
             openers: counter("buckthornlink_openers_total", "Openers received", "service")?,
@@ -125,6 +130,7 @@
         registry.register(Box::new(self.members.clone()))?;
         registry.register(Box::new(self.zones_out.clone()))?;
         registry.register(Box::new(self.store_age.clone()))?;
+        registry.register(Box::new(self.store_watched.clone()))?;
         registry.register(Box::new(self.opener_seconds.clone()))?;
         registry.register(Box::new(self.datagram_sizes.clone()))?;
         registry.register(Box::new(self.openers.clone()))?;
