fix(balancer): take no agent for silent that reports to others

What callers would see: fewer agents get their new flows for a moment.

Cause: an agent's hello goes to whichever balancer the fabric selects. That one counted itself among those that the agent reports to, heard no report within 3.5 intervals and marked the agent silent, until it refuted that.

Change: an agent's hello is merged and answered, but only its reports make a balancer its observer.

Evidence: an_agent_that_reports_to_others_is_not_marked fails before (the fact is silent at 4 s).

--- a/buckthornlink-core/src/balancer/gossip.rs
+++ b/buckthornlink-core/src/balancer/gossip.rs
@@ -10,7 +10,7 @@
 use rand_core::RngCore;
 
 use super::{Balancer, Effect};
-use crate::member::{Fact, ZoneRecord};
+use crate::member::{Fact, Role, ZoneRecord};
 use crate::message::{Exchange, MAX_FACTS, Message};
 use crate::sample::keep_random;
 use crate::time::Millis;
@@ -66,7 +66,8 @@
 }
 
 impl Balancer {
-    /// Handles a control message.
+    /// Handles a control message. An agent's hello goes to any balancer and does not make it one that the
+    /// agent reports to.
     pub(super) fn handle_control(
         &mut self,
         from: SocketAddrV4,
@@ -79,7 +80,9 @@
                 let is_self = fact.addr == self.own.addr;
                 if !is_self {
                     self.merge_fact(fact);
-                    self.members.mark_heard(fact.addr, now);
+                    if fact.role == Role::Balancer {
+                        self.members.mark_heard(fact.addr, now);
+                    }
                     self.send_ack(from, &fact, now, &mut effects);
                 }
             }
--- a/buckthornlink-core/tests/balancer.rs
+++ b/buckthornlink-core/tests/balancer.rs
@@ -215,6 +215,28 @@
     );
 }
 
+/// Guards against an agent that is taken for silent since it asked the fabric for a balancer once, and reports
+/// to others.
+#[test]
+fn an_agent_that_reports_to_others_is_not_marked() {
+    let mut state = balancer(Policy::Adaptive);
+    for host in 11..15 {
+        send_heartbeat(&mut state, agent(host, 1, Phase::Warm), load(0), Millis(0));
+    }
+    let asking = agent(15, 1, Phase::Warm);
+    let hello = Event::Control {
+        from: asking.addr,
+        message: Message::Hello(asking),
+    };
+    state.reduce(hello, Millis(0));
+    for host in 11..15 {
+        let fact = agent(host, 1, Phase::Warm);
+        send_heartbeat(&mut state, fact, load(0), Millis(4_000));
+    }
+    state.reduce(Event::Tick, Millis(4_000));
+    assert_eq!(state.members().at(asking.addr).unwrap().fact, asking);
+}
+
 #[test]
 fn no_agent_is_marked_when_many_fall_silent_at_once() {
     let mut state = balancer(Policy::Adaptive);
