fix(core): spread the calls to the store of instances that were paused together

What operators would see: a storm of reads of the store when many processes go on after a pause that they shared, as of a host or a zone.

Cause: the time at which an instance reads the store itself is drawn from when its knowledge became too old. After a pause of all that lies in the past for each of them, and for a second everything that arrives counts as having waited, so that the first answer spared nobody the call.

Change: if the knowledge became too old during a pause, the time is drawn from a second after its end.

--- a/buckthornlink-core/src/store/answers.rs
+++ b/buckthornlink-core/src/store/answers.rs
@@ -19,9 +19,9 @@
 const TRANSIT_TIME: Millis = Millis(10);
 /// Time without a tick after which messages that arrive next count as sent right after the last one. Longer
 /// than the interval of ticks. A shorter wait is not noticed.
-const LATE_TICK: Millis = Millis(300);
+pub(super) const LATE_TICK: Millis = Millis(300);
 /// Time within which a process handles the messages that waited for it.
-const DRAIN_TIME: Millis = Millis(1_000);
+pub(super) const DRAIN_TIME: Millis = Millis(1_000);
 
 /// An answer of the store to one instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/buckthornlink-core/src/store/joining.rs
+++ b/buckthornlink-core/src/store/joining.rs
@@ -3,6 +3,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::answers::{DRAIN_TIME, LATE_TICK};
 use crate::time::Millis;
 
 /// Mean delay before an instance calls the store again after a call that failed, which doubles with each
@@ -32,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct JoinTimer {
     limits: JoinLimits,
+    checked_at: Option<Millis>,
     joins_at: Option<Millis>,
     /// Calls to the store that have failed since the last answer.
     failures: u32,
@@ -44,6 +46,7 @@
     pub fn new(limits: JoinLimits, seed: u64) -> Self {
         Self {
             limits,
+            checked_at: None,
             joins_at: None,
             failures: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -57,14 +60,25 @@
 
     /// Whether what is known of the store is too old, and the time has come that is drawn for joining
     /// among `members` instances.
+    ///
+    /// The time is drawn from when the knowledge became too old. If that was during a pause of this process,
+    /// it is drawn from when what arrives no longer counts as having waited: others that were paused as well
+    /// find the same, and the first answer can spare them a call only then.
     pub fn is_due(&mut self, age: Millis, members: usize, now: Millis) -> bool {
+        let last_check = self.checked_at.replace(now);
         if age < self.limits.max_age {
             self.cancel();
             return false;
         }
+        let is_late = last_check.is_none_or(|at| now.since(at) >= LATE_TICK);
+        let noticed_at = if is_late {
+            now + DRAIN_TIME
+        } else {
+            now - age + self.limits.max_age
+        };
         let joins_at = match self.joins_at {
             Some(at) => at,
-            None => now - age + self.limits.max_age + self.draw_join_delay(members),
+            None => noticed_at + self.draw_join_delay(members),
         };
         self.joins_at = Some(joins_at);
         now >= joins_at
--- a/buckthornlink-core/tests/balancer_watchers.rs
+++ b/buckthornlink-core/tests/balancer_watchers.rs
@@ -267,6 +267,25 @@
     });
 }
 
+/// Guards against a storm of calls to the store, by balancers that were paused together and all find their knowledge
+/// too old at the moment they go on.
+#[test]
+fn few_balancers_join_after_a_pause_of_all() {
+    for_each_fleet(|fleet, context| {
+        for addr in fleet.left() {
+            fleet.lose(addr, Loss::Paused);
+        }
+        let pause = 1_000 + fleet.random(10_000);
+        fleet.run(Millis(pause));
+        for addr in fleet.paused() {
+            fleet.resume(addr);
+        }
+        fleet.run(SETTLE_TIME);
+        let joins = fleet.joins.len();
+        assert!(joins <= MAX_JOINS, "{context}: {joins}");
+    });
+}
+
 /// Guards against a storm of calls to a store that does not answer, and against balancers that stay out of touch
 /// after its return.
 #[test]
--- a/buckthornlink-core/tests/datagram_watchers.rs
+++ b/buckthornlink-core/tests/datagram_watchers.rs
@@ -294,6 +294,28 @@
     }
 }
 
+/// Guards against a storm of calls to the store, by instances that were paused together and all find their knowledge
+/// too old at the moment they go on.
+#[test]
+fn few_instances_call_the_store_after_a_pause_of_all() {
+    for (size, seeds) in FLEETS {
+        for seed in 0..seeds {
+            let mut fleet = StoreFleet::start(size, seed);
+            for ip in fleet.left() {
+                fleet.lose(ip, Loss::Paused);
+            }
+            let pause = 1_000 + fleet.random(10_000);
+            fleet.run(Millis(pause));
+            for ip in fleet.paused() {
+                fleet.resume(ip);
+            }
+            fleet.run(SETTLE_TIME);
+            let joins = fleet.joins.len();
+            assert!(joins <= MAX_JOINS, "size {size}, seed {seed}: {joins}");
+        }
+    }
+}
+
 /// Guards against a storm of calls to a store that does not answer, by instances that all miss its answers.
 #[test]
 fn an_outage_of_the_store_leads_to_few_calls_and_ends_for_all_at_once() {
