fix(datagram): repeat a try that the home agent asked for only at its word

What callers would see: a packet of an open flow at a third place that does not own it (FLOW), while the flow's owner is paused.

Cause: the home agent counts the tries that it asks for, two for a flow. An agent that it had asked, and whose backend server left the packet unanswered, gave it another one 600 ms later on a balancer's word, which nobody counts. Only an agent whose try a search was told of left that to the home agent.

Change: a try that the home agent asked for counts as known to it, as one that its search was told of.

Evidence: a_try_that_the_home_agent_asked_for_is_repeated_only_for_it fails before (the lookup is delivered).

--- a/buckthornlink-core/src/datagram/agent/trial.rs
+++ b/buckthornlink-core/src/datagram/agent/trial.rs
@@ -51,6 +51,7 @@
         self.flows.update(&packet.flow, |s| {
             s.held_try = None;
             s.ownership = Ownership::Trial { requester };
+            s.is_try_counted |= packet.tag.mode == Mode::Try;
             s.record_caller_packet(packet, now);
             s.record_trial(now);
         });
@@ -60,8 +61,8 @@
     /// Delivers one further packet of a flow whose trial the backend server has left unanswered, once that has had
     /// time to return the first one; drops others.
     ///
-    /// A search is told of the trial instead: it asks others as well. From then on the home agent counts it, and alone
-    /// asks for a repetition.
+    /// A search is told of the trial instead: it asks others as well. The home agent that was told of it, or has asked for
+    /// it, counts it, and alone asks for a repetition.
     pub(super) fn repeat_trial(
         &mut self,
         from: Ipv4Addr,
@@ -168,7 +169,7 @@
     fn can_repeat_trial(&self, own: Ipv4Addr, is_asked: bool) -> bool {
         let others = self.tries.iter().filter(|t| t.agent != own).count();
         let is_within_bound = usize::from(self.trial_count) + others < MAX_TRIES;
-        !self.is_trial_exhausted() && (is_asked || is_within_bound && !self.is_try_reported)
+        !self.is_trial_exhausted() && (is_asked || is_within_bound && !self.is_try_counted)
     }
 
     /// How a failed trial is reported: whether it was of one packet or of as many as are allowed.
--- a/buckthornlink-core/src/datagram/agent/try_mark.rs
+++ b/buckthornlink-core/src/datagram/agent/try_mark.rs
@@ -149,7 +149,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.flows.update(flow, |s| {
-            s.is_try_reported = true;
+            s.is_try_counted = true;
             s.last_seen = now;
         });
         let message = Message::Tried(*flow);
--- a/buckthornlink-core/src/datagram/flows.rs
+++ b/buckthornlink-core/src/datagram/flows.rs
@@ -134,8 +134,9 @@
     pub trial_count: u8,
     /// When the last trial delivery was.
     pub tried_at: Millis,
-    /// Whether a search was told that a packet of the flow may have been tried here.
-    pub is_try_reported: bool,
+    /// Whether the flow's home agent counts a packet that may have been tried here: it has asked for that, or its search
+    /// was told of it.
+    pub is_try_counted: bool,
     /// The packet that is held until it may be tried.
     pub held_try: Option<HeldTry>,
     /// When the current search for the flow began.
--- a/buckthornlink-core/tests/datagram_tries.rs
+++ b/buckthornlink-core/tests/datagram_tries.rs
@@ -337,6 +337,21 @@
     assert!(is_delivered(&agent.packet_from_peer(data(1), Mode::Try)));
 }
 
+/// Guards against a third packet at others: an agent repeated, on a balancer's word, a try that the home agent had asked
+/// for and counts (soak 591301).
+#[test]
+fn a_try_that_the_home_agent_asked_for_is_repeated_only_for_it() {
+    let mut agent = AgentDriver::without_backend();
+    agent.heartbeat(heartbeat(40));
+    assert!(is_delivered(&agent.packet_from_peer(data(1), Mode::Try)));
+    for mode in [Mode::Lookup, Mode::Known, Mode::Recorded] {
+        agent.advance(Millis(600));
+        let copy = agent.packet_from_peer(data(1), mode);
+        assert!(!is_delivered(&copy), "{mode:?}: {copy:?}");
+    }
+    assert!(is_delivered(&agent.packet_from_peer(data(1), Mode::Try)));
+}
+
 /// Guards against a search that waits for an agent which is leaving beside a living backend server: it can deny nothing, and
 /// nobody asked it to find out.
 #[test]
