fix(agent): ask less often the longer no balancer answers

What operators would see: balancers that are slow to answer, by more than 0.2 s, get up to 15 times as many reports at the target size, which makes them slower.

Cause: had an agent ask every 0.3 s for as long as nobody answers, where the regular spacing is 2.2 s.

Change: after the first two it waits twice as long each time, up to the regular spacing. What an agent needs when its three balancers are lost is the first hello, which reaches one that lives.

Evidence: an_agent_asks_less_often_the_longer_nobody_answers fails before (65 messages in 10 s, 10 allowed). The test of the time in which an agent hears of an edit passes unchanged.

--- a/buckthornlink-core/src/agent/heartbeat.rs
+++ b/buckthornlink-core/src/agent/heartbeat.rs
@@ -40,6 +40,8 @@
     sent_at: Option<Millis>,
     /// Time of the first heartbeat since the last acknowledgement.
     unanswered_since: Option<Millis>,
+    /// Heartbeats that were sent sooner than due since then, as nobody answered.
+    retries: u32,
     reported_fact: Option<Fact>,
     rotation: usize,
 }
@@ -51,6 +53,7 @@
             interval: DEFAULT_HEARTBEAT_INTERVAL,
             sent_at: None,
             unanswered_since: None,
+            retries: 0,
             reported_fact: None,
             rotation: 0,
         }
@@ -81,6 +84,7 @@
 
     fn reset_unanswered(&mut self, addr: SocketAddrV4) {
         self.unanswered_since = None;
+        self.retries = 0;
         if let Some(balancer) = self.by_addr.get_mut(&addr) {
             balancer.unanswered = 0;
         }
@@ -93,18 +97,16 @@
     }
 
     /// Time from a heartbeat to the next one, of `targets` balancers in turn.
-    fn spacing(&self, targets: usize, now: Millis) -> Millis {
+    fn spacing(&self, targets: usize) -> Millis {
         if targets == 0 {
             return HELLO_INTERVAL;
         }
         let regular = Millis(self.interval.0 / targets as u64);
-        if self.is_unanswered(now) {
-            let has_asked_others = self.sent_at > self.unanswered_since;
-            let retry = if has_asked_others {
-                HELLO_INTERVAL
-            } else {
-                ANSWER_TIME
-            };
+        let retry = match self.retries {
+            0 => ANSWER_TIME,
+            retries => Millis(HELLO_INTERVAL.0 << (retries - 1).min(8)),
+        };
+        if self.unanswered_since.is_some() {
             regular.min(retry)
         } else {
             regular
@@ -165,15 +167,16 @@
     ///
     /// Each target gets one heartbeat per interval. They are spread over the interval, so that
     /// acknowledgements with new state arrive several times per interval. While nobody has answered since
-    /// the last heartbeat, the next target gets one after [`ANSWER_TIME`], then one per
-    /// [`HELLO_INTERVAL`], each together with a hello: the targets may be lost, all of them.
+    /// the last heartbeat, the next target gets one after [`ANSWER_TIME`], further ones after
+    /// [`HELLO_INTERVAL`] and twice as long each time until the spacing is the regular one, each together
+    /// with a hello: the targets may be lost, all of them, or slow, which more messages would make worse.
     pub(super) fn send_due_heartbeats(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if self.balancers.reported_fact != Some(self.own) {
             self.send_heartbeats(now, effects);
             return;
         }
         let targets = self.balancers.select_targets(&self.own);
-        let spacing = self.balancers.spacing(targets.len(), now);
+        let spacing = self.balancers.spacing(targets.len());
         let sent_at = self.balancers.sent_at;
         if sent_at.is_none_or(|at| now.since(at) >= spacing) {
             let is_unanswered = self.balancers.is_unanswered(now);
@@ -182,6 +185,7 @@
             let next = targets.get(index).copied();
             self.send_heartbeats_to(next.into_iter().collect(), now, effects);
             if is_unanswered && next.is_some() {
+                self.balancers.retries = self.balancers.retries.saturating_add(1);
                 self.send_hello(effects);
             }
         }
--- a/buckthornlink-core/tests/agent_reports.rs
+++ b/buckthornlink-core/tests/agent_reports.rs
@@ -159,3 +159,16 @@
         assert!(sent <= regular + 10, "{interval:?}: {sent}");
     }
 }
+
+/// Guards against reports that multiply while balancers are slow to answer, and make them slower.
+#[test]
+fn an_agent_asks_less_often_the_longer_nobody_answers() {
+    let mut reports = Reports::start(Millis(6_600));
+    let hosts = (FIRST_BALANCER..).take(usize::from(BALANCERS));
+    reports.lost = hosts.map(addr).collect();
+    reports.run(Millis(6_600));
+    reports.sent.clear();
+    reports.run(Millis(10_000));
+    let sent = reports.sent.len();
+    assert!(sent <= 10, "{sent}");
+}
